Keep connections between entry and agent; add the path bench

Cause: the entry aborted each call to the agent at the closing frame, so every request paid a new TCP connection (found in a CPU profile: internalConnect and AbortError led the list). Ruled out: JSON and hashing, under 4% together. Change: a call whose answer is whole is left to end by itself; stop signals are event emitters, not AbortControllers; no random bytes a request.

--- /dev/null
+++ b/bench/main.ts
@@ -0,0 +1,18 @@
+/** `npm run bench -- NAME [--quick]`: runs one of the measurements. */
+
+const BENCHES: Record<string, () => Promise<{ run(): Promise<void> }>> = {
+	path: () => import('./path.ts'),
+}
+
+const name = process.argv[2] ?? ''
+const load = BENCHES[name]
+if (!load) {
+	const names = Object.keys(BENCHES).join(', ')
+	process.stderr.write(`name one of: ${names}\n`)
+	process.exit(2)
+}
+const bench = await load()
+await bench.run()
+process.exit(process.exitCode ?? 0)
+
+export {}
--- a/packages/agent/src/io/backend.ts
+++ b/packages/agent/src/io/backend.ts
@@ -3,6 +3,7 @@
  * sees to a sink; it never decides a request's fate.
  */
 
+import type { EventEmitter } from 'node:events'
 import type { IncomingHttpHeaders } from 'node:http'
 import { splitHopHeaders } from '@juniperhook/runtime'
 import { createParser } from 'eventsource-parser'
@@ -14,6 +15,11 @@
 const CONNECT_MS = 1_000
 const ENGINE_RESUME_PAUSE_MS = 100
 
+/** Stops a run; cheaper a request than an AbortController. */
+export interface StopSignal extends EventEmitter {
+	stopped?: boolean
+}
+
 /** One run of a request on the backend server. */
 export interface BackendRun {
 	/** `IP:port` of the backend server. */
@@ -24,7 +30,8 @@
 	readonly headers: Record<string, string>
 	readonly body: Buffer
 	readonly priority: number
-	readonly signal: AbortSignal
+	/** Emits `abort` when the run is to stop. */
+	readonly stop: StopSignal
 }
 
 /** Where a run's answer goes. */
@@ -98,7 +105,7 @@
 				'x-priority': String(run.priority),
 			},
 			body: run.body.length > 0 ? run.body : null,
-			signal: run.signal,
+			signal: run.stop,
 			dispatcher,
 		})
 	} catch (err) {
@@ -139,7 +146,7 @@
 					if (room) await room
 				}
 		} catch (err) {
-			if (run.signal.aborted) throw err
+			if (run.stop.stopped) throw err
 		}
 		if (ended) return { how: 'whole' }
 		parser.reset()
@@ -156,8 +163,7 @@
 	const id = encodeURIComponent(run.reqId)
 	const url = `http://${run.address}/v1/requests/${id}/stream?from=${from}`
 	try {
-		const { signal } = run
-		const res = await request(url, { signal, dispatcher })
+		const res = await request(url, { signal: run.stop, dispatcher })
 		if (res.statusCode === 200) return res
 		await res.body.dump()
 	} catch {
--- a/packages/agent/src/io/requests.ts
+++ b/packages/agent/src/io/requests.ts
@@ -3,6 +3,7 @@
  * streams answers, obeys void orders and cancellations.
  */
 
+import { EventEmitter } from 'node:events'
 import type { ServerResponse } from 'node:http'
 import type {
 	AdmissionEffect,
@@ -46,7 +47,7 @@
 	nextNumber,
 	sendBeat,
 } from './answerLog.ts'
-import type { AnswerSink, BackendRun, RunEnd } from './backend.ts'
+import type { AnswerSink, BackendRun, RunEnd, StopSignal } from './backend.ts'
 import { cancelOnEngine, runEngine, runService } from './backend.ts'
 
 /** How long a finished answer stays for a reader who lost its link, in ms. */
@@ -64,7 +65,7 @@
 	readonly name: AttemptName
 	readonly body: Buffer
 	readonly answer: AnswerLog
-	readonly abort: AbortController
+	readonly stop: StopSignal
 	/** Since when nobody reads, monotonic ms; `undefined` while one does. */
 	unreadSince: number | undefined
 	finishedAt: number | undefined
@@ -139,7 +140,7 @@
 		name: { reqId: meta.reqId, attempt: meta.attempt },
 		body,
 		answer: createAnswerLog(meta.key !== undefined),
-		abort: new AbortController(),
+		stop: new EventEmitter(),
 		unreadSince: undefined,
 		finishedAt: undefined,
 	}
@@ -284,7 +285,7 @@
 		headers: meta.headers,
 		body: request.body,
 		priority: meta.priority,
-		signal: request.abort.signal,
+		stop: request.stop,
 	}
 	const sink = createSink(answer)
 	const end = await runByKind(table.server.kind, run, sink)
@@ -357,7 +358,8 @@
 }
 
 function stopRun(table: RequestTable, request: OpenRequest): void {
-	request.abort.abort()
+	request.stop.stopped = true
+	request.stop.emit('abort')
 	if (table.server.kind !== 'engine') return
 	const reqId = attemptKey(request.name)
 	cancelOnEngine(table.server.backend, reqId).catch(() => {})
--- a/packages/entry/src/io/attempt.ts
+++ b/packages/entry/src/io/attempt.ts
@@ -1,5 +1,6 @@
 /** One try: offers a request to an agent and turns its frames into events. */
 
+import { EventEmitter } from 'node:events'
 import type { LoadReport } from '@juniperhook/core'
 import type { AnswerFrame, OfferMeta, ResumeMeta } from '@juniperhook/runtime'
 import {
@@ -62,7 +63,8 @@
 
 interface OpenCall {
 	readonly sink: AttemptSink
-	readonly abort: AbortController
+	/** Emits `abort`; cheaper a request than an AbortController. */
+	readonly abort: EventEmitter
 	body: Dispatcher.ResponseData['body'] | undefined
 	/** Whether nothing more is to be reported. */
 	over: boolean
@@ -76,15 +78,17 @@
 ): AttemptHandle {
 	const opened: OpenCall = {
 		sink,
-		abort: new AbortController(),
+		abort: new EventEmitter(),
 		body: undefined,
 		over: false,
 	}
 	void exchange(opened, url, headers, body)
 	return {
 		abandon() {
+			// A connection whose answer is whole is kept for the next request.
+			if (opened.over) return
 			opened.over = true
-			opened.abort.abort()
+			opened.abort.emit('abort')
 		},
 		pause: () => void opened.body?.pause(),
 		resume: () => void opened.body?.resume(),
@@ -102,7 +106,7 @@
 			method: 'POST',
 			headers,
 			body: body ?? null,
-			signal: opened.abort.signal,
+			signal: opened.abort,
 			dispatcher,
 		})
 		opened.body = res.body
--- a/packages/entry/src/io/exchange.ts
+++ b/packages/entry/src/io/exchange.ts
@@ -1,6 +1,5 @@
 /** Carries out the entry's decisions on one request, from intake to answer. */
 
-import { randomBytes } from 'node:crypto'
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type {
 	AffinityTable,
@@ -190,8 +189,7 @@
 }
 
 function makeRequestId(ctx: EntryContext): string {
-	const tail = randomBytes(4).toString('hex')
-	return `${ctx.incarnation}-${ctx.nextRequest++}-${tail}`
+	return `${ctx.incarnation}-${ctx.nextRequest++}`
 }
 
 function createExchange(
