--- a/bench/main.ts
+++ b/bench/main.ts
@@ -2,6 +2,7 @@
 
 const BENCHES: Record<string, () => Promise<{ run(): Promise<void> }>> = {
 	path: () => import('./path.ts'),
+	rebalance: () => import('./rebalance.ts'),
 }
 
 const name = process.argv[2] ?? ''
