Prove a request's fate; run map changes in the agents

Cause: the daemons need the protocol, and the fate needs proof in every order. Found while modelling: an agent that was restarted and then told to leave answered notRun for a key that an earlier incarnation may have run; the age of a key is now judged before any refusal. An entry that refuses a caller's own key by itself now says unknown, for an earlier try may have run. Change: agents run the map protocol before engines with and without fences; the first rank's agent plans and coordinates; any rank left in doubt recovers. Guards taken out, each found: retry after unknown (ran twice), age of keys (ran twice), void memory (ran twice), end mark (half an answer).

--- a/packages/agent/src/agent.ts
+++ b/packages/agent/src/agent.ts
@@ -3,7 +3,11 @@
 import { randomBytes } from 'node:crypto'
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { HeldConfig } from '@juniperhook/core'
-import { listServiceServers, noteServerSet } from '@juniperhook/core'
+import {
+	listServiceServers,
+	noteServerSet,
+	splitAddress,
+} from '@juniperhook/core'
 import type {
 	ConfigKeeper,
 	Hello,
@@ -37,6 +41,13 @@
 } from '@juniperhook/runtime'
 import { H3 } from 'h3'
 import * as v from 'valibot'
+import type { GroupMember } from './io/group.ts'
+import {
+	createGroupMethods,
+	describeGroup,
+	joinGroup,
+	stepShareOf,
+} from './io/group.ts'
 import type { RequestTable } from './io/requests.ts'
 import {
 	beatRequests,
@@ -71,6 +82,8 @@
 	readonly links: Set<RpcLink>
 	/** Missing until a configuration that names this server is in force. */
 	requests: RequestTable | undefined
+	/** Missing for a server outside any group. */
+	group: GroupMember | undefined
 }
 
 /** Starts an agent and resolves when it listens. */
@@ -85,6 +98,7 @@
 		keeper,
 		links: new Set(),
 		requests: undefined,
+		group: undefined,
 	}
 	await serveRpc(settings.listen.control, createMethods(agent), link => {
 		agent.links.add(link)
@@ -123,6 +137,7 @@
 	table.config = held.config
 	table.server = server
 	table.admission.slots = server.slots
+	joinOrFollow(agent, held)
 	if (server.service) {
 		const servers = listServiceServers(held.config, server.service)
 		noteServerSet(table.homes, servers, Date.now())
@@ -130,6 +145,17 @@
 	pushReports(agent)
 }
 
+function joinOrFollow(agent: AgentProcess, held: HeldConfig): void {
+	const { name } = agent.settings.process
+	const { port } = splitAddress(agent.settings.listen.control)
+	agent.group ??= joinGroup(name, held.config, port)
+	if (!agent.group) return
+	agent.group.config = held.config
+	const groups = Object.values(held.config.group)
+	const group = groups.find(one => one.ranks.includes(name))
+	if (group) agent.group.group = group
+}
+
 function createApp(agent: AgentProcess): H3 {
 	const app = new H3()
 	const guarded = (
@@ -199,6 +225,7 @@
 function createMethods(agent: AgentProcess) {
 	const table = () => agent.requests ?? fail('noConfig', 'agent')
 	return {
+		...createGroupMethods(() => agent.group ?? fail('notFound', 'no group')),
 		hello(params: unknown, link: RpcLink): Hello {
 			link.remoteName = v.parse(HelloSchema, params).name
 			queueMicrotask(() => pushReport(agent, link))
@@ -219,6 +246,7 @@
 function startTimers(agent: AgentProcess): void {
 	setInterval(() => {
 		if (agent.requests) tickRequests(agent.requests)
+		if (agent.requests && agent.group) followGroup(agent.requests, agent.group)
 	}, TICK_MS)
 	setInterval(() => {
 		if (agent.requests) beatRequests(agent.requests)
@@ -226,6 +254,11 @@
 	setInterval(() => pushReports(agent), REPORT_MS)
 }
 
+function followGroup(table: RequestTable, group: GroupMember): void {
+	table.stepShare = stepShareOf(group)
+	if (group.split) stepTable(table, { type: 'suspect' })
+}
+
 function pushReports(agent: AgentProcess): void {
 	for (const link of agent.links) pushReport(agent, link)
 }
@@ -288,6 +321,7 @@
 		running: table?.admission.running ?? 0,
 		waiting: table?.admission.queue.waiting.length ?? 0,
 		keys: table?.admission.keys.size ?? 0,
+		...(agent.group && { map: describeGroup(agent.group) }),
 		entries: [...agent.links].map(link => link.remoteName),
 	}
 }
--- /dev/null
+++ b/packages/agent/src/io/engine.ts
@@ -0,0 +1,79 @@
+/** The control side of a model engine: what it reports, what it is ordered. */
+
+import type { MapChange, RankReply, RankRequest } from '@juniperhook/core'
+import { Agent, request } from 'undici'
+import * as v from 'valibot'
+
+const CALL_MS = 2_000
+const dispatcher = new Agent({
+	connect: { timeout: 1_000 },
+	headersTimeout: CALL_MS,
+	bodyTimeout: CALL_MS,
+})
+/** Staging waits for the weight store. */
+const stagingDispatcher = new Agent({ headersTimeout: 0, bodyTimeout: 0 })
+
+const count = v.pipe(v.number(), v.integer())
+
+/** What an engine reports of itself and of its group's last step. */
+export const EngineReportSchema = v.object({
+	generation: count,
+	step: count,
+	mapId: v.string(),
+	/** Step from which that map has been used. */
+	mapSince: count,
+	/** Whether it waits at a gate for a decision. */
+	inDoubt: v.boolean(),
+	joined: v.boolean(),
+	stepMs: v.number(),
+	meanStepMs: v.number(),
+	groupStepMs: v.number(),
+	/** Experts held, a list a layer. */
+	slots: v.array(v.array(count)),
+	/** Tokens since the start, `layer * experts + expert`. */
+	tokens: v.array(v.number()),
+})
+
+/** See {@link EngineReportSchema}. */
+export type EngineReport = v.InferOutput<typeof EngineReportSchema>
+
+/** An order to an engine; the last five are for those without fences. */
+export type EngineOrder =
+	| { readonly order: 'rank'; readonly req: RankRequest }
+	| {
+			readonly order: 'stage'
+			readonly mapId: string
+			readonly slots: readonly (readonly number[])[]
+	  }
+	| { readonly order: 'look' }
+	| { readonly order: 'hold' }
+	| { readonly order: 'gate'; readonly step: number }
+	| { readonly order: 'open' }
+	| { readonly order: 'switch'; readonly change: MapChange }
+
+/** An engine's answer to an order. */
+export interface OrderReply {
+	readonly accepted: boolean
+	readonly step: number
+	readonly mapId: string
+	readonly reply?: RankReply
+}
+
+/** Reads an engine's report. */
+export async function readEngine(address: string): Promise<EngineReport> {
+	const res = await request(`http://${address}/load`, { dispatcher })
+	return v.parse(EngineReportSchema, await res.body.json())
+}
+
+/** Gives an engine an order. */
+export async function giveOrder(
+	address: string,
+	order: EngineOrder,
+): Promise<OrderReply> {
+	const res = await request(`http://${address}/orders`, {
+		method: 'POST',
+		body: JSON.stringify(order),
+		dispatcher: order.order === 'stage' ? stagingDispatcher : dispatcher,
+	})
+	return (await res.body.json()) as OrderReply
+}
--- a/packages/core/src/core/admission.ts
+++ b/packages/core/src/core/admission.ts
@@ -86,6 +86,7 @@
 			readonly how: FinishHow
 	  }
 	| { readonly type: 'leave' }
+	| { readonly type: 'suspect' }
 	| { readonly type: 'tick' }
 
 /** What the daemon is to do. */
@@ -134,7 +135,8 @@
 	readonly bornWall: number
 	/** Requests that the backend server runs at once. */
 	slots: number
-	mode: 'serving' | 'leaving'
+	/** `suspect`: its group broke the promise of one map. */
+	mode: 'serving' | 'leaving' | 'suspect'
 	lastSeen: number
 	wokeAt: number
 	running: number
@@ -200,6 +202,9 @@
 		case 'leave':
 			state.mode = 'leaving'
 			break
+		case 'suspect':
+			if (state.mode === 'serving') state.mode = 'suspect'
+			break
 		case 'tick':
 			forget(state, at)
 			break
@@ -295,8 +300,12 @@
 	offer: Offer,
 	at: Moment,
 ): NotRun | Unknown | undefined {
+	// First: a key that may have run before is never said not to have run.
+	const forgotten = offer.claim && judgeAge(state, offer.claim, at)
+	if (forgotten) return forgotten
 	if (state.voided.has(attemptKey(offer))) return notRun('voided')
 	if (state.mode === 'leaving') return notRun('leaving')
+	if (state.mode === 'suspect') return notRun('groupSplit')
 	if (at.now - state.wokeAt < WAKE_GRACE_MS) return notRun('paused')
 	if (state.queue.waiting.length >= MAX_WAITING) return notRun('overloaded')
 	const claimed = offer.claim && judgeClaim(state, offer.claim, at)
@@ -306,20 +315,27 @@
 	return notRun('overloaded', Math.ceil(wait))
 }
 
-/** Refuses a key that this agent cannot be sure never to have run. */
+/** Whether the key may be older than what this agent can remember. */
+function judgeAge(
+	state: AdmissionState,
+	claim: KeyClaim,
+	at: Moment,
+): Unknown | undefined {
+	if (claim.fresh || claim.homeSinceWall === undefined) return undefined
+	if (claim.wallTime <= at.wall - claim.windowMs) return unknown('keyForgotten')
+	const safeSince = Math.max(state.bornWall, claim.homeSinceWall)
+	const young = claim.wallTime > safeSince + CLOCK_BOUND_MS
+	return young ? undefined : unknown('keyForgotten')
+}
+
+/** Refuses a key that this agent must not run. */
 function judgeClaim(
 	state: AdmissionState,
 	claim: KeyClaim,
 	at: Moment,
-): NotRun | Unknown | undefined {
-	const { homeSinceWall } = claim
-	if (homeSinceWall === undefined) return notRun('notHome')
+): NotRun | undefined {
+	if (claim.homeSinceWall === undefined) return notRun('notHome')
 	if (claim.wallTime > at.wall + CLOCK_BOUND_MS) return notRun('keyClock')
-	if (claim.wallTime <= at.wall - claim.windowMs) return unknown('keyForgotten')
-	const safeSince = Math.max(state.bornWall, homeSinceWall)
-	// Older than this process's own memory: it may have run before.
-	if (!claim.fresh && claim.wallTime <= safeSince + CLOCK_BOUND_MS)
-		return unknown('keyForgotten')
 	if (state.keys.size >= MAX_KEYS) return notRun('keyMemoryFull')
 	return undefined
 }
--- a/packages/core/src/core/fate.ts
+++ b/packages/core/src/core/fate.ts
@@ -35,6 +35,11 @@
 	told: boolean
 	/** Whether an earlier, given-up try may have run. */
 	mayHaveRun: boolean
+	/**
+	 * Whether "not run" can be said of all that the caller may have asked before
+	 * by the same key: the entry made the key, or the key's home has spoken.
+	 */
+	vouched: boolean
 }
 
 /** What happens to a request. Events of a try carry its number. */
@@ -78,8 +83,11 @@
 	| { readonly do: 'drop' }
 	| { readonly do: 'settle'; readonly outcome: Outcome }
 
-/** Makes the fate of a request that has just been read. */
-export function createFate(repeatable: boolean): Fate {
+/**
+ * Makes the fate of a request that has just been read; `callerKey` when it has
+ * a key that its caller may have used before.
+ */
+export function createFate(repeatable: boolean, callerKey = false): Fate {
 	return {
 		repeatable,
 		state: { at: 'routing' },
@@ -87,6 +95,7 @@
 		resumes: 0,
 		told: false,
 		mayHaveRun: false,
+		vouched: !callerKey,
 	}
 }
 
@@ -143,6 +152,8 @@
 ): FateEffect[] {
 	if (outcome.outcome === 'answered') return [{ do: 'drop' }]
 	const { kind, retryAfterMs } = outcome
+	// A home that refuses has looked the key up; another server knows nothing.
+	if (outcome.outcome === 'notRun' && kind !== 'notHome') fate.vouched = true
 	// An admitted try that is refused later was shed while it waited.
 	if (outcome.outcome === 'notRun' && !fate.told)
 		return tryAgain(fate, kind, retryAfterMs, mayRetry)
@@ -258,13 +269,14 @@
 	kind: ErrorKind,
 	retryAfterMs: number,
 ): FateEffect[] {
-	if (fate.mayHaveRun) return settle(fate, unknown(kind, retryAfterMs))
+	if (fate.mayHaveRun || !fate.vouched)
+		return settle(fate, unknown(kind, retryAfterMs))
 	const after = retryAfterMs || ERRORS[kind].retryAfterMs
 	return settle(fate, notRun(kind, after))
 }
 
 function settleStarted(fate: Fate, kind: ErrorKind): FateEffect[] {
-	if (fate.attempt === 0) return settle(fate, notRun(kind))
+	if (fate.attempt === 0) return settleUnstarted(fate, kind, 0)
 	return settle(fate, unknown(kind, ERRORS[kind].retryAfterMs))
 }
 
--- a/packages/core/src/types/config.ts
+++ b/packages/core/src/types/config.ts
@@ -84,7 +84,13 @@
 	skewWeight: v.optional(number(0, 1000, 'weight'), '1'),
 	/** Worth of capacity spent on moves. */
 	moveWeight: v.optional(number(0, 1000, 'weight'), '1'),
-	/** Shortest time a wish to move must last, and between plans. */
+	/** Share of a step that the experts take. */
+	expertShare: v.optional(number(0.01, 1, 'share'), '0.7'),
+	/** Share of the group's capacity lost while it loads experts. */
+	loadLoss: v.optional(number(0, 1, 'share'), '0.05'),
+	/** Rate of the weight store for this group. */
+	storeBytesPerSecond: v.optional(number(1, 1e12, 'bytes/s'), '400000000'),
+	/** Time between plans. */
 	planSeconds: v.optional(number(0.1, 86_400, 's'), '60'),
 })
 
--- a/packages/core/test/models/explore.ts
+++ b/packages/core/test/models/explore.ts
@@ -16,6 +16,8 @@
 	apply(state: S, event: E): S
 	/** What is wrong with a state, if anything. */
 	findFault(state: S): string | undefined
+	/** Text that is the same for equal states only; JSON by default. */
+	keyOf?(state: S): string
 }
 
 /** What an exploration found. */
@@ -41,7 +43,8 @@
 	model: Model<S, E>,
 	maxStates = 3_000_000,
 ): Exploration<E> {
-	const known = new Set<string>([JSON.stringify(model.initial)])
+	const keyOf = model.keyOf ?? JSON.stringify
+	const known = new Set<string>([keyOf(model.initial)])
 	const origins: (Origin<E> | undefined)[] = [undefined]
 	let layer: { id: number; state: S }[] = [{ id: 0, state: model.initial }]
 	let transitions = 0
@@ -56,7 +59,7 @@
 			for (const event of model.list(state)) {
 				transitions++
 				const target = model.apply(state, event)
-				const key = JSON.stringify(target)
+				const key = keyOf(target)
 				if (known.has(key)) continue
 				known.add(key)
 				const to = origins.push({ from: id, event }) - 1
--- /dev/null
+++ b/packages/core/test/models/fateModel.ts
@@ -0,0 +1,568 @@
+/**
+ * One booking, asked for at two entries by one key, at one home agent that may
+ * pause, restart or be told to leave, over links that lose, double and delay.
+ * The functions explored are those of the daemons.
+ */
+
+import type {
+	AdmissionEffect,
+	AdmissionEvent,
+	AdmissionState,
+	AttemptName,
+	Fate,
+	FateEffect,
+	FateEvent,
+	Moment,
+	NotRun,
+	Unknown,
+} from '../../src/index.ts'
+import {
+	answerVoid,
+	attemptKey,
+	CLOCK_BOUND_MS,
+	createAdmission,
+	createFate,
+	PAUSE_MS,
+	stepAdmission,
+	stepFate,
+	unknown,
+	WAKE_GRACE_MS,
+} from '../../src/index.ts'
+import type { Model } from './explore.ts'
+
+/** Bounds of an exploration. */
+export interface FateBounds {
+	readonly entries: number
+	readonly repeatable: boolean
+	/** Whether its tries carry a key. */
+	readonly keyed: boolean
+	/** Whether the entry made the key, and so knows it is new. */
+	readonly freshKey: boolean
+	readonly restarts: number
+	readonly pauses: number
+	readonly losses: number
+	readonly doubles: number
+	readonly leaves: number
+	readonly silences: number
+}
+
+/** A guard taken out. */
+export type FateMutant =
+	| 'none'
+	/** Every time-out is followed by another try. */
+	| 'retryUnknown'
+	/** A restarted agent takes old keys for new ones. */
+	| 'forgetAge'
+	/** A void order leaves nothing behind. */
+	| 'noTombstone'
+	/** An answer without its end mark passes for whole. */
+	| 'noEndMark'
+
+type Message =
+	| {
+			readonly kind: 'offer'
+			readonly entry: number
+			readonly name: AttemptName
+			readonly incarnation: number
+	  }
+	| {
+			readonly kind: 'void'
+			readonly entry: number
+			readonly name: AttemptName
+			readonly incarnation: number
+	  }
+	| {
+			readonly kind: 'frame'
+			readonly entry: number
+			readonly attempt: number
+			readonly frame: Frame
+	  }
+
+type Frame =
+	| { readonly t: 'admitted' }
+	| { readonly t: 'chunk'; readonly n: number; readonly of: string }
+	| { readonly t: 'end'; readonly n: number }
+	| { readonly t: 'refused'; readonly outcome: NotRun | Unknown }
+	| {
+			readonly t: 'voidAnswer'
+			readonly answer: 'void' | 'started' | 'unknown'
+	  }
+
+/** A state of the model. */
+export interface FateModelState {
+	readonly fates: Fate[]
+	readonly asked: boolean[]
+	/** Incarnation that each entry believes in. */
+	readonly believes: number[]
+	readonly agent: AdmissionState
+	readonly incarnation: number
+	readonly at: Moment
+	/** Tries whose answers are read by others too: try -> readers. */
+	readonly attached: Record<string, string[]>
+	readonly messages: string[]
+	/** Hand-overs to the backend server, by try. */
+	readonly runs: string[]
+	/** Chunks forwarded to each caller. */
+	readonly told: string[][]
+	readonly used: Record<
+		'restarts' | 'pauses' | 'losses' | 'doubles' | 'leaves' | 'silences',
+		number
+	>
+	readonly fault: string | null
+}
+
+/** What may happen. */
+export type FateModelEvent =
+	| { readonly do: 'ask'; readonly entry: number }
+	| {
+			readonly do: 'deliver'
+			readonly message: string
+			readonly again: boolean
+	  }
+	| { readonly do: 'linkLost'; readonly entry: number }
+	| { readonly do: 'silent'; readonly entry: number }
+	| { readonly do: 'finish'; readonly run: string }
+	| { readonly do: 'restart' }
+	| { readonly do: 'pause' }
+	| { readonly do: 'leave' }
+
+const CHUNKS = 1
+const KEY = 'team/huts/key'
+const KEY_WALL = 1_000_000
+/** The booking is made long after the first agent began. */
+const BORN_WALL = KEY_WALL - 10 * CLOCK_BOUND_MS
+const ROOMY_MS = 1e9
+
+/** The model for given bounds. */
+export function createFateModel(
+	bounds: FateBounds,
+	mutant: FateMutant = 'none',
+): Model<FateModelState, FateModelEvent> {
+	return {
+		initial: createInitial(bounds),
+		list: state => listEvents(state, bounds),
+		apply: (state, event) => apply(state, event, bounds, mutant),
+		findFault: state => state.fault ?? findBrokenPromise(state, bounds),
+		keyOf: state =>
+			JSON.stringify(state, (_, value) =>
+				value instanceof Map ? [...value] : value,
+			),
+	}
+}
+
+function createInitial(bounds: FateBounds): FateModelState {
+	const each = <T>(make: () => T) =>
+		Array.from({ length: bounds.entries }, make)
+	const at = { now: 0, wall: KEY_WALL }
+	const agent = { ...createAdmission(at, 1), bornWall: BORN_WALL }
+	return {
+		fates: each(() => createFate(bounds.repeatable, !bounds.freshKey)),
+		asked: each(() => false),
+		believes: each(() => 0),
+		agent,
+		incarnation: 0,
+		at,
+		attached: {},
+		messages: [],
+		runs: [],
+		told: each(() => []),
+		used: {
+			restarts: 0,
+			pauses: 0,
+			losses: 0,
+			doubles: 0,
+			leaves: 0,
+			silences: 0,
+		},
+		fault: null,
+	}
+}
+
+function listEvents(
+	state: FateModelState,
+	bounds: FateBounds,
+): FateModelEvent[] {
+	const { used } = state
+	const events: FateModelEvent[] = []
+	for (const [entry, asked] of state.asked.entries()) {
+		if (!asked) {
+			events.push({ do: 'ask', entry })
+			break
+		}
+		const { at } = state.fates[entry]!.state
+		const open = at === 'offered' || at === 'answering'
+		if (open && used.losses < bounds.losses)
+			events.push({ do: 'linkLost', entry })
+		if (at === 'offered' && used.silences < bounds.silences)
+			events.push({ do: 'silent', entry })
+	}
+	for (const message of state.messages) {
+		events.push({ do: 'deliver', message, again: false })
+		if (used.doubles < bounds.doubles)
+			events.push({ do: 'deliver', message, again: true })
+	}
+	for (const [run, row] of state.agent.attempts)
+		if (row.phase === 'running') events.push({ do: 'finish', run })
+	if (used.restarts < bounds.restarts) events.push({ do: 'restart' })
+	if (used.pauses < bounds.pauses) events.push({ do: 'pause' })
+	if (used.leaves < bounds.leaves) events.push({ do: 'leave' })
+	return events
+}
+
+interface Draft {
+	state: FateModelState
+	readonly bounds: FateBounds
+	readonly mutant: FateMutant
+}
+
+function apply(
+	before: FateModelState,
+	event: FateModelEvent,
+	bounds: FateBounds,
+	mutant: FateMutant,
+): FateModelState {
+	const draft: Draft = { state: structuredClone(before), bounds, mutant }
+	const { state } = draft
+	switch (event.do) {
+		case 'ask':
+			state.asked[event.entry] = true
+			offer(draft, event.entry)
+			break
+		case 'deliver': {
+			const at = state.messages.indexOf(event.message)
+			if (event.again) state.used.doubles++
+			else state.messages.splice(at, 1)
+			deliver(draft, JSON.parse(event.message))
+			break
+		}
+		case 'linkLost': {
+			state.used.losses++
+			const { attempt } = state.fates[event.entry]!
+			dropFrames(state, event.entry)
+			tell(draft, event.entry, { type: 'linkLost', attempt })
+			break
+		}
+		case 'silent': {
+			state.used.silences++
+			const { attempt } = state.fates[event.entry]!
+			dropFrames(state, event.entry)
+			tell(draft, event.entry, { type: 'silent', attempt })
+			break
+		}
+		case 'finish': {
+			const name = nameOf(event.run)
+			stepAgent(draft, { type: 'finish', name, how: 'whole' })
+			answerReaders(draft, event.run)
+			break
+		}
+		case 'restart':
+			restartAgent(draft)
+			break
+		case 'pause':
+			state.used.pauses++
+			advance(draft, PAUSE_MS * 2)
+			stepAgent(draft, { type: 'tick' })
+			advance(draft, WAKE_GRACE_MS * 2)
+			break
+		case 'leave':
+			state.used.leaves++
+			stepAgent(draft, { type: 'leave' })
+			break
+		default:
+			event satisfies never
+	}
+	return draft.state
+}
+
+function advance(draft: Draft, ms: number): void {
+	const { now, wall } = draft.state.at
+	draft.state = { ...draft.state, at: { now: now + ms, wall: wall + ms } }
+}
+
+function restartAgent(draft: Draft): void {
+	advance(draft, PAUSE_MS)
+	const { state } = draft
+	state.used.restarts++
+	const agent = createAdmission(state.at, 1)
+	if (draft.mutant === 'forgetAge')
+		Object.assign(agent, { bornWall: BORN_WALL })
+	draft.state = {
+		...state,
+		agent,
+		incarnation: state.incarnation + 1,
+		attached: {},
+		// Its connections died with it; only entries' tries in flight notice.
+		messages: state.messages.filter(text => !text.includes('"kind":"offer"')),
+	}
+}
+
+function offer(draft: Draft, entry: number): void {
+	const { state } = draft
+	const { incarnation } = state
+	state.believes[entry] = incarnation
+	tell(draft, entry, { type: 'routed' })
+	const { attempt } = state.fates[entry]!
+	const name = { reqId: `r${entry}`, attempt }
+	send(state, { kind: 'offer', entry, name, incarnation })
+}
+
+function deliver(draft: Draft, message: Message): void {
+	const { state } = draft
+	switch (message.kind) {
+		case 'offer':
+			takeOffer(draft, message)
+			break
+		case 'void': {
+			const { entry, name } = message
+			const { attempt } = name
+			const known = message.incarnation === state.incarnation
+			if (known) stepAgent(draft, { type: 'void', name })
+			const answer = known ? answerVoid(draft.state.agent, name) : 'unknown'
+			if (draft.mutant === 'noTombstone') draft.state.agent.voided.clear()
+			const frame = { t: 'voidAnswer', answer } as const
+			send(draft.state, { kind: 'frame', entry, attempt, frame })
+			break
+		}
+		case 'frame':
+			takeFrame(draft, message.entry, message.attempt, message.frame)
+			break
+		default:
+			message satisfies never
+	}
+}
+
+function takeOffer(
+	draft: Draft,
+	message: Extract<Message, { kind: 'offer' }>,
+): void {
+	const { name, entry } = message
+	const { freshKey, keyed } = draft.bounds
+	const claim = {
+		key: KEY,
+		wallTime: KEY_WALL,
+		windowMs: ROOMY_MS,
+		homeSinceWall: BORN_WALL,
+		fresh: freshKey,
+	}
+	send(draft.state, {
+		kind: 'frame',
+		entry,
+		attempt: name.attempt,
+		frame: { t: 'admitted' },
+	})
+	stepAgent(draft, {
+		type: 'offer',
+		offer: {
+			...name,
+			team: 'team',
+			weight: 1,
+			priority: 0,
+			startBudgetMs: ROOMY_MS,
+			...(keyed && { claim }),
+		},
+	})
+}
+
+function stepAgent(draft: Draft, event: AdmissionEvent): void {
+	const { agent, at } = draft.state
+	const effects = stepAdmission(agent, event, at)
+	for (const effect of effects) carryOut(draft, effect)
+}
+
+function carryOut(draft: Draft, effect: AdmissionEffect): void {
+	const { state } = draft
+	const id = attemptKey(effect.name)
+	switch (effect.do) {
+		case 'start':
+			state.runs.push(id)
+			break
+		case 'refuse':
+			for (const reader of [id, ...(state.attached[id] ?? [])])
+				answerOne(state, reader, { t: 'refused', outcome: effect.outcome })
+			break
+		case 'attach': {
+			const first = attemptKey(effect.first)
+			state.attached[first] = [...(state.attached[first] ?? []), id]
+			const phase = state.agent.attempts.get(first)?.phase
+			if (phase === 'whole') sendAnswer(state, id, 0)
+			break
+		}
+		case 'cancel':
+			break
+		default:
+			effect satisfies never
+	}
+}
+
+function answerReaders(draft: Draft, run: string): void {
+	const { state } = draft
+	for (const reader of [run, ...(state.attached[run] ?? [])])
+		sendAnswer(state, reader, 0)
+}
+
+function sendAnswer(state: FateModelState, reader: string, from: number): void {
+	for (let n = from; n < CHUNKS; n++)
+		answerOne(state, reader, { t: 'chunk', n, of: KEY })
+	answerOne(state, reader, { t: 'end', n: CHUNKS })
+}
+
+function answerOne(state: FateModelState, reader: string, frame: Frame): void {
+	const name = nameOf(reader)
+	const entry = Number(name.reqId.slice(1))
+	send(state, { kind: 'frame', entry, attempt: name.attempt, frame })
+}
+
+function takeFrame(
+	draft: Draft,
+	entry: number,
+	attempt: number,
+	frame: Frame,
+): void {
+	switch (frame.t) {
+		case 'admitted':
+			tell(draft, entry, { type: 'admitted', attempt })
+			break
+		case 'chunk':
+			tell(draft, entry, { type: 'chunk', attempt, n: frame.n }, frame.of)
+			break
+		case 'end': {
+			const { state } = draft.state.fates[entry]!
+			const next = state.at === 'answering' ? state.next : 0
+			const n = draft.mutant === 'noEndMark' ? next : frame.n
+			tell(draft, entry, { type: 'end', attempt, n })
+			break
+		}
+		case 'refused':
+			tell(draft, entry, { type: 'refused', attempt, outcome: frame.outcome })
+			break
+		case 'voidAnswer':
+			tell(draft, entry, { type: 'voidAnswer', attempt, answer: frame.answer })
+			break
+		default:
+			frame satisfies never
+	}
+}
+
+function tell(draft: Draft, entry: number, event: FateEvent, chunk = ''): void {
+	const { state, mutant } = draft
+	const fate = state.fates[entry]!
+	const settled = fate.state.at === 'settled'
+	const effects = stepFate(fate, event, true)
+	for (const effect of effects) {
+		if (settled && effect.do !== 'drop')
+			draft.state = { ...draft.state, fault: 'a settled request went on' }
+		carryOutEntry(draft, entry, effect, chunk)
+	}
+	const { state: now } = fate
+	const gaveUp = now.at === 'settled' && now.outcome.outcome === 'unknown'
+	if (mutant === 'retryUnknown' && gaveUp && fate.attempt < 2) {
+		fate.state = { at: 'routing' }
+		offer(draft, entry)
+	}
+}
+
+function carryOutEntry(
+	draft: Draft,
+	entry: number,
+	effect: FateEffect,
+	chunk: string,
+): void {
+	const { state } = draft
+	const fate = state.fates[entry]!
+	const name = { reqId: `r${entry}`, attempt: fate.attempt }
+	const incarnation = state.believes[entry]!
+	switch (effect.do) {
+		case 'route':
+			dropFrames(state, entry)
+			offer(draft, entry)
+			break
+		case 'sendVoid':
+			send(state, { kind: 'void', entry, name, incarnation })
+			break
+		case 'resume':
+			dropFrames(state, entry)
+			resume(draft, entry, name, effect.from)
+			break
+		case 'forward':
+			state.told[entry]!.push(chunk)
+			fate.told = true
+			break
+		case 'cancel':
+		case 'drop':
+		case 'settle':
+			break
+		default:
+			effect satisfies never
+	}
+}
+
+/** The agent answers a resume at once; a lost answer is a lost link again. */
+function resume(
+	draft: Draft,
+	entry: number,
+	name: AttemptName,
+	from: number,
+): void {
+	const { state } = draft
+	const id = attemptKey(name)
+	const known = state.believes[entry] === state.incarnation
+	const first = Object.keys(state.attached).find(other =>
+		state.attached[other]?.includes(id),
+	)
+	const source = first ?? id
+	const phase = known ? state.agent.attempts.get(source)?.phase : undefined
+	switch (phase) {
+		case 'whole':
+			sendAnswer(state, id, from)
+			break
+		case 'waiting':
+		case 'running':
+			break
+		case 'refused':
+		case 'broken':
+		case undefined: {
+			const outcome = unknown('truncated')
+			answerOne(state, id, { t: 'refused', outcome })
+			break
+		}
+		default:
+			phase satisfies never
+	}
+}
+
+/** A connection that the entry has left brings nothing more. */
+function dropFrames(state: FateModelState, entry: number): void {
+	const kept = state.messages.filter(text => {
+		const message: Message = JSON.parse(text)
+		return message.kind !== 'frame' || message.entry !== entry
+	})
+	state.messages.splice(0, state.messages.length, ...kept)
+}
+
+function send(state: FateModelState, message: Message): void {
+	const text = JSON.stringify(message)
+	if (state.messages.includes(text)) return
+	state.messages.push(text)
+	state.messages.sort()
+}
+
+function nameOf(id: string): AttemptName {
+	const [reqId = '', attempt] = id.split('/')
+	return { reqId, attempt: Number(attempt) }
+}
+
+function findBrokenPromise(
+	state: FateModelState,
+	bounds: FateBounds,
+): string | undefined {
+	if (!bounds.repeatable && state.runs.length > 1) return 'it ran twice'
+	for (const [entry, fate] of state.fates.entries()) {
+		if (fate.state.at !== 'settled') continue
+		const { outcome } = fate.state
+		const own = state.runs.some(run => run.startsWith(`r${entry}/`))
+		if (outcome.outcome === 'notRun' && own) return 'not run, but it ran'
+		const whole = state.told[entry]!.length === CHUNKS
+		if (outcome.outcome === 'answered' && !whole) return 'half an answer'
+	}
+	return undefined
+}
--- a/packages/entry/src/io/exchange.ts
+++ b/packages/entry/src/io/exchange.ts
@@ -9,6 +9,7 @@
 	FateEffect,
 	FateEvent,
 	LimitTable,
+	NotRun,
 	Outcome,
 	Random,
 	RetryBudget,
@@ -134,7 +135,7 @@
 		if (!ctx.config) return refuseRequest(ctx, answer, 'noConfig')
 		const intake = await read(req, ctx.config, ctx.teams)
 		const limited = admit(ctx, intake)
-		if (limited) return refuseOutcome(ctx, answer, limited)
+		if (limited) return refuseLimited(ctx, answer, intake, limited)
 		if (intake.key) res.setHeader(KEY_HEADER, intake.key.value)
 		startExchange(ctx, createExchange(reqId, intake, answer))
 	} catch (err) {
@@ -178,16 +179,24 @@
 	failAnswer(answer, notRun(kind, ERRORS[kind].retryAfterMs), detail)
 }
 
-function refuseOutcome(
+function refuseLimited(
 	ctx: EntryContext,
 	answer: CallerAnswer,
-	outcome: ReturnType<typeof notRun>,
+	intake: Intake,
+	refusal: NotRun,
 ): void {
-	ctx.metrics.refusals.inc({ kind: outcome.kind })
-	ctx.metrics.outcomes.inc({ outcome: 'notRun' })
+	const { kind, retryAfterMs } = refusal
+	ctx.metrics.refusals.inc({ kind })
+	// An earlier try by the caller's own key may have run.
+	const outcome = isCallerKey(intake) ? unknown(kind, retryAfterMs) : refusal
+	ctx.metrics.outcomes.inc({ outcome: outcome.outcome })
 	failAnswer(answer, outcome)
 }
 
+function isCallerKey(intake: Intake): boolean {
+	return intake.key !== undefined && !intake.key.fresh
+}
+
 function makeRequestId(ctx: EntryContext): string {
 	return `${ctx.incarnation}-${ctx.nextRequest++}`
 }
@@ -201,7 +210,7 @@
 	return {
 		reqId,
 		intake,
-		fate: createFate(intake.repeatable),
+		fate: createFate(intake.repeatable, isCallerKey(intake)),
 		answer,
 		startedAt: now,
 		deadlineAt: now + intake.deadlineMs,
--- a/packages/entry/src/io/servers.ts
+++ b/packages/entry/src/io/servers.ts
@@ -230,7 +230,7 @@
 function takeReport(view: ServerView, peer: AgentPeer, params: unknown): void {
 	const report: Report = v.parse(ReportSchema, params)
 	peer.incarnation = report.incarnation
-	peer.leaving = report.state === 'leaving'
+	peer.leaving = report.state !== 'serving'
 	peer.revision = report.revision
 	const row = view.table.rowOf.get(peer.server)
 	if (row === undefined) return
--- a/packages/fakes/src/fleet.ts
+++ b/packages/fakes/src/fleet.ts
@@ -75,7 +75,7 @@
 	experts: 32,
 	baseMs: 6,
 	tokenMs: 0.02,
-	expertMs: 0.01,
+	expertMs: 0.4,
 	topK: 2,
 	bytesPerExpert: 4_000_000,
 	checksFences: true,
--- a/packages/fakes/src/group.ts
+++ b/packages/fakes/src/group.ts
@@ -7,7 +7,7 @@
 import { createServer, type IncomingMessage, type Server } from 'node:http'
 import { readBody } from '@juniperhook/runtime'
 import type { GroupModel } from './groupModel.ts'
-import { advanceModel, stepTimeOf } from './groupModel.ts'
+import { advanceModel, crashRank, stepTimeOf } from './groupModel.ts'
 import { takeOrder } from './orders.ts'
 
 const MAX_BYTES = 10_485_760
@@ -85,7 +85,14 @@
 		const parts = url.pathname.split('/')
 		const body = await readBody(req, MAX_BYTES)
 		const text = String(body ?? '')
-		if (url.pathname === '/load') {
+		if (url.pathname === '/admin/crash') {
+			crashRank(group.model, rank)
+			res.end()
+		} else if (url.pathname === '/admin/stall') {
+			const until = Date.now() + Number(url.searchParams.get('ms') ?? 0)
+			group.model.ranks[rank]!.stalledUntil = until
+			res.end()
+		} else if (url.pathname === '/load') {
 			res.end(JSON.stringify(describeLoad(group, engine)))
 		} else if (url.pathname === '/orders') {
 			const reply = await takeOrder(group.model, rank, JSON.parse(text))
@@ -221,22 +228,28 @@
 function describeLoad(group: GroupFake, engine: RankEngine): object {
 	const { model } = group
 	const state = model.ranks[engine.rank]!
+	const { protocol } = state
 	return {
 		running: engine.running.length,
 		waiting: engine.waiting.length,
 		cancelled: engine.cancelled,
-		generation: model.generation,
-		step: model.step,
-		fence: state.map.fence,
-		orderFence: state.orderFence,
+		incarnation: protocol.incarnation,
+		joined: protocol.joined,
+		generation: protocol.generation,
+		step: protocol.step,
+		mapId: protocol.mapId,
+		mapSince: state.mapSince,
+		fence: protocol.committed?.fence ?? 0,
+		inDoubt: protocol.promised !== undefined,
 		stepMs: state.stepMs,
 		groupStepMs: model.stepMs,
 		meanStepMs: model.meanStepMs,
 		skew: model.meanSkew,
 		violations: model.violations,
+		switches: model.switches,
 		gateMs: model.gateMs,
-		tokens: state.tokens,
-		loaded: [...state.loaded],
+		slots: state.slots,
+		tokens: [...state.tokens],
 	}
 }
 
--- a/packages/fakes/src/groupModel.ts
+++ b/packages/fakes/src/groupModel.ts
@@ -3,9 +3,13 @@
  * takes the time of its slowest rank, and asserts that all use one map.
  */
 
+import type { RankState } from '@juniperhook/core'
+import { beginStep, createRank, mayBegin, restartRank } from '@juniperhook/core'
 import type { Popularity } from './popularity.ts'
 
 const SMOOTHING = 0.02
+/** Name of the map that a group starts with. */
+export const FIRST_MAP = 'first'
 
 /** Sizes and speeds of a group. */
 export interface GroupOptions {
@@ -42,28 +46,20 @@
 /** Experts held by one rank: `slots[layer]` lists them. */
 export type RankSlots = readonly (readonly number[])[]
 
-/** A map as one rank runs it. */
-export interface RankMap {
-	/** Fence of the change that brought it; 0 for the first. */
-	readonly fence: number
-	/** Names the whole group's map, so that ranks can be compared. */
-	readonly id: string
-	readonly slots: RankSlots
-}
-
 /** One rank's engine, as far as maps go. */
 export interface RankModel {
-	map: RankMap
-	/** Highest fence accepted in an order. */
-	orderFence: number
-	/** Not to begin `step` before the decision of `fence`. */
-	gate: { readonly fence: number; readonly step: number } | undefined
-	/** Decided: run `map` from `step` on. */
-	next: { readonly step: number; readonly map: RankMap } | undefined
+	/** What it has promised and runs; see the map protocol. */
+	protocol: RankState
+	slots: RankSlots
+	/** Slots of maps that may come into force. */
+	readonly staged: Map<string, RankSlots>
+	/** Weights in memory, as {@link weightOf} names them. */
 	readonly loaded: Set<string>
 	stepMs: number
-	/** Tokens per expert in the last step, over all layers. */
-	tokens: number[]
+	/** Tokens since the start, `layer * experts + expert`. */
+	readonly tokens: Float64Array
+	/** Step from which the present map has been used. */
+	mapSince: number
 	/** The rank hangs until this time, Unix ms. */
 	stalledUntil: number
 }
@@ -73,11 +69,10 @@
 	readonly options: GroupOptions
 	readonly popularity: Popularity
 	readonly ranks: RankModel[]
-	generation: number
 	step: number
 	stepMs: number
 	meanStepMs: number
-	/** Smoothed slowest over mean. */
+	/** Smoothed slowest over mean, experts' work alone. */
 	meanSkew: number
 	/** Time that gates held the group, ms. */
 	gateMs: number
@@ -94,20 +89,19 @@
 	slots: readonly RankSlots[],
 ): GroupModel {
 	const ranks = slots.map(own => ({
-		map: { fence: 0, id: 'first', slots: own },
-		orderFence: 0,
-		gate: undefined,
-		next: undefined,
+		protocol: createRank(FIRST_MAP),
+		slots: own,
+		staged: new Map([[FIRST_MAP, own]]),
 		loaded: new Set(own.flatMap((list, layer) => list.map(weightOf(layer)))),
 		stepMs: 0,
-		tokens: new Array<number>(options.experts).fill(0),
+		tokens: new Float64Array(options.layers * options.experts),
+		mapSince: 0,
 		stalledUntil: 0,
 	}))
 	return {
 		options,
 		popularity,
 		ranks,
-		generation: 1,
 		step: 0,
 		stepMs: 0,
 		meanStepMs: 0,
@@ -146,83 +140,99 @@
 	model: GroupModel,
 	batch: readonly number[],
 ): boolean {
-	const next = model.step + 1
 	const now = Date.now()
-	const gated = model.ranks.some(rank => rank.gate && rank.gate.step <= next)
+	const gated = model.ranks.some(rank => !mayBegin(rank.protocol))
 	if (gated) model.gatedSince ??= now
+	const [first] = model.ranks
+	const apart = model.ranks.some(
+		({ protocol }) =>
+			protocol.generation !== first!.protocol.generation ||
+			protocol.step !== first!.protocol.step,
+	)
 	const stalled = model.ranks.some(rank => rank.stalledUntil > now)
-	if (gated || stalled) return false
+	if (gated || apart || stalled) return false
 	if (model.gatedSince !== undefined) model.gateMs += now - model.gatedSince
 	model.gatedSince = undefined
-	model.step = next
-	for (const rank of model.ranks) switchMap(model, rank)
+	for (const rank of model.ranks) begin(model, rank)
+	model.step = first!.protocol.step
 	assertOneMap(model)
 	measure(model, batch)
 	return true
 }
 
+/** Lets one rank's engine lose all that it held, as a restart does. */
+export function crashRank(model: GroupModel, rank: number): void {
+	const state = model.ranks[rank]!
+	state.protocol = restartRank(state.protocol.incarnation + 1)
+	state.staged.clear()
+	state.loaded.clear()
+}
+
 /** Time of the last step, ms. */
 export function stepTimeOf(model: GroupModel): number {
 	return model.stepMs || model.options.baseMs
 }
 
-function switchMap(model: GroupModel, rank: RankModel): void {
-	if (!rank.next || rank.next.step > model.step) return
-	rank.map = rank.next.map
-	rank.next = undefined
-	model.switches++
-	const missing = rank.map.slots.some((own, layer) =>
-		own.some(expert => !rank.loaded.has(weightOf(layer)(expert))),
-	)
-	if (missing) model.violations++
-	keepOnlyPlaced(rank)
-}
-
-function keepOnlyPlaced(rank: RankModel): void {
-	const placed = rank.map.slots.flatMap((own, layer) =>
-		own.map(weightOf(layer)),
+function begin(model: GroupModel, rank: RankModel): void {
+	const { mapId } = rank.protocol
+	beginStep(rank.protocol)
+	if (rank.protocol.mapId === mapId) return
+	const slots = rank.staged.get(rank.protocol.mapId)
+	const ready = slots?.every((own, layer) =>
+		own.every(expert => rank.loaded.has(weightOf(layer)(expert))),
 	)
+	if (!slots || !ready) model.violations++
+	rank.slots = slots ?? rank.slots
+	rank.mapSince = rank.protocol.step
+	model.switches++
 	rank.loaded.clear()
-	for (const weight of placed) rank.loaded.add(weight)
+	for (const [layer, own] of rank.slots.entries())
+		for (const weight of own.map(weightOf(layer))) rank.loaded.add(weight)
 }
 
 function assertOneMap(model: GroupModel): void {
-	const ids = new Set(model.ranks.map(rank => rank.map.id))
+	const ids = new Set(model.ranks.map(rank => rank.protocol.mapId))
 	if (ids.size === 1) return
 	model.violations++
 	const names = [...ids].join(' and ')
 	process.stderr.write(`two maps in step ${model.step}: ${names}\n`)
 }
 
+/** Ranks wait for each other in every layer, as the exchange of tokens does. */
 function measure(model: GroupModel, batch: readonly number[]): void {
 	const { options, popularity, ranks } = model
 	const requests = batch.reduce((sum, size) => sum + size, 0)
-	const times = ranks.map(
-		(_, rank) => options.baseMs + options.tokenMs * (batch[rank] ?? 0),
-	)
-	for (const rank of ranks) rank.tokens.fill(0)
+	const own = ranks.map((_, rank) => options.tokenMs * (batch[rank] ?? 0))
+	const times = own.map(time => options.baseMs + time)
+	let slowest = 0
 	for (let layer = 0; layer < options.layers; layer++) {
 		const holders = countHolders(model, layer)
-		for (const [at, rank] of ranks.entries())
-			for (const expert of rank.map.slots[layer]!) {
+		const spent = ranks.map(rank => {
+			let tokens = 0
+			for (const expert of rank.slots[layer]!) {
 				const share = popularity.share[layer]![expert]!
-				const all = requests * options.topK * share
-				const tokens = all / holders[expert]!
-				rank.tokens[expert]! += tokens
-				times[at]! += tokens * options.expertMs
+				const part = (requests * options.topK * share) / holders[expert]!
+				rank.tokens[layer * options.experts + expert]! += part
+				tokens += part
 			}
+			return tokens * options.expertMs
+		})
+		slowest += Math.max(...spent)
+		for (const [rank, time] of spent.entries()) times[rank]! += time
 	}
-	const slowest = Math.max(...times)
 	const mean = times.reduce((sum, time) => sum + time, 0) / times.length
 	for (const [at, rank] of ranks.entries()) rank.stepMs = times[at]!
-	model.stepMs = slowest
+	model.stepMs = options.baseMs + Math.max(...own) + slowest
 	model.meanStepMs = mean
-	model.meanSkew += SMOOTHING * (slowest / mean - model.meanSkew)
+	const base = options.baseMs + Math.max(...own)
+	if (requests === 0 || mean <= base) return
+	const skew = slowest / (mean - base)
+	model.meanSkew += SMOOTHING * (skew - model.meanSkew)
 }
 
 function countHolders(model: GroupModel, layer: number): Uint16Array {
 	const holders = new Uint16Array(model.options.experts)
 	for (const rank of model.ranks)
-		for (const expert of rank.map.slots[layer]!) holders[expert]!++
+		for (const expert of rank.slots[layer]!) holders[expert]!++
 	return holders
 }
--- a/packages/fakes/src/orders.ts
+++ b/packages/fakes/src/orders.ts
@@ -1,40 +1,35 @@
-/** Fenced orders to an engine of the group: load, gate, release, learn. */
+/** Orders to an engine of the group; fenced if the engine checks fences. */
 
+import type { MapChange, RankReply, RankRequest } from '@juniperhook/core'
+import { takeRankRequest } from '@juniperhook/core'
 import { request } from 'undici'
-import type { GroupModel, RankMap, RankModel } from './groupModel.ts'
+import type { GroupModel, RankModel } from './groupModel.ts'
 import { weightOf } from './groupModel.ts'
 
 /** An order to one rank's engine. */
 export type EngineOrder =
-	/** Raises the fence; tells what the engine holds. */
-	| { readonly order: 'learn'; readonly fence: number }
-	/** Fetches an expert's weights beside those in use. */
+	/** Engines that check fences run the rank's side of the map protocol. */
+	| { readonly order: 'rank'; readonly req: RankRequest }
+	/** Fetches what a coming map needs, beside what is in use. */
 	| {
-			readonly order: 'load'
-			readonly fence: number
-			readonly layer: number
-			readonly expert: number
+			readonly order: 'stage'
+			readonly mapId: string
+			/** Experts of this rank, a list a layer. */
+			readonly slots: readonly (readonly number[])[]
 	  }
-	/** Not to begin `step` before the decision. */
-	| { readonly order: 'gate'; readonly fence: number; readonly step: number }
-	| {
-			readonly order: 'commit'
-			readonly fence: number
-			readonly step: number
-			readonly map: RankMap
-	  }
-	| { readonly order: 'abort'; readonly fence: number }
+	/** Engines that check no fences take these from their agent alone. */
+	| { readonly order: 'look' }
+	| { readonly order: 'hold' }
+	| { readonly order: 'gate'; readonly step: number }
+	| { readonly order: 'open' }
+	| { readonly order: 'switch'; readonly change: MapChange }
 
 /** What an engine says after an order. */
 export interface EngineReply {
 	readonly accepted: boolean
-	readonly fence: number
 	readonly step: number
-	readonly generation: number
 	readonly mapId: string
-	readonly mapFence: number
-	readonly gate: { readonly fence: number; readonly step: number } | null
-	readonly nextMapId: string | null
+	readonly reply?: RankReply
 }
 
 /** Lets one rank's engine take an order. */
@@ -44,41 +39,68 @@
 	order: EngineOrder,
 ): Promise<EngineReply> {
 	const state = model.ranks[rank]!
-	const tooLow = order.fence < state.orderFence
-	if (tooLow && model.options.checksFences) return reply(model, state, false)
-	state.orderFence = Math.max(state.orderFence, order.fence)
-	return reply(model, state, await obey(model, state, order))
+	if (order.order === 'rank') {
+		const reply = takeRankRequest(state.protocol, order.req)
+		return { ...describe(state, reply.type !== 'refused'), reply }
+	}
+	return describe(state, await obey(model, state, order))
 }
 
 async function obey(
 	model: GroupModel,
 	state: RankModel,
-	order: EngineOrder,
+	order: Exclude<EngineOrder, { order: 'rank' }>,
 ): Promise<boolean> {
+	const { protocol } = state
 	switch (order.order) {
-		case 'learn':
+		case 'stage':
+			await stage(model, state, order.mapId, order.slots)
 			return true
-		case 'load':
-			await fetchWeights(model)
-			state.loaded.add(weightOf(order.layer)(order.expert))
+		case 'look':
+			return true
+		case 'hold':
+			protocol.joined = false
 			return true
-		case 'gate':
-			if (order.step <= model.step) return false
-			state.gate = { fence: order.fence, step: order.step }
+		case 'gate': {
+			const { step } = order
+			if (step <= protocol.step) return false
+			const { generation, mapId } = protocol
+			protocol.promised = { fence: 0, generation, step, mapId }
 			return true
-		case 'commit':
-			if (order.step <= model.step) return false
-			state.next = { step: order.step, map: order.map }
-			state.gate = undefined
+		}
+		case 'open':
+			protocol.promised = undefined
 			return true
-		case 'abort':
-			state.gate = undefined
+		case 'switch': {
+			const { change } = order
+			if (protocol.generation !== change.generation || !protocol.joined)
+				protocol.step = change.step - 1
+			protocol.generation = change.generation
+			protocol.joined = true
+			protocol.promised = undefined
+			protocol.committed = change
 			return true
+		}
 		default:
 			return order satisfies never
 	}
 }
 
+async function stage(
+	model: GroupModel,
+	state: RankModel,
+	mapId: string,
+	slots: readonly (readonly number[])[],
+): Promise<void> {
+	for (const [layer, experts] of slots.entries())
+		for (const weight of experts.map(weightOf(layer))) {
+			if (state.loaded.has(weight)) continue
+			await fetchWeights(model)
+			state.loaded.add(weight)
+		}
+	state.staged.set(mapId, slots)
+}
+
 async function fetchWeights(model: GroupModel): Promise<void> {
 	const { store, bytesPerExpert } = model.options
 	if (store === '') return
@@ -86,19 +108,7 @@
 	await res.body.dump()
 }
 
-function reply(
-	model: GroupModel,
-	state: RankModel,
-	accepted: boolean,
-): EngineReply {
-	return {
-		accepted,
-		fence: state.orderFence,
-		step: model.step,
-		generation: model.generation,
-		mapId: state.map.id,
-		mapFence: state.map.fence,
-		gate: state.gate ?? null,
-		nextMapId: state.next?.map.id ?? null,
-	}
+function describe(state: RankModel, accepted: boolean): EngineReply {
+	const { step, mapId } = state.protocol
+	return { accepted, step, mapId }
 }
--- a/packages/runtime/src/io/messages.ts
+++ b/packages/runtime/src/io/messages.ts
@@ -57,7 +57,7 @@
 export const ReportSchema = v.object({
 	server: v.string(),
 	incarnation: v.string(),
-	state: v.picklist(['serving', 'leaving']),
+	state: v.picklist(['serving', 'leaving', 'suspect']),
 	slots: count,
 	revision: v.pipe(v.number(), v.integer()),
 	...LoadSchema.entries,
