Spread published values by few readers and a bounded graph; prove by failures

Cause: every process watched the platform itself, so its calls grew with the fleet, and a process that started beside a stale service could go back. Change: pure spreading of revisions (readers, notices, patches, repair), tested over a network in memory with losses, cuts, restarts and a stale service; tests of the promises on requests with real processes that are killed, frozen and cut. Found by the tests: none of the promises broke; a stand-in forgot its count of runs when it was killed, and now writes each run down. Conclusion: the daemons do not use the spreading yet; that comes next.

--- a/bench/main.ts
+++ b/bench/main.ts
@@ -2,6 +2,7 @@
 
 const BENCHES: Record<string, () => Promise<{ run(): Promise<void> }>> = {
 	path: () => import('./path.ts'),
+	config: () => import('./config.ts'),
 	rebalance: () => import('./rebalance.ts'),
 }
 
--- a/packages/core/src/utils/rendezvous.ts
+++ b/packages/core/src/utils/rendezvous.ts
@@ -12,14 +12,21 @@
 	return h32(text, seed)
 }
 
-/** The names in order of preference for `key`, best first. */
-export function rankByRendezvous(
+/** The first `count` choices for `key`, best first, without a full sort. */
+export function topByRendezvous(
 	key: string,
 	names: readonly string[],
+	count: number,
 ): string[] {
-	const scored = names.map(name => ({ name, score: h32(`${name}\n${key}`) }))
-	scored.sort((a, b) => b.score - a.score || (a.name < b.name ? -1 : 1))
-	return scored.map(entry => entry.name)
+	const top: { name: string; score: number }[] = []
+	for (const name of names) {
+		const score = h32(`${name}\n${key}`)
+		if (top.length === count && score <= top[count - 1]!.score) continue
+		const place = top.findIndex(other => other.score < score)
+		top.splice(place < 0 ? top.length : place, 0, { name, score })
+		if (top.length > count) top.pop()
+	}
+	return top.map(entry => entry.name)
 }
 
 /** The first choice for `key`, or `undefined` without names. */
--- a/packages/fakes/src/fleet.ts
+++ b/packages/fakes/src/fleet.ts
@@ -24,6 +24,8 @@
 	backend: 7600,
 } as const
 
+/** File of the fleet's folder with a line a run of a booking. */
+export const RUNS_FILE = 'runs'
 const ROOT = fileURLToPath(new URL('../../..', import.meta.url))
 const READY_MS = 20_000
 const POLL_MS = 50
@@ -50,6 +52,8 @@
 	readonly teamConfig?: string
 	readonly serviceConfig?: string
 	readonly logLevel?: string
+	/** Entries reach the agents of plain services at {@link relayIp}. */
+	readonly relayed?: boolean
 }
 
 /** One started process. */
@@ -88,7 +92,10 @@
 }
 
 /** Starts a fleet and resolves when every entry is ready. */
-export async function startFleet(options: FleetOptions): Promise<Fleet> {
+export async function startFleet(
+	options: FleetOptions,
+	beforeDaemons: (fleet: Fleet) => Promise<void> = async () => {},
+): Promise<Fleet> {
 	const prefix = await findPrefix()
 	const folder = mkdtempSync(join(tmpdir(), 'juniperhook-'))
 	const processes = new Map<string, FleetProcess>()
@@ -103,6 +110,7 @@
 		return true
 	}, 'the platform')
 	await callPlatform(fleet, 'publish', fleet.document)
+	await beforeDaemons(fleet)
 	for (const vm of vms) startDaemon(fleet, vm)
 	for (const vm of vms) await waitReady(fleet, vm)
 	return fleet
@@ -141,6 +149,11 @@
 	return `${fleet.prefix}.${100 + n}`
 }
 
+/** IP at which a relay stands before plain service `n`, from 0. */
+export function relayIp(fleet: Fleet, n: number): string {
+	return `${fleet.prefix}.${60 + n}`
+}
+
 /** Calls the platform stand-in's own administration. */
 export async function callPlatform(
 	fleet: Fleet,
@@ -211,7 +224,8 @@
 	for (let n = 0; n < options.services; n++) {
 		const ip = serviceIp(fleet, n)
 		const delay = String(options.serviceDelayMs)
-		const args = [main, 'service', ip, String(PORTS.backend), delay]
+		const runs = join(fleet.folder, RUNS_FILE)
+		const args = [main, 'service', ip, String(PORTS.backend), delay, runs]
 		start(fleet, `backend-${n}`, ip, args)
 	}
 	if (options.ranks === 0) return
@@ -332,7 +346,7 @@
 kind = service
 dataCentre = dc-a
 service = huts
-agent = ${serviceIp(fleet, n)}:${PORTS.data}
+agent = ${(options.relayed ? relayIp : serviceIp)(fleet, n)}:${PORTS.data}
 backend = ${serviceIp(fleet, n)}:${PORTS.backend}
 slots = ${options.serviceSlots}
 `)
--- a/packages/fakes/src/main.ts
+++ b/packages/fakes/src/main.ts
@@ -1,5 +1,5 @@
 /**
- * Runs one stand-in as a process: `platform IP PORT`, `service IP PORT DELAY`,
+ * Runs one stand-in as a process: `platform IP PORT`, `service IP PORT DELAY RUNS-FILE`,
  * `group PORT OPTIONS-JSON`. Ends on SIGTERM.
  */
 
@@ -35,7 +35,7 @@
 }
 
 async function main(args: readonly string[]): Promise<void> {
-	const [kind, first = '', second = '', third = ''] = args
+	const [kind, first = '', second = '', third = '', fourth = ''] = args
 	switch (kind) {
 		case 'platform': {
 			const options = { listLagMs: 1_000, storeBytesPerSecond: 400_000_000 }
@@ -43,7 +43,7 @@
 			return
 		}
 		case 'service': {
-			const fake = createService({ delayMs: Number(third) })
+			const fake = createService({ delayMs: Number(third), runsPath: fourth })
 			await serveService(fake, first, Number(second))
 			return
 		}
--- a/packages/fakes/src/service.ts
+++ b/packages/fakes/src/service.ts
@@ -1,5 +1,6 @@
 /** Stand-in for a plain service: rosters, bookings, tiles. Counts its runs. */
 
+import { appendFileSync } from 'node:fs'
 import { createServer, type Server, type ServerResponse } from 'node:http'
 import { readBody } from '@juniperhook/runtime'
 
@@ -9,26 +10,25 @@
 export interface ServiceOptions {
 	/** Time to answer, ms. */
 	readonly delayMs: number
+	/** Each run of a booking is a line here, so that a kill forgets none. */
+	readonly runsPath: string
 }
 
 /** What a plain service has seen. */
 export interface ServiceFake {
 	readonly options: ServiceOptions
-	/** Runs by booking reference. */
-	readonly runs: Map<string, number>
-	running: number
 	requests: number
 }
 
 /** Makes a service that has run nothing. */
 export function createService(options: ServiceOptions): ServiceFake {
-	return { options, runs: new Map(), running: 0, requests: 0 }
+	return { options, requests: 0 }
 }
 
 /**
- * Serves it over HTTP. `POST /bookings/REF` counts a run of REF;
+ * Serves it over HTTP. `POST /bookings/REF` notes a run of REF;
  * `/rosters/…` answers a list; `/echo` sends everything back;
- * `/tiles/N` sends N bytes; `/admin/runs` tells the counts.
+ * `/tiles/N` sends N bytes; `/admin/requests` counts all requests.
  */
 export function serveService(
 	fake: ServiceFake,
@@ -37,19 +37,17 @@
 ): Promise<Server> {
 	const server = createServer(async (req, res) => {
 		const url = new URL(req.url ?? '/', 'http://service')
-		if (url.pathname === '/admin/runs') {
-			res.end(JSON.stringify(Object.fromEntries(fake.runs)))
+		if (url.pathname === '/admin/requests') {
+			res.end(String(fake.requests))
 			return
 		}
 		fake.requests++
-		fake.running++
 		const body = (await readBody(req, MAX_BYTES)) ?? Buffer.alloc(0)
 		const [, kind, name = ''] = url.pathname.split('/')
 		if (kind === 'bookings' && req.method === 'POST')
-			fake.runs.set(name, (fake.runs.get(name) ?? 0) + 1)
+			appendFileSync(fake.options.runsPath, `${name}\n`)
 		const delay = Number(url.searchParams.get('delay') ?? fake.options.delayMs)
 		await new Promise(resolve => setTimeout(resolve, delay))
-		fake.running--
 		answer(res, kind ?? '', name, req.method ?? '', body)
 	})
 	server.keepAliveTimeout = 60_000
