Follow the platform through peers: spreading in the daemons, tested by failures

Cause: see the spreading; the daemons still watched the platform themselves. Change: both daemons follow through peers; a new process asks its peers before it serves; an invalid revision is refused with the same verdict everywhere. Found by the tests, each failing first: a process that started while the service was down heard nothing from the entries that reached it (a hello now compares revisions); a service that had gone back was asked in a circle, 207 calls in 20 s (it is now watched from the revision it answered with; at most 8).

--- a/packages/agent/src/agent.ts
+++ b/packages/agent/src/agent.ts
@@ -9,18 +9,20 @@
 	splitAddress,
 } from '@juniperhook/core'
 import type {
-	ConfigKeeper,
+	Follower,
 	Hello,
 	Metrics,
 	Report,
 	RpcLink,
 	Settings,
+	Vm,
 } from '@juniperhook/runtime'
 import {
 	AttemptRefSchema,
-	createConfigKeeper,
+	createFollowerMethods,
 	createLog,
 	createMetrics,
+	describeFollower,
 	fail,
 	HelloSchema,
 	handleNode,
@@ -28,16 +30,16 @@
 	listen,
 	listenOperators,
 	messageOf,
+	noteContact,
 	notify,
 	OFFER_HEADER,
 	OfferSchema,
 	RESUME_HEADER,
 	ResumeSchema,
 	readBody,
-	readVms,
+	revisionOf,
 	serveRpc,
-	sleep,
-	watchConfig,
+	startFollower,
 } from '@juniperhook/runtime'
 import { H3 } from 'h3'
 import * as v from 'valibot'
@@ -65,7 +67,6 @@
 const TICK_MS = 100
 const REPORT_MS = 500
 const BEAT_MS = 1_000
-const VM_LIST_MS = 2_000
 const IDLE_CHECK_MS = 50
 /** Largest body that an entry may hand over, in bytes. */
 const MAX_BODY_BYTES = 16_777_216
@@ -78,7 +79,7 @@
 	readonly settings: Settings
 	readonly incarnation: string
 	readonly metrics: Metrics
-	readonly keeper: ConfigKeeper
+	readonly follower: Follower
 	readonly links: Set<RpcLink>
 	/** Missing until a configuration that names this server is in force. */
 	requests: RequestTable | undefined
@@ -90,12 +91,21 @@
 export async function startAgent(settings: Settings): Promise<AgentProcess> {
 	const incarnation = `${Date.now()}-${randomBytes(4).toString('hex')}`
 	const metrics = createMetrics()
-	const keeper = createConfigKeeper(metrics, held => adopt(agent, held))
+	const seed = randomBytes(4).readUInt32LE()
+	const follower = startFollower(
+		settings,
+		metrics,
+		{
+			onAdopt: held => adopt(agent, held),
+			onVms: vms => leaveIfListed(agent, vms),
+		},
+		seed,
+	)
 	const agent: AgentProcess = {
 		settings,
 		incarnation,
 		metrics,
-		keeper,
+		follower,
 		links: new Set(),
 		requests: undefined,
 		group: undefined,
@@ -110,8 +120,6 @@
 		isReady: () => agent.requests?.admission.mode === 'serving',
 		status: () => describeAgent(agent),
 	})
-	void watchConfig(keeper, settings.platform.service)
-	void watchVms(agent)
 	startTimers(agent)
 	process.once('SIGTERM', () => void stopAgent(agent))
 	log({ msg: 'agent listens', server: settings.process.name })
@@ -225,15 +233,17 @@
 function createMethods(agent: AgentProcess) {
 	const table = () => agent.requests ?? fail('noConfig', 'agent')
 	return {
+		...createFollowerMethods(() => agent.follower),
 		...createGroupMethods(() => agent.group ?? fail('notFound', 'no group')),
 		hello(params: unknown, link: RpcLink): Hello {
 			link.remoteName = v.parse(HelloSchema, params).name
+			noteContact(agent.follower, link.remoteName, link)
 			queueMicrotask(() => pushReport(agent, link))
 			return {
 				name: agent.settings.process.name,
 				kind: 'agent',
 				incarnation: agent.incarnation,
-				revision: agent.keeper.state.held?.revision ?? 0,
+				revision: revisionOf(agent.follower),
 			}
 		},
 		voidAttempt: (params: unknown) =>
@@ -271,25 +281,16 @@
 		incarnation: agent.incarnation,
 		state: table.admission.mode,
 		slots: table.admission.slots,
-		revision: agent.keeper.state.held?.revision ?? 0,
+		revision: revisionOf(agent.follower),
 		...readLoad(table),
 	}
 	notify(link, 'report', report)
 }
 
-async function watchVms(agent: AgentProcess): Promise<void> {
+function leaveIfListed(agent: AgentProcess, vms: readonly Vm[]): void {
 	const { name } = agent.settings.process
-	for (;;) {
-		try {
-			agent.metrics.platformCalls.inc()
-			const vms = await readVms(agent.settings.platform.service)
-			const own = vms.find(vm => vm.name === name)
-			if (own?.state === 'leaving') leave(agent)
-		} catch (err) {
-			log({ msg: 'VM list failed', detail: messageOf(err) })
-		}
-		await sleep(VM_LIST_MS)
-	}
+	const own = vms.find(vm => vm.name === name)
+	if (own?.state === 'leaving') leave(agent)
 }
 
 function leave(agent: AgentProcess): void {
@@ -302,21 +303,19 @@
 /** Takes no more work, finishes what is in flight, then ends the process. */
 async function stopAgent(agent: AgentProcess): Promise<void> {
 	leave(agent)
-	agent.keeper.stopped = true
+	agent.follower.stopped = true
 	while (agent.requests && !isIdle(agent.requests))
 		await new Promise(resolve => setTimeout(resolve, IDLE_CHECK_MS))
 	process.exit(0)
 }
 
 function describeAgent(agent: AgentProcess): object {
-	const { held, refused } = agent.keeper.state
 	const table = agent.requests
 	return {
 		kind: 'agent',
 		name: agent.settings.process.name,
 		incarnation: agent.incarnation,
-		revision: held?.revision ?? 0,
-		refusedRevision: refused?.revision ?? 0,
+		...describeFollower(agent.follower),
 		state: table?.admission.mode ?? 'waiting for configuration',
 		running: table?.admission.running ?? 0,
 		waiting: table?.admission.queue.waiting.length ?? 0,
--- a/packages/core/src/core/spread.ts
+++ b/packages/core/src/core/spread.ts
@@ -117,7 +117,7 @@
 /** One process's part in the spreading. */
 export interface SpreadNode {
 	readonly self: string
-	readonly region: string
+	region: string
 	readonly held: Record<Topic, Held>
 	members: readonly Member[]
 	/** Whom it notifies. */
@@ -307,6 +307,11 @@
 	return [...effects, ...hold(node, topic, revision, text, from)]
 }
 
+/** Compares with one member what both hold. */
+export function greetMember(node: SpreadNode, name: string): SpreadEffect[] {
+	return [send(name, compareOf(node, true))]
+}
+
 function hold(
 	node: SpreadNode,
 	topic: Topic,
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -11,22 +11,24 @@
 	splitAddress,
 } from '@juniperhook/core'
 import type {
-	ConfigKeeper,
+	Follower,
 	Hello,
 	Metrics,
 	Settings,
+	Vm,
 } from '@juniperhook/runtime'
 import {
-	createConfigKeeper,
+	createFollowerMethods,
 	createLog,
 	createMetrics,
+	describeFollower,
 	handleNode,
 	listen,
 	listenOperators,
-	messageOf,
-	readVms,
-	sleep,
-	watchConfig,
+	noteRevision,
+	revisionOf,
+	serveRpc,
+	startFollower,
 } from '@juniperhook/runtime'
 import { H3 } from 'h3'
 import { createCallerAnswer, failAnswer } from './io/caller.ts'
@@ -39,7 +41,6 @@
 } from './io/intake.ts'
 import { applyConfig, applyVmList, createServerView } from './io/servers.ts'
 
-const VM_LIST_MS = 2_000
 const STOP_CHECK_MS = 50
 /** Between the end of readiness and the close of the listener, ms. */
 const READINESS_MS = 1_000
@@ -49,7 +50,7 @@
 export interface EntryProcess {
 	readonly settings: Settings
 	readonly metrics: Metrics
-	readonly keeper: ConfigKeeper
+	readonly follower: Follower
 	readonly ctx: EntryContext
 	listener: Server | undefined
 }
@@ -58,18 +59,22 @@
 export async function startEntry(settings: Settings): Promise<EntryProcess> {
 	const metrics = createMetrics()
 	const incarnation = `${Date.now()}-${randomBytes(4).toString('hex')}`
-	const keeper = createConfigKeeper(metrics, held => adopt(entry, held))
 	const introduce = (): Hello => ({
 		name: settings.process.name,
 		kind: 'entry',
 		incarnation,
-		revision: keeper.state.held?.revision ?? 0,
+		revision: revisionOf(follower),
 	})
 	const { port } = splitAddress(settings.listen.control)
 	const ctx: EntryContext = {
 		incarnation,
 		metrics,
-		servers: createServerView(introduce, port),
+		servers: createServerView(
+			introduce,
+			port,
+			(server, revision) => noteRevision(follower, server, revision),
+			createFollowerMethods(() => follower),
+		),
 		limits: createLimits(),
 		retries: createRetryBudget(),
 		affinity: createAffinity(),
@@ -81,10 +86,24 @@
 		nextRequest: 1,
 		leaving: false,
 	}
+	const seed = randomBytes(4).readUInt32LE()
+	const follower = startFollower(
+		settings,
+		metrics,
+		{
+			onAdopt: held => adopt(entry, held),
+			onVms: vms => noteVms(ctx, vms),
+		},
+		seed,
+	)
+	await serveRpc(
+		settings.listen.control,
+		createFollowerMethods(() => follower),
+	)
 	const entry: EntryProcess = {
 		settings,
 		metrics,
-		keeper,
+		follower,
 		ctx,
 		listener: undefined,
 	}
@@ -94,8 +113,6 @@
 		status: () => describeEntry(entry),
 	})
 	entry.listener = await listen(createApp(ctx), settings.listen.data)
-	void watchConfig(keeper, settings.platform.service)
-	void watchVms(entry)
 	setInterval(() => tickExchanges(ctx), EXCHANGE_TICK_MS)
 	process.once('SIGTERM', () => void stopEntry(entry))
 	log({ msg: 'entry listens', server: settings.process.name })
@@ -132,28 +149,18 @@
 	log({ msg: 'configuration in force', revision: held.revision })
 }
 
-async function watchVms(entry: EntryProcess): Promise<void> {
-	const { ctx, settings } = entry
-	for (;;) {
-		try {
-			entry.metrics.platformCalls.inc()
-			const vms = await readVms(settings.platform.service)
-			const entries = vms.filter(vm => vm.kind === 'entry')
-			const leaving = vms.filter(vm => vm.state === 'leaving')
-			ctx.entryCount = Math.max(1, entries.length)
-			applyVmList(ctx.servers, new Set(leaving.map(vm => vm.name)))
-		} catch (err) {
-			log({ msg: 'VM list failed', detail: messageOf(err) })
-		}
-		await sleep(VM_LIST_MS)
-	}
+function noteVms(ctx: EntryContext, vms: readonly Vm[]): void {
+	const entries = vms.filter(vm => vm.kind === 'entry')
+	const leaving = vms.filter(vm => vm.state === 'leaving')
+	ctx.entryCount = Math.max(1, entries.length)
+	applyVmList(ctx.servers, new Set(leaving.map(vm => vm.name)))
 }
 
 /** Readiness goes first, then the listener; no request in flight is cut. */
 async function stopEntry(entry: EntryProcess): Promise<void> {
 	const { ctx, listener } = entry
 	ctx.leaving = true
-	entry.keeper.stopped = true
+	entry.follower.stopped = true
 	await new Promise(resolve => setTimeout(resolve, READINESS_MS))
 	listener?.close()
 	listener?.closeIdleConnections()
@@ -164,14 +171,13 @@
 }
 
 function describeEntry(entry: EntryProcess): object {
-	const { ctx, keeper } = entry
+	const { ctx } = entry
 	const { table } = ctx.servers
 	return {
 		kind: 'entry',
 		name: entry.settings.process.name,
 		incarnation: ctx.incarnation,
-		revision: keeper.state.held?.revision ?? 0,
-		refusedRevision: keeper.state.refused?.revision ?? 0,
+		...describeFollower(entry.follower),
 		state: ctx.leaving ? 'leaving' : 'serving',
 		entries: ctx.entryCount,
 		running: ctx.exchanges.size,
--- a/packages/entry/src/io/servers.ts
+++ b/packages/entry/src/io/servers.ts
@@ -13,6 +13,7 @@
 import type {
 	AttemptRef,
 	Hello,
+	Methods,
 	Report,
 	RpcLink,
 	VoidReply,
@@ -54,6 +55,10 @@
 	/** This entry's name and what it says of itself. */
 	readonly introduce: () => Hello
 	readonly controlPort: number
+	/** Called with the revision that a report speaks of. */
+	readonly onRevision: (server: string, revision: number) => void
+	/** Methods served to agents besides reports. */
+	readonly methods: Methods
 	readonly peers: Map<string, AgentPeer>
 	table: ServerTable
 	/** Rows by model and by service. */
@@ -65,10 +70,14 @@
 export function createServerView(
 	introduce: () => Hello,
 	controlPort: number,
+	onRevision: ServerView['onRevision'],
+	methods: Methods,
 ): ServerView {
 	return {
 		introduce,
 		controlPort,
+		onRevision,
+		methods,
 		peers: new Map(),
 		table: createServerTable([]),
 		rowsOfModel: new Map(),
@@ -211,6 +220,7 @@
 	address: string,
 ): Promise<void> {
 	const methods = {
+		...view.methods,
 		report: (params: unknown) => takeReport(view, peer, params),
 	}
 	const link = await connectRpc(address, methods)
@@ -232,6 +242,7 @@
 	peer.incarnation = report.incarnation
 	peer.leaving = report.state !== 'serving'
 	peer.revision = report.revision
+	view.onRevision(report.server, report.revision)
 	const row = view.table.rowOf.get(peer.server)
 	if (row === undefined) return
 	view.table.slots[row] = report.slots
--- a/packages/fakes/src/platform.ts
+++ b/packages/fakes/src/platform.ts
@@ -1,6 +1,7 @@
 /** Stand-in for the platform: configuration service, VM list, weight store. */
 
 import { createServer, type IncomingMessage, type Server } from 'node:http'
+import type { Topic } from '@juniperhook/core'
 import type { Vm } from '@juniperhook/runtime'
 import { readBody } from '@juniperhook/runtime'
 
@@ -18,17 +19,19 @@
 /** The state of the stand-in. */
 export interface Platform {
 	readonly options: PlatformOptions
-	revision: number
-	document: string
-	vms: Vm[]
-	/** The list as callers see it. */
-	shownVms: Vm[]
+	readonly topics: Record<Topic, PublishedTopic>
 	/** Whether the service answers. */
 	up: boolean
 	calls: number
 	/** When the weight store has served all that was asked, Unix ms. */
 	storeFreeAt: number
 	storeBytes: number
+}
+
+/** One value and those who wait for the next. */
+export interface PublishedTopic {
+	revision: number
+	document: string
 	readonly waiting: Set<() => void>
 }
 
@@ -36,37 +39,42 @@
 export function createPlatform(options: PlatformOptions): Platform {
 	return {
 		options,
-		revision: 0,
-		document: '',
-		vms: [],
-		shownVms: [],
+		topics: { config: createTopic(), vms: createTopic() },
 		up: true,
 		calls: 0,
 		storeFreeAt: 0,
 		storeBytes: 0,
-		waiting: new Set(),
 	}
 }
 
-/** Publishes a document under `revision`, by default the next one. */
+function createTopic(): PublishedTopic {
+	return { revision: 0, document: '', waiting: new Set() }
+}
+
+/** Publishes a value under `revision`, by default the next one. */
 export function publish(
 	platform: Platform,
+	topic: Topic,
 	document: string,
-	revision = platform.revision + 1,
+	revision?: number,
 ): void {
-	platform.revision = revision
-	platform.document = document
-	for (const wake of platform.waiting) wake()
-	platform.waiting.clear()
+	const published = platform.topics[topic]
+	published.revision = revision ?? published.revision + 1
+	published.document = document
+	wakeAll(published)
 }
 
 /** Sets the VM list; callers see it after the lag. */
-export function setVms(platform: Platform, vms: Vm[]): void {
-	platform.vms = vms
-	const lag = platform.shownVms.length === 0 ? 0 : platform.options.listLagMs
-	setTimeout(() => {
-		platform.shownVms = vms
-	}, lag).unref()
+export function setVms(platform: Platform, vms: readonly Vm[]): void {
+	const first = platform.topics.vms.revision === 0
+	const lag = first ? 0 : platform.options.listLagMs
+	const document = JSON.stringify({ vms })
+	setTimeout(() => publish(platform, 'vms', document), lag).unref()
+}
+
+function wakeAll(published: PublishedTopic): void {
+	for (const wake of published.waiting) wake()
+	published.waiting.clear()
 }
 
 /** Serves the platform over HTTP; `/admin/…` is for tests and the demo. */
@@ -87,7 +95,12 @@
 			res.writeHead(503).end()
 			return
 		}
-		if (url.pathname === '/config') await waitForNews(platform, url, req)
+		const topic = topicOf(platform, url)
+		if (topic) await waitForNews(topic, url, req)
+		if (!platform.up) {
+			res.writeHead(503).end()
+			return
+		}
 		const answer = read(platform, url)
 		if (url.pathname === '/weights') await serveWeights(platform, url)
 		res.writeHead(answer === undefined ? 204 : 200)
@@ -99,38 +112,36 @@
 	})
 }
 
+function topicOf(platform: Platform, url: URL): PublishedTopic | undefined {
+	if (url.pathname === '/config') return platform.topics.config
+	return url.pathname === '/vms' ? platform.topics.vms : undefined
+}
+
 function read(platform: Platform, url: URL): object | undefined {
-	switch (url.pathname) {
-		case '/config': {
-			const after = Number(url.searchParams.get('after') ?? -1)
-			if (platform.revision === 0 || platform.revision === after)
-				return undefined
-			return { revision: platform.revision, document: platform.document }
-		}
-		case '/vms':
-			return { vms: platform.shownVms }
-		case '/weights':
-			return { bytes: Number(url.searchParams.get('bytes')) }
-		default:
-			return undefined
-	}
+	const topic = topicOf(platform, url)
+	if (!topic) return { bytes: Number(url.searchParams.get('bytes')) }
+	const { revision, document } = topic
+	const after = Number(url.searchParams.get('after') ?? -1)
+	return revision === 0 || revision === after
+		? undefined
+		: { revision, document }
 }
 
 function waitForNews(
-	platform: Platform,
+	topic: PublishedTopic,
 	url: URL,
 	req: IncomingMessage,
 ): Promise<void> {
 	const after = Number(url.searchParams.get('after') ?? -1)
 	const wait = Number(url.searchParams.get('wait') ?? 0)
-	if (platform.revision !== after || wait === 0) return Promise.resolve()
+	if (topic.revision !== after || wait === 0) return Promise.resolve()
 	return new Promise(resolve => {
 		const timer = setTimeout(resolve, wait)
 		const wake = () => {
 			clearTimeout(timer)
 			resolve()
 		}
-		platform.waiting.add(wake)
+		topic.waiting.add(wake)
 		req.socket.once('close', wake)
 	})
 }
@@ -150,7 +161,7 @@
 	switch (url.pathname) {
 		case '/admin/publish': {
 			const revision = url.searchParams.get('revision')
-			publish(platform, body, revision ? Number(revision) : undefined)
+			publish(platform, 'config', body, revision ? Number(revision) : undefined)
 			break
 		}
 		case '/admin/vms':
@@ -158,10 +169,9 @@
 			break
 		case '/admin/up':
 			platform.up = body === 'yes'
-			for (const wake of platform.waiting) wake()
-			platform.waiting.clear()
+			for (const topic of Object.values(platform.topics)) wakeAll(topic)
 			break
 	}
-	const { revision, calls, up, storeBytes } = platform
-	return { revision, calls, up, storeBytes }
+	const { calls, up, storeBytes, topics } = platform
+	return { revision: topics.config.revision, calls, up, storeBytes }
 }
--- a/packages/runtime/src/io/platform.ts
+++ b/packages/runtime/src/io/platform.ts
@@ -1,5 +1,6 @@
 /** The platform's configuration service and VM list, which can only be read. */
 
+import type { Topic } from '@juniperhook/core'
 import { request } from 'undici'
 import * as v from 'valibot'
 import { messageOf } from '../utils/fail.ts'
@@ -7,7 +8,7 @@
 const WATCH_MS = 30_000
 const CALL_MS = 3_000
 
-/** A configuration document as published. */
+/** A value as published: the configuration's text, or the list's as JSON. */
 export const PublishedSchema = v.object({
 	revision: v.pipe(v.number(), v.integer(), v.minValue(1)),
 	document: v.string(),
@@ -28,25 +29,21 @@
 /** See {@link VmSchema}. */
 export type Vm = v.InferOutput<typeof VmSchema>
 
-const VmListSchema = v.object({ vms: v.array(VmSchema) })
+/** The VM list as published. */
+export const VmListSchema = v.object({ vms: v.array(VmSchema) })
 
-/** Reads the newest document, or waits for one newer than `after`. */
+/** Reads the newest value of a topic, or waits for one other than `after`. */
 export async function readPublished(
 	service: string,
+	topic: Topic,
 	after?: number,
 ): Promise<Published | undefined> {
 	const query = after === undefined ? '' : `?after=${after}&wait=${WATCH_MS}`
 	const limit = after === undefined ? CALL_MS : WATCH_MS + CALL_MS
-	const body = await readJson(`http://${service}/config${query}`, limit)
+	const body = await readJson(`http://${service}/${topic}${query}`, limit)
 	return body === undefined ? undefined : v.parse(PublishedSchema, body)
 }
 
-/** Reads the list of live and leaving VMs; it lags. */
-export async function readVms(service: string): Promise<readonly Vm[]> {
-	const body = await readJson(`http://${service}/vms`, CALL_MS)
-	return v.parse(VmListSchema, body).vms
-}
-
 async function readJson(url: string, limitMs: number): Promise<unknown> {
 	const res = await request(url, {
 		headersTimeout: limitMs,
--- a/packages/runtime/src/io/rpc.ts
+++ b/packages/runtime/src/io/rpc.ts
@@ -47,6 +47,8 @@
 export interface RpcLink {
 	readonly socket: Socket
 	readonly peer: JSONRPCServerAndClient<RpcLink, void>
+	/** Which side opened the connection. */
+	readonly opened: 'here' | 'there'
 	/** Name that the other side gave in its hello, if it has. */
 	remoteName: string
 }
@@ -73,7 +75,9 @@
 	onLink: (link: RpcLink) => void = () => {},
 ): Promise<Server> {
 	const { ip, port } = splitAddress(address)
-	const server = createServer(socket => onLink(openLink(socket, methods)))
+	const server = createServer(socket =>
+		onLink(openLink(socket, methods, 'there')),
+	)
 	return new Promise((resolve, reject) => {
 		server.once('error', reject)
 		server.listen(port, ip, () => resolve(server))
@@ -99,18 +103,22 @@
 		})
 		socket.once('connect', () => {
 			clearTimeout(timer)
-			resolve(openLink(socket, methods))
+			resolve(openLink(socket, methods, 'here'))
 		})
 	})
 }
 
-function openLink(socket: Socket, methods: Methods): RpcLink {
+function openLink(
+	socket: Socket,
+	methods: Methods,
+	opened: RpcLink['opened'],
+): RpcLink {
 	const server = new JSONRPCServer<RpcLink>({ errorListener: () => {} })
 	const client = new JSONRPCClient<void>(payload => send(socket, payload))
 	const peer = new JSONRPCServerAndClient<RpcLink, void>(server, client, {
 		errorListener: () => {},
 	})
-	const link: RpcLink = { socket, peer, remoteName: '' }
+	const link: RpcLink = { socket, peer, opened, remoteName: '' }
 	for (const [name, method] of Object.entries(methods))
 		peer.addMethod(name, (params, from) => method(params as never, from))
 	socket.setNoDelay(true)
