--- a/bench/capacity.ts
+++ b/bench/capacity.ts
@@ -140,7 +140,6 @@
 		loadLoss: 0.05,
 		expertShare: 0.7,
 		layers: 60,
-		maxLoads: 64,
 	}
 	const rows = [16, 32, 64].map(ranks => {
 		const layer = createLayer(ranks, 128, 2)
--- a/bench/policies.ts
+++ b/bench/policies.ts
@@ -14,7 +14,6 @@
 import { EXPERT_SHARE, LOAD_LOSS } from './rebalance.ts'
 
 const THRESHOLD = 1.2
-const MAX_LOADS = 64
 
 /** A policy under test. */
 export interface Policy {
@@ -97,7 +96,6 @@
 				loadLoss: LOAD_LOSS,
 				expertShare: EXPERT_SHARE,
 				layers,
-				maxLoads: MAX_LOADS,
 			}
 			const shares = expectedShares(estimate)
 			return current.map(
--- a/packages/agent/src/agent.ts
+++ b/packages/agent/src/agent.ts
@@ -122,7 +122,9 @@
 		agent.links.add(link)
 		link.socket.once('close', () => agent.links.delete(link))
 	})
-	await listen(createApp(agent), settings.listen.data, MAX_OFFER_HEADER_BYTES)
+	await listen(createApp(agent), settings.listen.data, {
+		maxHeaderSize: MAX_OFFER_HEADER_BYTES,
+	})
 	await listenOperators(settings.listen.operators, {
 		metrics,
 		isReady: () => agent.requests?.admission.mode === 'serving',
--- a/packages/agent/src/io/group.ts
+++ b/packages/agent/src/io/group.ts
@@ -60,7 +60,6 @@
 const STAGE_MS = 600_000
 /** How far ahead of the last step a change is set, ms of steps. */
 const LEAD_MS = 400
-const MAX_LOADS = 64
 const FIRST_MAP = 'first'
 const MS = 1_000
 const log = createLog('agent:group')
@@ -328,7 +327,6 @@
 		loadLoss: group.loadLoss,
 		expertShare: group.expertShare,
 		layers: group.layers,
-		maxLoads: MAX_LOADS,
 	}
 	const plans: LayerPlan[] = []
 	for (const [at, layer] of layers.entries()) {
--- a/packages/core/src/core/rebalance.ts
+++ b/packages/core/src/core/rebalance.ts
@@ -23,6 +23,10 @@
 const POWER = 12
 /** A step of the search must lower the sum of powers by this share. */
 const MIN_PROGRESS = 1e-3
+/** A plan that lowers skew by less is not worth the stir. */
+const MIN_GAIN = 0.004
+/** Most loads planned a layer at a time; it bounds a planning slice. */
+export const MAX_LOADS = 32
 const MS = 1_000
 
 /** What a plan weighs. */
@@ -41,8 +45,6 @@
 	readonly expertShare: number
 	/** Layers of the group: each has its part of a step. */
 	readonly layers: number
-	/** Most loads planned a layer. */
-	readonly maxLoads: number
 }
 
 /** One expert to be loaded into a slot. */
@@ -102,13 +104,14 @@
 		benefitMs: 0,
 		costMs: 0,
 	}
-	for (let step = 0; step < terms.maxLoads; step++) {
+	for (let step = 0; step < MAX_LOADS; step++) {
 		const change = findChange(work, share, offset, loads)
 		if (!change) break
 		applyChange(work, change)
 		loads.set(loadsOf(work, share, offset))
 		const plan = describePlan(current, work, layer, skewBefore, loads, terms)
-		if (netOf(plan) > netOf(best))
+		const gains = skewBefore - plan.skewAfter >= MIN_GAIN
+		if (gains && netOf(plan) > netOf(best))
 			best = { ...plan, placement: cloneLayer(work) }
 	}
 	return best
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -112,7 +112,9 @@
 		isReady: () => ctx.config !== undefined && !ctx.leaving,
 		status: () => describeEntry(entry),
 	})
-	entry.listener = await listen(createApp(ctx), settings.listen.data)
+	entry.listener = await listen(createApp(ctx), settings.listen.data, {
+		onBadRequest: kind => metrics.refusals.inc({ kind }),
+	})
 	setInterval(() => tickExchanges(ctx), EXCHANGE_TICK_MS)
 	process.once('SIGTERM', () => void stopEntry(entry))
 	log({ msg: 'entry listens', server: settings.process.name })
--- /dev/null
+++ b/packages/entry/test/input.process.test.ts
@@ -0,0 +1,263 @@
+/** Bad input: a clear answer and a counter each, and the process lives. */
+
+import { connect } from 'node:net'
+import { setTimeout as wait } from 'node:timers/promises'
+import type { ErrorKind } from '@juniperhook/core'
+import type { Fleet } from '@juniperhook/fakes'
+import {
+	entryIp,
+	PORTS,
+	rankIp,
+	SMALL_TEAM_KEY,
+	startFleet,
+	stopFleet,
+	TEAM_KEY,
+	waitUntil,
+} from '@juniperhook/fakes'
+import { type Dispatcher, request } from 'undici'
+import { test } from 'uvu'
+import * as assert from 'uvu/assert'
+
+let fleet: Fleet
+
+test.before(async () => {
+	fleet = await startFleet({
+		entries: 1,
+		services: 1,
+		serviceDelayMs: 1,
+		serviceSlots: 8,
+		ranks: 2,
+	})
+})
+
+test.after(() => stopFleet(fleet))
+
+interface InputCase {
+	readonly name: string
+	readonly method?: Dispatcher.HttpMethod
+	readonly path: string
+	readonly key?: string
+	readonly headers?: Record<string, string>
+	readonly body?: string
+	readonly status: number
+	readonly kind: ErrorKind
+}
+
+const CHAT = '/v1/chat/completions'
+const HUTS = '/services/huts'
+const ASK = JSON.stringify({
+	model: 'writer',
+	messages: [{ role: 'user', content: 'hi' }],
+})
+
+const CASES: InputCase[] = [
+	{
+		name: 'malformed JSON',
+		path: CHAT,
+		body: '{"model": "wri',
+		status: 400,
+		kind: 'badJson',
+	},
+	{
+		name: 'a body without messages',
+		path: CHAT,
+		body: '{"model":"writer"}',
+		status: 400,
+		kind: 'badRequest',
+	},
+	{
+		name: 'a field of the wrong type',
+		path: CHAT,
+		body: ASK.replace('"hi"', '7'),
+		status: 400,
+		kind: 'badRequest',
+	},
+	{
+		name: 'an unknown model',
+		path: CHAT,
+		body: ASK.replace('writer', 'nobody'),
+		status: 404,
+		kind: 'unknownModel',
+	},
+	{
+		name: 'a model named like a property of objects',
+		path: CHAT,
+		body: ASK.replace('writer', '__proto__'),
+		status: 404,
+		kind: 'unknownModel',
+	},
+	{
+		name: 'an unknown service',
+		method: 'GET',
+		path: '/services/nobody/x',
+		status: 404,
+		kind: 'unknownService',
+	},
+	{
+		name: 'an unknown path',
+		method: 'GET',
+		path: '/v2/models',
+		status: 404,
+		kind: 'notFound',
+	},
+	{
+		name: 'an unknown key',
+		path: CHAT,
+		key: 'wrong',
+		body: ASK,
+		status: 401,
+		kind: 'unauthorized',
+	},
+	{
+		name: 'the wrong method',
+		method: 'GET',
+		path: CHAT,
+		status: 405,
+		kind: 'wrongMethod',
+	},
+	{
+		name: 'a body that is too large',
+		path: `${HUTS}/echo`,
+		body: 'x'.repeat(11_000_000),
+		status: 413,
+		kind: 'tooLarge',
+	},
+	{
+		name: 'a priority that is no number',
+		path: `${HUTS}/echo`,
+		headers: { 'x-priority': 'urgent' },
+		status: 400,
+		kind: 'badRequest',
+	},
+]
+
+async function readCounter(kind: ErrorKind): Promise<number> {
+	const url = `http://${entryIp(fleet, 0)}:${PORTS.operators}/metrics`
+	const text = await (await request(url)).body.text()
+	const found = new RegExp(`refusals_total\\{kind="${kind}"\\} (\\d+)`)
+	return Number(found.exec(text)?.[1] ?? 0)
+}
+
+for (const one of CASES)
+	test(`bad input: ${one.name}`, async () => {
+		const before = await readCounter(one.kind)
+		const url = `http://${entryIp(fleet, 0)}:${PORTS.data}${one.path}`
+		const res = await request(url, {
+			method: one.method ?? 'POST',
+			headers: {
+				authorization: `Bearer ${one.key ?? TEAM_KEY}`,
+				...one.headers,
+			},
+			body: one.body ?? null,
+		})
+		const { error } = (await res.body.json()) as { error: { code: string } }
+		assert.is(res.statusCode, one.status)
+		assert.is(error.code, one.kind)
+		assert.is(res.headers['x-request-outcome'], 'notRun')
+		assert.is(await readCounter(one.kind), before + 1)
+	})
+
+test('bad input: headers that are too large', async () => {
+	const url = `http://${entryIp(fleet, 0)}:${PORTS.data}${HUTS}/echo`
+	const headers = { 'x-long': 'x'.repeat(20_000) }
+	const res = await request(url, { headers })
+	await res.body.dump()
+	assert.is(res.statusCode, 431)
+	assert.is(await readCounter('headersTooLarge'), 1)
+})
+
+test('bad input: a caller that sends its headers too slowly', async () => {
+	const socket = connect({ host: entryIp(fleet, 0), port: PORTS.data })
+	socket.write('POST /v1/chat/completions HTTP/1.1\r\nhost: x\r\n')
+	let answer = ''
+	socket.on('data', data => {
+		answer += data
+	})
+	await new Promise(resolve => socket.once('close', resolve))
+	assert.match(answer, /^HTTP\/1\.1 408 /)
+	assert.is(await readCounter('requestTimeout'), 1)
+})
+
+const FRAMES: { name: string; line: string }[] = [
+	{ name: 'no JSON', line: '{{{{\n' },
+	{ name: 'no JSON-RPC', line: '{"hello":1}\n' },
+	{
+		name: 'wrong parameters',
+		line: '{"jsonrpc":"2.0","id":1,"method":"voidAttempt","params":{"reqId":7}}\n',
+	},
+	{
+		name: 'an unknown method',
+		line: '{"jsonrpc":"2.0","id":1,"method":"nothing"}\n',
+	},
+	{ name: 'a line without end', line: 'x'.repeat(3_000_000) },
+]
+
+for (const { name, line } of FRAMES)
+	test(`bad control frame: ${name}`, async () => {
+		const socket = connect({ host: rankIp(fleet, 0), port: PORTS.control })
+		let answer = ''
+		socket.on('data', data => {
+			answer += data
+		})
+		socket.on('error', () => {})
+		socket.write(line)
+		await waitUntil(() => answer.includes('"error"'), 'an error answer')
+		socket.destroy()
+		assert.is(fleet.processes.get('rank-0')?.child.exitCode, null)
+	})
+
+test('a caller that goes away stops the work of the engine', async () => {
+	const cancelled = async () => {
+		let sum = 0
+		for (const rank of [0, 1]) {
+			const url = `http://${rankIp(fleet, rank)}:${PORTS.backend}/load`
+			const load = (await (await request(url)).body.json()) as {
+				cancelled: number
+			}
+			sum += load.cancelled
+		}
+		return sum
+	}
+	const before = await cancelled()
+	const url = `http://${entryIp(fleet, 0)}:${PORTS.data}${CHAT}`
+	const res = await request(url, {
+		method: 'POST',
+		headers: { authorization: `Bearer ${TEAM_KEY}` },
+		body: JSON.stringify({
+			...JSON.parse(ASK),
+			stream: true,
+			max_tokens: 5_000,
+		}),
+	})
+	await wait(200)
+	res.body.destroy()
+	await waitUntil(async () => (await cancelled()) > before, 'a cancellation')
+})
+
+test('a team over its rate is refused at once and told when to come back', async () => {
+	const url = `http://${entryIp(fleet, 0)}:${PORTS.data}${HUTS}/rosters/pine`
+	const headers = { authorization: `Bearer ${SMALL_TEAM_KEY}` }
+	const calls = Array.from({ length: 300 }, async () => {
+		const res = await request(url, { headers })
+		await res.body.dump()
+		return res
+	})
+	const answers = await Promise.all(calls)
+	const refused = answers.filter(res => res.statusCode === 429)
+	assert.ok(refused.length > 0)
+	for (const res of refused) {
+		assert.ok(Number(res.headers['retry-after']) >= 1)
+		assert.is(res.headers['x-request-outcome'], 'notRun')
+	}
+})
+
+test('the process lives after all that', async () => {
+	const url = `http://${entryIp(fleet, 0)}:${PORTS.operators}`
+	for (const path of ['/healthz', '/readyz']) {
+		const res = await request(`${url}${path}`)
+		await res.body.dump()
+		assert.is(res.statusCode, 200)
+	}
+})
+
+test.run()
--- a/packages/runtime/src/io/listener.ts
+++ b/packages/runtime/src/io/listener.ts
@@ -1,8 +1,10 @@
 /** HTTP listeners by h3 on Node's server, with bounds on slow callers. */
 
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
-import { createServer } from 'node:http'
-import { splitAddress } from '@juniperhook/core'
+import { createServer, STATUS_CODES } from 'node:http'
+import type { Duplex } from 'node:stream'
+import type { ErrorKind } from '@juniperhook/core'
+import { ERRORS, splitAddress } from '@juniperhook/core'
 import { type EventHandler, fromNodeHandler, H3, toNodeHandler } from 'h3'
 import type { Metrics } from './metrics.ts'
 
@@ -22,16 +24,22 @@
 	status(): object
 }
 
+/** Bounds of a listener, and who hears of requests that never came whole. */
+export interface ListenOptions {
+	readonly maxHeaderSize?: number
+	onBadRequest?(kind: ErrorKind): void
+}
+
 /** Listens for requests to `app`. */
 export function listen(
 	app: H3,
 	address: string,
-	maxHeaderSize = MAX_HEADER_BYTES,
+	options: ListenOptions = {},
 ): Promise<Server> {
 	const { ip, port } = splitAddress(address)
 	const server = createServer(
 		{
-			maxHeaderSize,
+			maxHeaderSize: options.maxHeaderSize ?? MAX_HEADER_BYTES,
 			headersTimeout: HEADERS_MS,
 			requestTimeout: REQUEST_MS,
 			keepAliveTimeout: KEEP_ALIVE_MS,
@@ -39,12 +47,48 @@
 		},
 		toNodeHandler(app),
 	)
+	server.on('clientError', (err: NodeJS.ErrnoException, socket: Duplex) => {
+		const kind = kindOfClientError(err.code)
+		if (socket.writable && kind) answerBadRequest(socket, kind)
+		else socket.destroy()
+		if (kind) options.onBadRequest?.(kind)
+	})
 	return new Promise((resolve, reject) => {
 		server.once('error', reject)
 		server.listen(port, ip, () => resolve(server))
 	})
 }
 
+/** The kind of a request that Node's parser gave up on. */
+function kindOfClientError(code: string | undefined): ErrorKind | undefined {
+	switch (code) {
+		case 'HPE_HEADER_OVERFLOW':
+			return 'headersTooLarge'
+		case 'ERR_HTTP_REQUEST_TIMEOUT':
+			return 'requestTimeout'
+		case 'ECONNRESET':
+		case 'EPIPE':
+			return undefined
+		default:
+			return 'badRequest'
+	}
+}
+
+function answerBadRequest(socket: Duplex, kind: ErrorKind): void {
+	const { status, text, type } = ERRORS[kind]
+	const body = JSON.stringify({
+		error: { message: text, type, code: kind, param: null, outcome: 'notRun' },
+	})
+	const head = [
+		`HTTP/1.1 ${status} ${STATUS_CODES[status]}`,
+		'content-type: application/json',
+		`content-length: ${Buffer.byteLength(body)}`,
+		'x-request-outcome: notRun',
+		'connection: close',
+	]
+	socket.end(`${head.join('\r\n')}\r\n\r\n${body}`)
+}
+
 /** A route that answers on Node's own objects, as streams of chunks want. */
 export function handleNode(
 	handle: (req: IncomingMessage, res: ServerResponse) => Promise<void>,
