--- a/packages/agent/src/agent.ts
+++ b/packages/agent/src/agent.ts
@@ -43,13 +43,13 @@
 } from '@juniperhook/runtime'
 import { H3 } from 'h3'
 import * as v from 'valibot'
-import type { GroupMember } from './io/group.ts'
 import {
 	createGroupMethods,
 	describeGroup,
 	joinGroup,
 	stepShareOf,
 } from './io/group.ts'
+import type { GroupMember } from './io/groupMember.ts'
 import type { RequestTable } from './io/requests.ts'
 import {
 	beatRequests,
--- a/packages/agent/src/io/group.ts
+++ b/packages/agent/src/io/group.ts
@@ -5,58 +5,39 @@
  */
 
 import { randomBytes } from 'node:crypto'
-import { setImmediate as nextTurn } from 'node:timers/promises'
 import type {
 	Config,
-	CoordinatorState,
-	ExpertEstimate,
-	GroupConfig,
-	LayerPlacement,
 	LayerPlan,
-	RankOrder,
 	RankReply,
 	RankRequest,
 } from '@juniperhook/core'
 import {
 	createCoordinator,
 	createEstimate,
-	expectedHorizon,
-	expectedShares,
-	layerFrom,
 	listByRank,
-	loadTimeOf,
-	nextFence,
 	observeTokens,
-	planLayer,
-	repeatRound,
-	splitAddress,
-	startRound,
-	takeRankReply,
 } from '@juniperhook/core'
-import type { RpcLink } from '@juniperhook/runtime'
-import {
-	call,
-	connectRpc,
-	createLog,
-	messageOf,
-	readNow,
-	sleep,
-} from '@juniperhook/runtime'
+import { createLog, messageOf, readNow, sleep } from '@juniperhook/runtime'
 import * as v from 'valibot'
 import type { EngineReport } from './engine.ts'
-import { EngineReportSchema, giveOrder, readEngine } from './engine.ts'
-import type { RankPort } from './rankPort.ts'
+import { giveOrder, readEngine } from './engine.ts'
+import type { GroupMember, PlanWish } from './groupMember.ts'
+import { ask } from './groupMember.ts'
+import {
+	agree,
+	collectReports,
+	countTokens,
+	planSlices,
+	readLayers,
+	summarize,
+} from './groupPlan.ts'
+import { FENCE_SPACE, runRound, takeFence } from './mapRound.ts'
 import { askRank, createRankPort } from './rankPort.ts'
 
-/** Fences are `round * FENCE_SPACE + id`; ids are random a process. */
-const FENCE_SPACE = 2 ** 32
 const FENCE_BYTES = 4
 const WATCH_MS = 500
 /** A rank in doubt for so long recovers by itself, ms. */
 const DOUBT_MS = 1_000
-const ROUND_CALL_MS = 1_000
-const REPEAT_MS = 300
-const MAX_REPEATS = 4
 const STAGE_MS = 600_000
 /** How far ahead of the last step a change is set, ms of steps. */
 const LEAD_MS = 400
@@ -64,39 +45,6 @@
 const MS = 1_000
 const log = createLog('agent:group')
 
-/** One rank's agent in a group. */
-export interface GroupMember {
-	readonly name: string
-	readonly rank: number
-	readonly port: RankPort
-	readonly controlPort: number
-	readonly coordinator: CoordinatorState
-	readonly fenceId: number
-	readonly links: Map<string, RpcLink>
-	readonly estimate: ExpertEstimate
-	config: Config
-	group: GroupConfig
-	report: EngineReport | undefined
-	/** Tokens a rank had reported at the last plan. */
-	counted: Float64Array[] | undefined
-	doubtSince: number | undefined
-	plannedAt: number
-	/** Whether ranks were seen on different maps in one step. */
-	split: boolean
-	/** What the last plan wanted, for operators. */
-	wish: PlanWish
-}
-
-/** A plan in figures. */
-export interface PlanWish {
-	readonly loads: number
-	readonly skewBefore: number
-	readonly skewAfter: number
-	/** Worth and cost, ms of the group's capacity. */
-	readonly benefitMs: number
-	readonly costMs: number
-}
-
 const NO_WISH: PlanWish = {
 	loads: 0,
 	skewBefore: 1,
@@ -243,26 +191,6 @@
 	await change(member, plans, reports)
 }
 
-/**
- * Ranks of a generation that use a map use it from the same step, and no two
- * maps from one step. Anything else is a broken promise.
- */
-function agree(reports: readonly EngineReport[]): boolean {
-	const mapOf = new Map<string, string>()
-	const sinceOf = new Map<string, number>()
-	for (const { generation, mapId, mapSince } of reports) {
-		// A rank that restarted and has not begun a step yet runs no map.
-		if (mapId === '') continue
-		const step = `${generation}/${mapSince}`
-		const map = `${generation}/${mapId}`
-		if ((mapOf.get(step) ?? mapId) !== mapId) return false
-		if ((sinceOf.get(map) ?? mapSince) !== mapSince) return false
-		mapOf.set(step, mapId)
-		sinceOf.set(map, mapSince)
-	}
-	return true
-}
-
 async function declareSplit(member: GroupMember): Promise<void> {
 	log({ msg: 'ranks use different maps; out of routing', kind: 'groupSplit' })
 	member.split = true
@@ -270,85 +198,6 @@
 	await Promise.allSettled(ranks.map(name => ask(member, name, 'mapSplit', {})))
 }
 
-async function collectReports(
-	member: GroupMember,
-): Promise<EngineReport[] | undefined> {
-	const { ranks } = member.group
-	const answers = await Promise.allSettled(
-		ranks.map(name => ask<unknown>(member, name, 'mapReport', {})),
-	)
-	const reports = answers.flatMap(answer =>
-		answer.status === 'fulfilled'
-			? [v.parse(EngineReportSchema, answer.value)]
-			: [],
-	)
-	return reports.length === ranks.length ? reports : undefined
-}
-
-/** Tokens a layer and expert since the last plan, over all ranks. */
-function countTokens(
-	member: GroupMember,
-	reports: readonly EngineReport[],
-): Float64Array | undefined {
-	const before = member.counted
-	const after = reports.map(report => Float64Array.from(report.tokens))
-	member.counted = after
-	if (!before) return undefined
-	const total = new Float64Array(after[0]!.length)
-	// An engine that restarted counts from zero again.
-	for (const [rank, counts] of after.entries())
-		for (const [at, count] of counts.entries())
-			total[at]! += Math.max(0, count - (before[rank]?.[at] ?? 0))
-	return total
-}
-
-function readLayers(
-	member: GroupMember,
-	reports: readonly EngineReport[],
-): LayerPlacement[] {
-	const { layers, experts, spareSlots } = member.group
-	return Array.from({ length: layers }, (_, layer) => {
-		const byRank = reports.map(report => report.slots[layer] ?? [])
-		return layerFrom(byRank, experts, spareSlots)
-	})
-}
-
-/** Plans a layer a turn, so that requests are served in between. */
-async function planSlices(
-	member: GroupMember,
-	layers: readonly LayerPlacement[],
-): Promise<LayerPlan[]> {
-	const { group, estimate } = member
-	const shares = expectedShares(estimate)
-	const terms = {
-		skewWeight: group.skewWeight,
-		moveWeight: group.moveWeight,
-		horizonMs: expectedHorizon(estimate),
-		loadMs: loadTimeOf(group.bytesPerExpert, group.storeBytesPerSecond),
-		loadLoss: group.loadLoss,
-		expertShare: group.expertShare,
-		layers: group.layers,
-	}
-	const plans: LayerPlan[] = []
-	for (const [at, layer] of layers.entries()) {
-		plans.push(planLayer(layer, shares, at, terms))
-		await nextTurn()
-	}
-	return plans
-}
-
-function summarize(plans: readonly LayerPlan[]): PlanWish {
-	const sum = (pick: (plan: LayerPlan) => number) =>
-		plans.reduce((total, plan) => total + pick(plan), 0)
-	return {
-		loads: sum(plan => plan.loads.length),
-		skewBefore: sum(plan => plan.skewBefore) / plans.length,
-		skewAfter: sum(plan => plan.skewAfter) / plans.length,
-		benefitMs: sum(plan => plan.benefitMs),
-		costMs: sum(plan => plan.costMs),
-	}
-}
-
 async function change(
 	member: GroupMember,
 	plans: readonly LayerPlan[],
@@ -409,69 +258,3 @@
 	)
 	return answers.every(answer => answer.status === 'fulfilled')
 }
-
-function takeFence(member: GroupMember): number {
-	return nextFence(member.coordinator, member.fenceId, FENCE_SPACE)
-}
-
-/** Runs one round of the protocol to its end, or until it must be left. */
-async function runRound(
-	member: GroupMember,
-	wanted: string | undefined,
-	lead = 1,
-	fence = takeFence(member),
-): Promise<boolean> {
-	const { coordinator } = member
-	const before = coordinator.finished
-	send(member, startRound(coordinator, fence, wanted, lead))
-	for (let repeat = 0; repeat <= MAX_REPEATS; repeat++) {
-		const end = readNow() + REPEAT_MS * 2 ** repeat
-		while (coordinator.phase !== 'idle' && readNow() < end) await sleep(5)
-		if (coordinator.phase === 'idle') break
-		send(member, repeatRound(coordinator))
-	}
-	// A round that cannot end is left to a later one with a higher fence.
-	return coordinator.finished > before
-}
-
-function send(member: GroupMember, orders: readonly RankOrder[]): void {
-	for (const { rank, req } of orders) void deliver(member, rank, req)
-}
-
-async function deliver(
-	member: GroupMember,
-	rank: number,
-	req: RankRequest,
-): Promise<void> {
-	const name = member.group.ranks[rank]!
-	try {
-		const reply = await ask<RankReply>(member, name, 'mapRequest', req)
-		send(member, takeRankReply(member.coordinator, rank, reply))
-	} catch (err) {
-		log({ msg: 'rank not reached', server: name, detail: messageOf(err) })
-	}
-}
-
-async function ask<T>(
-	member: GroupMember,
-	name: string,
-	method: string,
-	params: object,
-	limitMs = ROUND_CALL_MS,
-): Promise<T> {
-	const link = member.links.get(name) ?? (await connect(member, name))
-	return await call<T>(link, method, params, limitMs)
-}
-
-async function connect(member: GroupMember, name: string): Promise<RpcLink> {
-	const server = member.config.server[name]
-	if (!server) throw new Error(`no server ${name}`)
-	const { ip } = splitAddress(server.agent)
-	const link = await connectRpc(`${ip}:${member.controlPort}`, {})
-	member.links.get(name)?.socket.destroy()
-	member.links.set(name, link)
-	link.socket.once('close', () => {
-		if (member.links.get(name) === link) member.links.delete(name)
-	})
-	return link
-}
--- /dev/null
+++ b/packages/agent/src/io/groupPlan.ts
@@ -0,0 +1,118 @@
+/** From the ranks' reports to a plan: counts, layers, loads that pay. */
+
+import { setImmediate as nextTurn } from 'node:timers/promises'
+import type { LayerPlacement, LayerPlan } from '@juniperhook/core'
+import {
+	expectedHorizon,
+	expectedShares,
+	layerFrom,
+	loadTimeOf,
+	planLayer,
+} from '@juniperhook/core'
+import * as v from 'valibot'
+import type { EngineReport } from './engine.ts'
+import { EngineReportSchema } from './engine.ts'
+import type { GroupMember, PlanWish } from './groupMember.ts'
+import { ask } from './groupMember.ts'
+
+/**
+ * Ranks of a generation that use a map use it from the same step, and no two
+ * maps from one step. Anything else is a broken promise.
+ */
+export function agree(reports: readonly EngineReport[]): boolean {
+	const mapOf = new Map<string, string>()
+	const sinceOf = new Map<string, number>()
+	for (const { generation, mapId, mapSince } of reports) {
+		// A rank that restarted and has not begun a step yet runs no map.
+		if (mapId === '') continue
+		const step = `${generation}/${mapSince}`
+		const map = `${generation}/${mapId}`
+		if ((mapOf.get(step) ?? mapId) !== mapId) return false
+		if ((sinceOf.get(map) ?? mapSince) !== mapSince) return false
+		mapOf.set(step, mapId)
+		sinceOf.set(map, mapSince)
+	}
+	return true
+}
+
+/** Reports of all ranks, or nothing when one is missing. */
+export async function collectReports(
+	member: GroupMember,
+): Promise<EngineReport[] | undefined> {
+	const { ranks } = member.group
+	const answers = await Promise.allSettled(
+		ranks.map(name => ask<unknown>(member, name, 'mapReport', {})),
+	)
+	const reports = answers.flatMap(answer =>
+		answer.status === 'fulfilled'
+			? [v.parse(EngineReportSchema, answer.value)]
+			: [],
+	)
+	return reports.length === ranks.length ? reports : undefined
+}
+
+/** Tokens a layer and expert since the last plan, over all ranks. */
+export function countTokens(
+	member: GroupMember,
+	reports: readonly EngineReport[],
+): Float64Array | undefined {
+	const before = member.counted
+	const after = reports.map(report => Float64Array.from(report.tokens))
+	member.counted = after
+	if (!before) return undefined
+	const total = new Float64Array(after[0]!.length)
+	// An engine that restarted counts from zero again.
+	for (const [rank, counts] of after.entries())
+		for (const [at, count] of counts.entries())
+			total[at]! += Math.max(0, count - (before[rank]?.[at] ?? 0))
+	return total
+}
+
+/** Placement of each layer by the reports. */
+export function readLayers(
+	member: GroupMember,
+	reports: readonly EngineReport[],
+): LayerPlacement[] {
+	const { layers, experts, spareSlots } = member.group
+	return Array.from({ length: layers }, (_, layer) => {
+		const byRank = reports.map(report => report.slots[layer] ?? [])
+		return layerFrom(byRank, experts, spareSlots)
+	})
+}
+
+/** Plans a layer a turn, so that requests are served in between. */
+export async function planSlices(
+	member: GroupMember,
+	layers: readonly LayerPlacement[],
+): Promise<LayerPlan[]> {
+	const { group, estimate } = member
+	const shares = expectedShares(estimate)
+	const terms = {
+		skewWeight: group.skewWeight,
+		moveWeight: group.moveWeight,
+		horizonMs: expectedHorizon(estimate),
+		loadMs: loadTimeOf(group.bytesPerExpert, group.storeBytesPerSecond),
+		loadLoss: group.loadLoss,
+		expertShare: group.expertShare,
+		layers: group.layers,
+	}
+	const plans: LayerPlan[] = []
+	for (const [at, layer] of layers.entries()) {
+		plans.push(planLayer(layer, shares, at, terms))
+		await nextTurn()
+	}
+	return plans
+}
+
+/** A plan in figures, over all layers. */
+export function summarize(plans: readonly LayerPlan[]): PlanWish {
+	const sum = (pick: (plan: LayerPlan) => number) =>
+		plans.reduce((total, plan) => total + pick(plan), 0)
+	return {
+		loads: sum(plan => plan.loads.length),
+		skewBefore: sum(plan => plan.skewBefore) / plans.length,
+		skewAfter: sum(plan => plan.skewAfter) / plans.length,
+		benefitMs: sum(plan => plan.benefitMs),
+		costMs: sum(plan => plan.costMs),
+	}
+}
--- a/packages/core/src/core/spread.ts
+++ b/packages/core/src/core/spread.ts
@@ -7,7 +7,15 @@
  * Pure: events in, effects out; the daemons carry the effects.
  */
 
-import type { Random, TextPatch } from '../internal.ts'
+import type {
+	GoodValue,
+	Held,
+	Member,
+	Random,
+	SpreadEffect,
+	SpreadMessage,
+	SpreadNode,
+} from '../internal.ts'
 import {
 	applyPatch,
 	drawIndex,
@@ -41,99 +49,6 @@
 /** So is one whose watch, which waits 30 s, has not been answered, ms. */
 export const CONTACT_MS = 40_000
 
-/** Another process, by the platform's list. */
-export interface Member {
-	readonly name: string
-	readonly region: string
-}
-
-/** A value as held. */
-export interface Held {
-	revision: number
-	text: string
-	/** Patches between successive held revisions, oldest first. */
-	readonly patches: { from: number; to: number; patch: TextPatch }[]
-	/** A fetch under way. */
-	fetching: { from: string; until: number } | undefined
-	/** Highest revision that anybody has spoken of. */
-	heard: number
-	/** The newest right value, when the one held was judged invalid. */
-	good: GoodValue | undefined
-}
-
-/** A value that was judged right. */
-export interface GoodValue {
-	readonly revision: number
-	readonly text: string
-}
-
-/** Between two processes. */
-export type SpreadMessage =
-	| {
-			readonly type: 'notice'
-			readonly topic: Topic
-			readonly revision: number
-	  }
-	/** Asks for what is newer than `have`. */
-	| { readonly type: 'fetch'; readonly topic: Topic; readonly have: number }
-	| {
-			readonly type: 'patches'
-			readonly topic: Topic
-			readonly revision: number
-			readonly base: number
-			readonly patches: readonly TextPatch[]
-	  }
-	| {
-			readonly type: 'value'
-			readonly topic: Topic
-			readonly revision: number
-			readonly text: string
-			/** What is in force where the value itself is invalid. */
-			readonly good?: GoodValue
-	  }
-	/** Revisions held, in the order of {@link TOPICS}; asks for the other's. */
-	| {
-			readonly type: 'compare'
-			readonly revisions: readonly number[]
-			readonly answer: boolean
-	  }
-	/** A standby's look at a reader, and its answer. */
-	| { readonly type: 'look' }
-	| { readonly type: 'contact'; readonly ageMs: number }
-
-/** What a process is to do. */
-export type SpreadEffect =
-	| {
-			readonly do: 'send'
-			readonly to: string
-			readonly message: SpreadMessage
-	  }
-	/** A newer value is held; judge it and put it in force. */
-	| {
-			readonly do: 'adopt'
-			readonly topic: Topic
-			readonly revision: number
-			readonly text: string
-	  }
-
-/** One process's part in the spreading. */
-export interface SpreadNode {
-	readonly self: string
-	region: string
-	readonly held: Record<Topic, Held>
-	members: readonly Member[]
-	/** Whom it notifies. */
-	neighbours: string[]
-	/** Readers and standbys of its region, best first. */
-	readers: string[]
-	/** When the platform last answered it, ms. */
-	contactAt: number
-	/** When each reader was last known to be in contact, ms. */
-	readonly readerSeen: Map<string, number>
-	nextExchange: number
-	nextLook: number
-}
-
 /** Makes a node that knows nothing yet. */
 export function createSpreadNode(
 	self: string,
--- /dev/null
+++ b/packages/core/src/types/admission.ts
@@ -0,0 +1,130 @@
+/** What an agent's decisions on requests are made of; see `admission.ts`. */
+
+import type { FairQueue, NotRun, Unknown } from '../internal.ts'
+
+/** Names one try of one request. */
+export interface AttemptName {
+	readonly reqId: string
+	readonly attempt: number
+}
+
+/** Protection against running twice, for requests that may not be repeated. */
+export interface KeyClaim {
+	readonly key: string
+	/** When the caller made the key, Unix ms. */
+	readonly wallTime: number
+	/** How long the key is remembered from then on, in ms. */
+	readonly windowMs: number
+	/**
+	 * Since when this agent has been the key's home by its configuration, Unix
+	 * ms; `undefined` if another is.
+	 */
+	readonly homeSinceWall: number | undefined
+	/**
+	 * The entry made the key for this very request and every earlier try was
+	 * proved not to have run, so nothing can have been forgotten.
+	 */
+	readonly fresh: boolean
+}
+
+/** A try offered by an entry. */
+export interface Offer extends AttemptName {
+	readonly team: string
+	readonly weight: number
+	readonly priority: number
+	/** How long it may wait for its start, in ms from the offer. */
+	readonly startBudgetMs: number
+	readonly claim?: KeyClaim
+}
+
+/** How a running try ended. */
+export type FinishHow =
+	/** The whole answer was seen and is kept for later askers of its key. */
+	| 'whole'
+	/** It may have run; its answer is not to be had again. */
+	| 'broken'
+	/** The backend server was never reached: proved not to have run. */
+	| 'unstarted'
+
+/** What happens to an agent. */
+export type AdmissionEvent =
+	| { readonly type: 'offer'; readonly offer: Offer }
+	| { readonly type: 'void'; readonly name: AttemptName }
+	| { readonly type: 'cancel'; readonly name: AttemptName }
+	| {
+			readonly type: 'finish'
+			readonly name: AttemptName
+			readonly how: FinishHow
+	  }
+	| { readonly type: 'leave' }
+	| { readonly type: 'suspect' }
+	| { readonly type: 'tick' }
+
+/** What the daemon is to do. */
+export type AdmissionEffect =
+	| { readonly do: 'start'; readonly name: AttemptName }
+	| {
+			readonly do: 'refuse'
+			readonly name: AttemptName
+			readonly outcome: NotRun | Unknown
+	  }
+	/** Send the answer of `first`, from its beginning, to `name`. */
+	| {
+			readonly do: 'attach'
+			readonly name: AttemptName
+			readonly first: AttemptName
+	  }
+	/** Tell the backend server to stop working on it. */
+	| { readonly do: 'cancel'; readonly name: AttemptName }
+
+/** Answer to a void order. */
+export type VoidAnswer = 'void' | 'started'
+
+/** Where a try stands at its agent. */
+export type Phase = 'waiting' | 'running' | 'whole' | 'broken' | 'refused'
+
+/** What an agent remembers of one try. */
+export interface AttemptRow extends Offer {
+	phase: Phase
+	/** Latest start. */
+	readonly startBy: number
+	startedAt: number
+	/** When the row may go; `Infinity` while it is open. */
+	forgetAt: number
+	virtualStart: number
+	order: number
+}
+
+/** What an agent remembers of one key. */
+export interface KeyRow {
+	readonly first: AttemptName
+	readonly forgetWall: number
+}
+
+/** All that an agent decides from. */
+export interface AdmissionState {
+	/** When this process began, Unix ms; part of its incarnation. */
+	readonly bornWall: number
+	/** Requests that the backend server runs at once. */
+	slots: number
+	/** `suspect`: its group broke the promise of one map. */
+	mode: 'serving' | 'leaving' | 'suspect'
+	lastSeen: number
+	wokeAt: number
+	running: number
+	/** Smoothed time that a request holds its slot, in ms. */
+	serviceMs: number
+	readonly attempts: Map<string, AttemptRow>
+	/** Tries that were voided, and until when that is remembered. */
+	readonly voided: Map<string, number>
+	readonly keys: Map<string, KeyRow>
+	readonly queue: FairQueue<AttemptRow>
+}
+
+/** The moment of an event, on both clocks. */
+export interface Moment {
+	/** Monotonic ms. */
+	readonly now: number
+	/** Unix ms. */
+	readonly wall: number
+}
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -32,7 +32,7 @@
 } from '@juniperhook/runtime'
 import { H3 } from 'h3'
 import { createCallerAnswer, failAnswer } from './io/caller.ts'
-import type { EntryContext } from './io/exchange.ts'
+import type { EntryContext } from './io/entryContext.ts'
 import { EXCHANGE_TICK_MS, serveRequest, tickExchanges } from './io/exchange.ts'
 import {
 	indexTeams,
--- /dev/null
+++ b/packages/entry/src/io/entryContext.ts
@@ -0,0 +1,95 @@
+/** What requests at one entry share, and the state of one under way. */
+
+import type {
+	AffinityTable,
+	Config,
+	Fate,
+	LimitTable,
+	Random,
+	RetryBudget,
+} from '@juniperhook/core'
+import { createFate } from '@juniperhook/core'
+import type { AnswerFrame, AttemptRef, Metrics } from '@juniperhook/runtime'
+import { readNow } from '@juniperhook/runtime'
+import type { AttemptHandle } from './attempt.ts'
+import type { CallerAnswer } from './caller.ts'
+import type { Intake, TeamIndex } from './intake.ts'
+import type { AgentPeer, ServerView } from './servers.ts'
+
+/** All that requests at one entry share. */
+export interface EntryContext {
+	readonly incarnation: string
+	readonly metrics: Metrics
+	readonly servers: ServerView
+	readonly limits: LimitTable
+	readonly retries: RetryBudget
+	readonly affinity: AffinityTable
+	readonly random: Random
+	readonly exchanges: Set<Exchange>
+	config: Config | undefined
+	teams: TeamIndex
+	/** Live entries by the platform's list, this one counted. */
+	entryCount: number
+	nextRequest: number
+	leaving: boolean
+}
+
+/** One request under way. */
+export interface Exchange {
+	readonly reqId: string
+	readonly intake: Intake
+	readonly fate: Fate
+	readonly answer: CallerAnswer
+	readonly startedAt: number
+	readonly deadlineAt: number
+	row: number
+	/** Whether `row` counts this request among its own. */
+	counted: boolean
+	peer: AgentPeer | undefined
+	incarnation: string
+	handle: AttemptHandle | undefined
+	/** Last frame of the open try. */
+	heardAt: number
+	/** The frame that a `forward` effect is about. */
+	frame: AnswerFrame | undefined
+	detail: string
+}
+
+/** Makes the state of a request that has been read. */
+export function createExchange(
+	reqId: string,
+	intake: Intake,
+	answer: CallerAnswer,
+): Exchange {
+	const now = readNow()
+	return {
+		reqId,
+		intake,
+		fate: createFate(intake.repeatable, isCallerKey(intake)),
+		answer,
+		startedAt: now,
+		deadlineAt: now + intake.deadlineMs,
+		row: -1,
+		counted: false,
+		peer: undefined,
+		incarnation: '',
+		handle: undefined,
+		heardAt: now,
+		frame: undefined,
+		detail: '',
+	}
+}
+
+/** Names the open try to its agent. */
+export function refOf(exchange: Exchange): AttemptRef {
+	return {
+		reqId: exchange.reqId,
+		attempt: exchange.fate.attempt,
+		incarnation: exchange.incarnation,
+	}
+}
+
+/** Whether the caller may have used its key before. */
+export function isCallerKey(intake: Intake): boolean {
+	return intake.key !== undefined && !intake.key.fresh
+}
--- a/packages/entry/src/io/exchange.ts
+++ b/packages/entry/src/io/exchange.ts
@@ -2,45 +2,27 @@
 
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type {
-	AffinityTable,
 	Config,
 	ErrorKind,
-	Fate,
 	FateEffect,
 	FateEvent,
-	LimitTable,
-	NotRun,
 	Outcome,
-	Random,
-	RetryBudget,
-	RouteQuery,
 } from '@juniperhook/core'
 import {
 	admitTeam,
 	applyReport,
 	chooseServer,
-	createFate,
-	ERRORS,
-	findHome,
-	findPrefix,
 	mayRetry,
 	noteFirstTry,
 	notePrefix,
 	noteResult,
 	noteSent,
-	notRun,
 	releaseTeam,
-	scopeKey,
 	spendRetry,
 	stepFate,
 	unknown,
 } from '@juniperhook/core'
-import type {
-	AnswerFrame,
-	AttemptRef,
-	Metrics,
-	OfferMeta,
-} from '@juniperhook/runtime'
+import type { AnswerFrame, OfferMeta } from '@juniperhook/runtime'
 import {
 	createLog,
 	JuniperhookError,
@@ -48,9 +30,8 @@
 	messageOf,
 	readNow,
 } from '@juniperhook/runtime'
-import type { AttemptHandle, AttemptSink } from './attempt.ts'
+import type { AttemptSink } from './attempt.ts'
 import { offerAttempt, resumeAttempt } from './attempt.ts'
-import type { CallerAnswer } from './caller.ts'
 import {
 	createCallerAnswer,
 	endAnswer,
@@ -60,10 +41,13 @@
 	takeChunk,
 	takeHead,
 } from './caller.ts'
+import type { EntryContext, Exchange } from './entryContext.ts'
+import { createExchange, refOf } from './entryContext.ts'
 import type { Intake, TeamIndex } from './intake.ts'
 import { KEY_HEADER } from './intake.ts'
-import type { AgentPeer, ServerView } from './servers.ts'
-import { peerOfRow, sendCancel, sendVoid, wakePeer } from './servers.ts'
+import { refuseLimited, refuseRequest } from './refusals.ts'
+import { candidateRows, createQuery, wakeOnly } from './routeQuery.ts'
+import { peerOfRow, sendCancel, sendVoid } from './servers.ts'
 
 /** An agent must say that it has an offer within this time, ms. */
 const SILENT_MS = 1_500
@@ -79,45 +63,6 @@
 export const REQUEST_ID_HEADER = 'x-request-id'
 const log = createLog('entry:request')
 
-/** All that requests at one entry share. */
-export interface EntryContext {
-	readonly incarnation: string
-	readonly metrics: Metrics
-	readonly servers: ServerView
-	readonly limits: LimitTable
-	readonly retries: RetryBudget
-	readonly affinity: AffinityTable
-	readonly random: Random
-	readonly exchanges: Set<Exchange>
-	config: Config | undefined
-	teams: TeamIndex
-	/** Live entries by the platform's list, this one counted. */
-	entryCount: number
-	nextRequest: number
-	leaving: boolean
-}
-
-/** One request under way. */
-export interface Exchange {
-	readonly reqId: string
-	readonly intake: Intake
-	readonly fate: Fate
-	readonly answer: CallerAnswer
-	readonly startedAt: number
-	readonly deadlineAt: number
-	row: number
-	/** Whether `row` counts this request among its own. */
-	counted: boolean
-	peer: AgentPeer | undefined
-	incarnation: string
-	handle: AttemptHandle | undefined
-	/** Last frame of the open try. */
-	heardAt: number
-	/** The frame that a `forward` effect is about. */
-	frame: AnswerFrame | undefined
-	detail: string
-}
-
 /** Reads, admits and serves one request. */
 export async function serveRequest(
 	ctx: EntryContext,
@@ -170,63 +115,10 @@
 	return admitTeam(ctx.limits, teamName, team, tokens, entries, readNow())
 }
 
-function refuseRequest(
-	ctx: EntryContext,
-	answer: CallerAnswer,
-	kind: ErrorKind,
-	detail = '',
-): void {
-	ctx.metrics.refusals.inc({ kind })
-	ctx.metrics.outcomes.inc({ outcome: 'notRun' })
-	failAnswer(answer, notRun(kind, ERRORS[kind].retryAfterMs), detail)
-}
-
-function refuseLimited(
-	ctx: EntryContext,
-	answer: CallerAnswer,
-	intake: Intake,
-	refusal: NotRun,
-): void {
-	const { kind, retryAfterMs } = refusal
-	ctx.metrics.refusals.inc({ kind })
-	// An earlier try by the caller's own key may have run.
-	const outcome = isCallerKey(intake) ? unknown(kind, retryAfterMs) : refusal
-	ctx.metrics.outcomes.inc({ outcome: outcome.outcome })
-	failAnswer(answer, outcome)
-}
-
-function isCallerKey(intake: Intake): boolean {
-	return intake.key !== undefined && !intake.key.fresh
-}
-
 function makeRequestId(ctx: EntryContext): string {
 	return `${ctx.incarnation}-${ctx.nextRequest++}`
 }
 
-function createExchange(
-	reqId: string,
-	intake: Intake,
-	answer: CallerAnswer,
-): Exchange {
-	const now = readNow()
-	return {
-		reqId,
-		intake,
-		fate: createFate(intake.repeatable, isCallerKey(intake)),
-		answer,
-		startedAt: now,
-		deadlineAt: now + intake.deadlineMs,
-		row: -1,
-		counted: false,
-		peer: undefined,
-		incarnation: '',
-		handle: undefined,
-		heardAt: now,
-		frame: undefined,
-		detail: '',
-	}
-}
-
 function startExchange(ctx: EntryContext, exchange: Exchange): void {
 	const { res } = exchange.answer
 	ctx.exchanges.add(exchange)
@@ -331,56 +223,6 @@
 	offer(ctx, exchange, row)
 }
 
-/** The home of a key may lie outside this entry's subset. */
-function wakeOnly(ctx: EntryContext, row: number): boolean {
-	return wakePeer(ctx.servers, peerOfRow(ctx.servers, row))
-}
-
-function createQuery(
-	ctx: EntryContext,
-	exchange: Exchange,
-	avoid: number,
-): RouteQuery {
-	const rows = candidateRows(ctx, exchange)
-	const { prefix } = exchange.intake
-	const mark =
-		prefix === undefined
-			? undefined
-			: findPrefix(ctx.affinity, prefix, readNow())
-	const cachedRow = mark ? (ctx.servers.table.rowOf.get(mark.server) ?? -1) : -1
-	return { rows, avoid, cachedRow, credit: mark?.credit ?? 0 }
-}
-
-function candidateRows(
-	ctx: EntryContext,
-	exchange: Exchange,
-): readonly number[] {
-	const { target, key } = exchange.intake
-	switch (target.kind) {
-		case 'model':
-			return ctx.servers.rowsOfModel.get(target.model) ?? []
-		case 'service': {
-			const rows = ctx.servers.rowsOfService.get(target.service) ?? []
-			return key ? homeRow(ctx, exchange, target.service, key.value) : rows
-		}
-		default:
-			return target satisfies never
-	}
-}
-
-function homeRow(
-	ctx: EntryContext,
-	exchange: Exchange,
-	service: string,
-	key: string,
-): readonly number[] {
-	if (!ctx.config) return []
-	const scoped = scopeKey(exchange.intake.teamName, service, key)
-	const home = findHome(ctx.config, service, scoped)
-	const row = home && ctx.servers.table.rowOf.get(home)
-	return typeof row === 'number' ? [row] : []
-}
-
 function offer(ctx: EntryContext, exchange: Exchange, row: number): void {
 	const peer = peerOfRow(ctx.servers, row)
 	const { intake } = exchange
@@ -577,11 +419,3 @@
 	const { prefix } = exchange.intake
 	if (prefix !== undefined) notePrefix(ctx.affinity, prefix, name, readNow())
 }
-
-function refOf(exchange: Exchange): AttemptRef {
-	return {
-		reqId: exchange.reqId,
-		attempt: exchange.fate.attempt,
-		incarnation: exchange.incarnation,
-	}
-}
