--- a/packages/agent/src/io/engine.ts
+++ b/packages/agent/src/io/engine.ts
@@ -37,6 +37,34 @@
 /** See {@link EngineReportSchema}. */
 export type EngineReport = v.InferOutput<typeof EngineReportSchema>
 
+/** What a rank tells the coordinator: counts of the experts it holds alone. */
+export const RankReportSchema = v.object({
+	generation: count,
+	mapId: v.string(),
+	mapSince: count,
+	joined: v.boolean(),
+	groupStepMs: v.number(),
+	/** Experts held, a list a layer. */
+	slots: v.array(v.array(count)),
+	/** Tokens since the start, in the order of `slots`. */
+	counts: v.array(v.array(count)),
+})
+
+/** See {@link RankReportSchema}. */
+export type RankReport = v.InferOutput<typeof RankReportSchema>
+
+/** Leaves out what the coordinator does not need; it asks many ranks. */
+export function toRankReport(
+	report: EngineReport,
+	experts: number,
+): RankReport {
+	const { generation, mapId, mapSince, joined, groupStepMs, slots } = report
+	const counts = slots.map((own, layer) =>
+		own.map(expert => Math.round(report.tokens[layer * experts + expert] ?? 0)),
+	)
+	return { generation, mapId, mapSince, joined, groupStepMs, slots, counts }
+}
+
 /** An order to an engine; the last five are for those without fences. */
 export type EngineOrder =
 	| { readonly order: 'rank'; readonly req: RankRequest }
--- a/packages/agent/src/io/group.ts
+++ b/packages/agent/src/io/group.ts
@@ -19,8 +19,8 @@
 } from '@juniperhook/core'
 import { createLog, messageOf, readNow, sleep } from '@juniperhook/runtime'
 import * as v from 'valibot'
-import type { EngineReport } from './engine.ts'
-import { giveOrder, readEngine } from './engine.ts'
+import type { EngineReport, RankReport } from './engine.ts'
+import { giveOrder, readEngine, toRankReport } from './engine.ts'
 import type { GroupMember, PlanWish } from './groupMember.ts'
 import { ask } from './groupMember.ts'
 import {
@@ -105,7 +105,10 @@
 			const { address } = find().port
 			return giveOrder(address, { order: 'stage', mapId, slots })
 		},
-		mapReport: () => readEngine(find().port.address),
+		mapReport: async () => {
+			const { port, group } = find()
+			return toRankReport(await readEngine(port.address), group.experts)
+		},
 		mapSplit: () => {
 			find().split = true
 			return true
@@ -201,7 +204,7 @@
 async function change(
 	member: GroupMember,
 	plans: readonly LayerPlan[],
-	reports: readonly EngineReport[],
+	reports: readonly RankReport[],
 ): Promise<void> {
 	const fence = takeFence(member)
 	const mapId = `map-${fence}`
@@ -230,7 +233,7 @@
 /** Members keep their slots; a rank that lost its own gets what is missing. */
 function rebuildSlots(
 	member: GroupMember,
-	reports: readonly EngineReport[],
+	reports: readonly RankReport[],
 ): number[][][] {
 	return reports.map((report, rank) => {
 		const kept = report.slots
--- a/packages/agent/src/io/groupPlan.ts
+++ b/packages/agent/src/io/groupPlan.ts
@@ -10,8 +10,8 @@
 	planLayer,
 } from '@juniperhook/core'
 import * as v from 'valibot'
-import type { EngineReport } from './engine.ts'
-import { EngineReportSchema } from './engine.ts'
+import type { RankReport } from './engine.ts'
+import { RankReportSchema } from './engine.ts'
 import type { GroupMember, PlanWish } from './groupMember.ts'
 import { ask } from './groupMember.ts'
 
@@ -19,7 +19,7 @@
  * Ranks of a generation that use a map use it from the same step, and no two
  * maps from one step. Anything else is a broken promise.
  */
-export function agree(reports: readonly EngineReport[]): boolean {
+export function agree(reports: readonly RankReport[]): boolean {
 	const mapOf = new Map<string, string>()
 	const sinceOf = new Map<string, number>()
 	for (const { generation, mapId, mapSince } of reports) {
@@ -38,14 +38,14 @@
 /** Reports of all ranks, or nothing when one is missing. */
 export async function collectReports(
 	member: GroupMember,
-): Promise<EngineReport[] | undefined> {
+): Promise<RankReport[] | undefined> {
 	const { ranks } = member.group
 	const answers = await Promise.allSettled(
 		ranks.map(name => ask<unknown>(member, name, 'mapReport', {})),
 	)
 	const reports = answers.flatMap(answer =>
 		answer.status === 'fulfilled'
-			? [v.parse(EngineReportSchema, answer.value)]
+			? [v.parse(RankReportSchema, answer.value)]
 			: [],
 	)
 	return reports.length === ranks.length ? reports : undefined
@@ -54,24 +54,40 @@
 /** Tokens a layer and expert since the last plan, over all ranks. */
 export function countTokens(
 	member: GroupMember,
-	reports: readonly EngineReport[],
+	reports: readonly RankReport[],
 ): Float64Array | undefined {
 	const before = member.counted
-	const after = reports.map(report => Float64Array.from(report.tokens))
+	const after = reports.map((report, rank) =>
+		addCounts(member, report, before?.[rank]),
+	)
 	member.counted = after
 	if (!before) return undefined
 	const total = new Float64Array(after[0]!.length)
-	// An engine that restarted counts from zero again.
 	for (const [rank, counts] of after.entries())
+		// An engine that restarted counts from zero again.
 		for (const [at, count] of counts.entries())
-			total[at]! += Math.max(0, count - (before[rank]?.[at] ?? 0))
+			total[at]! += Math.max(0, count - before[rank]![at]!)
 	return total
 }
 
+/** Counts of a rank; an expert it no longer holds keeps its last one. */
+function addCounts(
+	member: GroupMember,
+	report: RankReport,
+	before: Float64Array | undefined,
+): Float64Array {
+	const { layers, experts } = member.group
+	const counts = before?.slice() ?? new Float64Array(layers * experts)
+	for (const [layer, own] of report.slots.entries())
+		for (const [slot, expert] of own.entries())
+			counts[layer * experts + expert] = report.counts[layer]?.[slot] ?? 0
+	return counts
+}
+
 /** Placement of each layer by the reports. */
 export function readLayers(
 	member: GroupMember,
-	reports: readonly EngineReport[],
+	reports: readonly RankReport[],
 ): LayerPlacement[] {
 	const { layers, experts, spareSlots } = member.group
 	return Array.from({ length: layers }, (_, layer) => {
--- a/packages/runtime/src/io/listener.ts
+++ b/packages/runtime/src/io/listener.ts
@@ -97,11 +97,21 @@
 		const response = res as ServerResponse
 		await handle(req as IncomingMessage, response)
 		// h3 ends what is still open when the promise resolves.
-		if (response.writableFinished || response.destroyed) return
-		await new Promise(resolve => response.once('close', resolve))
+		if (!response.writableFinished && !response.destroyed)
+			await new Promise(resolve => response.once('close', resolve))
+		spareSecondEnd(response)
 	})
 }
 
+/** h3 ends a response that is over once more; Node would make an error of it. */
+function spareSecondEnd(res: ServerResponse): void {
+	res.end = (...args: unknown[]) => {
+		const done = args.at(-1)
+		if (typeof done === 'function') done()
+		return res
+	}
+}
+
 /** The operators' listener: `/healthz`, `/readyz`, `/metrics`, `/status`. */
 export function listenOperators(
 	address: string,
