Say notRun at a stopping entry only of what it can know

Cause: an entry that was stopping, or had no configuration, answered notRun to a request with its caller's own key, which may have run before by that key; it also made no retries for requests in flight. The test of the first failed first (with a key: notRun; now unknown).

--- a/packages/agent/src/io/groupPlan.ts
+++ b/packages/agent/src/io/groupPlan.ts
@@ -63,8 +63,8 @@
 	member.counted = after
 	if (!before) return undefined
 	const total = new Float64Array(after[0]!.length)
+	// An engine that restarted counts from zero again.
 	for (const [rank, counts] of after.entries())
-		// An engine that restarted counts from zero again.
 		for (const [at, count] of counts.entries())
 			total[at]! += Math.max(0, count - before[rank]![at]!)
 	return total
--- a/packages/entry/src/io/exchange.ts
+++ b/packages/entry/src/io/exchange.ts
@@ -77,9 +77,12 @@
 	const answer = createCallerAnswer(res)
 	const reqId = makeRequestId(ctx)
 	res.setHeader(REQUEST_ID_HEADER, reqId)
+	const hasKey = req.headers[KEY_HEADER] !== undefined
+	const refuse = (kind: ErrorKind, detail?: string) =>
+		refuseRequest(ctx, answer, kind, hasKey, detail)
 	try {
-		if (ctx.leaving) return refuseRequest(ctx, answer, 'entryLeaving')
-		if (!ctx.config) return refuseRequest(ctx, answer, 'noConfig')
+		if (ctx.leaving) return refuse('entryLeaving')
+		if (!ctx.config) return refuse('noConfig')
 		const intake = await read(req, ctx.config, ctx.teams)
 		const limited = admit(ctx, intake)
 		if (limited) return refuseLimited(ctx, answer, intake, limited)
@@ -90,7 +93,7 @@
 		if (req.destroyed && !req.complete) return
 		const known = err instanceof JuniperhookError
 		if (!known) log({ msg: 'fault', reqId, detail: messageOf(err) })
-		refuseRequest(ctx, answer, kindOf(err), known ? err.detail : '')
+		refuse(kindOf(err), known ? err.detail : '')
 	}
 }
 
@@ -132,8 +135,7 @@
 
 function step(ctx: EntryContext, exchange: Exchange, event: FateEvent): void {
 	exchange.fate.told = isTold(exchange.answer)
-	const allowed = mayRetry(ctx.retries) && !ctx.leaving
-	const effects = stepFate(exchange.fate, event, allowed)
+	const effects = stepFate(exchange.fate, event, mayRetry(ctx.retries))
 	try {
 		for (const effect of effects) carryOut(ctx, exchange, effect)
 	} catch (err) {
--- a/packages/entry/src/io/refusals.ts
+++ b/packages/entry/src/io/refusals.ts
@@ -8,16 +8,25 @@
 import { isCallerKey } from './entryContext.ts'
 import type { Intake } from './intake.ts'
 
-/** Refuses a request that could not be read or taken. */
+/**
+ * Refuses a request that could not be read or taken. One that its caller should
+ * send again may have run before if it carries the caller's own key.
+ */
 export function refuseRequest(
 	ctx: EntryContext,
 	answer: CallerAnswer,
 	kind: ErrorKind,
+	hasCallerKey: boolean,
 	detail = '',
 ): void {
+	const { retryAfterMs } = ERRORS[kind]
+	const mayHaveRun = hasCallerKey && retryAfterMs > 0
+	const outcome = mayHaveRun
+		? unknown(kind, retryAfterMs)
+		: notRun(kind, retryAfterMs)
 	ctx.metrics.refusals.inc({ kind })
-	ctx.metrics.outcomes.inc({ outcome: 'notRun' })
-	failAnswer(answer, notRun(kind, ERRORS[kind].retryAfterMs), detail)
+	ctx.metrics.outcomes.inc({ outcome: outcome.outcome })
+	failAnswer(answer, outcome, detail)
 }
 
 /** Refuses a request that is over a limit of its team. */
--- a/packages/entry/test/failures.process.test.ts
+++ b/packages/entry/test/failures.process.test.ts
@@ -290,6 +290,21 @@
 	await allOpen()
 })
 
+test('a stopping entry says "not run" only of what it can know', async () => {
+	signal(fleet, 'entry-1', 'SIGTERM')
+	await wait(200)
+	const mayHaveRun = await book(fleet, 1, 'stopping-key', newKey())
+	const cannotHaveRun = await book(fleet, 1, 'stopping')
+	assert.is(mayHaveRun.seen, 'unknown')
+	assert.is(cannotHaveRun.seen, 'notRun')
+	await waitUntil(
+		() => fleet.processes.get('entry-1')?.child.exitCode === 0,
+		'the end of the entry',
+	)
+	restart(fleet, 'entry-1')
+	await allOpen()
+})
+
 test('a leaving server gets no new work, though the list lags', async () => {
 	signal(fleet, 'service-2', 'SIGTERM')
 	await wait(500)
