--- a/bench/main.ts
+++ b/bench/main.ts
@@ -5,6 +5,7 @@
 	capacity: () => import('./capacity.ts'),
 	config: () => import('./config.ts'),
 	fate: () => import('./fate.ts'),
+	map: () => import('./map.ts'),
 	model: () => import('./model.ts'),
 	overload: () => import('./overload.ts'),
 	rebalance: () => import('./rebalance.ts'),
