Promise no map whose weights are not staged; show what a plan wants by layer

Ruled out: two maps in a step, which the stand-in reports by name. Change: engines refuse to promise what they have not staged; recovery stages the committed map too, begun or not.

--- a/packages/agent/src/io/engine.ts
+++ b/packages/agent/src/io/engine.ts
@@ -22,6 +22,8 @@
 	mapId: v.string(),
 	/** Step from which that map has been used. */
 	mapSince: count,
+	/** Map that is committed, in force or about to be. */
+	nextMapId: v.string(),
 	/** Whether it waits at a gate for a decision. */
 	inDoubt: v.boolean(),
 	joined: v.boolean(),
@@ -42,6 +44,7 @@
 	generation: count,
 	mapId: v.string(),
 	mapSince: count,
+	nextMapId: v.string(),
 	joined: v.boolean(),
 	groupStepMs: v.number(),
 	/** Experts held, a list a layer. */
@@ -58,11 +61,21 @@
 	report: EngineReport,
 	experts: number,
 ): RankReport {
-	const { generation, mapId, mapSince, joined, groupStepMs, slots } = report
+	const { generation, mapId, mapSince, nextMapId } = report
+	const { joined, groupStepMs, slots } = report
 	const counts = slots.map((own, layer) =>
 		own.map(expert => Math.round(report.tokens[layer * experts + expert] ?? 0)),
 	)
-	return { generation, mapId, mapSince, joined, groupStepMs, slots, counts }
+	return {
+		generation,
+		mapId,
+		mapSince,
+		nextMapId,
+		joined,
+		groupStepMs,
+		slots,
+		counts,
+	}
 }
 
 /** An order to an engine; the last five are for those without fences. */
@@ -75,7 +88,12 @@
 	  }
 	| { readonly order: 'look' }
 	| { readonly order: 'hold' }
-	| { readonly order: 'gate'; readonly step: number }
+	/** Refused for a map that is not staged. */
+	| {
+			readonly order: 'gate'
+			readonly step: number
+			readonly mapId: string
+	  }
 	| { readonly order: 'open' }
 	| { readonly order: 'switch'; readonly change: MapChange }
 
--- a/packages/agent/src/io/group.ts
+++ b/packages/agent/src/io/group.ts
@@ -46,6 +46,7 @@
 const log = createLog('agent:group')
 
 const NO_WISH: PlanWish = {
+	layers: [],
 	loads: 0,
 	skewBefore: 1,
 	skewAfter: 1,
@@ -222,12 +223,17 @@
 /** A rank that came back empty needs the weights of the map in force. */
 async function restage(member: GroupMember): Promise<void> {
 	const reports = await collectReports(member)
-	const model = reports?.find(report => report.joined)
+	const members = reports?.filter(report => report.joined) ?? []
 	const lost = reports?.some(report => !report.joined)
 	if (!reports || !lost) return
-	const mapId = model?.mapId ?? FIRST_MAP
+	// The new generation takes the newest committed map, begun or not.
+	const mapIds = new Set(members.flatMap(one => [one.mapId, one.nextMapId]))
+	if (mapIds.size === 0) mapIds.add(FIRST_MAP)
 	const slots = rebuildSlots(member, reports)
-	await stageAll(member, mapId, rank => slots[rank] ?? [])
+	for (const mapId of mapIds)
+		await stageAll(member, mapId, rank =>
+			reports[rank]?.joined ? undefined : slots[rank],
+		)
 }
 
 /** Members keep their slots; a rank that lost its own gets what is missing. */
@@ -250,12 +256,15 @@
 async function stageAll(
 	member: GroupMember,
 	mapId: string,
-	slotsOf: (rank: number) => number[][],
+	/** Nothing for a rank that holds the map already. */
+	slotsOf: (rank: number) => number[][] | undefined,
 ): Promise<boolean> {
 	const { ranks } = member.group
 	const answers = await Promise.allSettled(
 		ranks.map((name, rank) => {
-			const params = { mapId, slots: slotsOf(rank) }
+			const slots = slotsOf(rank)
+			if (!slots) return undefined
+			const params = { mapId, slots }
 			return ask(member, name, 'mapStage', params, STAGE_MS)
 		}),
 	)
--- a/packages/agent/src/io/groupMember.ts
+++ b/packages/agent/src/io/groupMember.ts
@@ -37,8 +37,21 @@
 	wish: PlanWish
 }
 
+/** What a plan wants in one layer, and why. */
+export interface LayerWish {
+	readonly layer: number
+	/** Loads as `expert>rank`. */
+	readonly loads: readonly string[]
+	readonly skewBefore: number
+	readonly skewAfter: number
+	readonly benefitMs: number
+	readonly costMs: number
+}
+
 /** A plan in figures. */
 export interface PlanWish {
+	/** The layers that gain most. */
+	readonly layers: readonly LayerWish[]
 	readonly loads: number
 	readonly skewBefore: number
 	readonly skewAfter: number
--- a/packages/agent/src/io/groupPlan.ts
+++ b/packages/agent/src/io/groupPlan.ts
@@ -7,14 +7,18 @@
 	expectedShares,
 	layerFrom,
 	loadTimeOf,
+	netOf,
 	planLayer,
 } from '@juniperhook/core'
 import * as v from 'valibot'
 import type { RankReport } from './engine.ts'
 import { RankReportSchema } from './engine.ts'
-import type { GroupMember, PlanWish } from './groupMember.ts'
+import type { GroupMember, LayerWish, PlanWish } from './groupMember.ts'
 import { ask } from './groupMember.ts'
 
+/** Layers that operators are shown of a plan. */
+const SHOWN_LAYERS = 8
+
 /**
  * Ranks of a generation that use a map use it from the same step, and no two
  * maps from one step. Anything else is a broken promise.
@@ -125,6 +129,7 @@
 	const sum = (pick: (plan: LayerPlan) => number) =>
 		plans.reduce((total, plan) => total + pick(plan), 0)
 	return {
+		layers: describeLayers(plans),
 		loads: sum(plan => plan.loads.length),
 		skewBefore: sum(plan => plan.skewBefore) / plans.length,
 		skewAfter: sum(plan => plan.skewAfter) / plans.length,
@@ -132,3 +137,18 @@
 		costMs: sum(plan => plan.costMs),
 	}
 }
+
+function describeLayers(plans: readonly LayerPlan[]): LayerWish[] {
+	const moving = plans
+		.map((plan, layer) => ({ plan, layer }))
+		.filter(({ plan }) => plan.loads.length > 0)
+	moving.sort((a, b) => netOf(b.plan) - netOf(a.plan))
+	return moving.slice(0, SHOWN_LAYERS).map(({ plan, layer }) => ({
+		layer,
+		loads: plan.loads.map(load => `${load.expert}>${load.rank}`),
+		skewBefore: plan.skewBefore,
+		skewAfter: plan.skewAfter,
+		benefitMs: plan.benefitMs,
+		costMs: plan.costMs,
+	}))
+}
--- a/packages/agent/src/io/rankPort.ts
+++ b/packages/agent/src/io/rankPort.ts
@@ -98,8 +98,9 @@
 		case 'learn':
 			return true
 		case 'prepare': {
-			const { step } = req.change
-			return (await giveOrder(address, { order: 'gate', step })).accepted
+			const { step, mapId } = req.change
+			const gate = { order: 'gate', step, mapId } as const
+			return (await giveOrder(address, gate)).accepted
 		}
 		case 'commit': {
 			const { change } = req
--- a/packages/entry/src/commands/status.ts
+++ b/packages/entry/src/commands/status.ts
@@ -5,6 +5,15 @@
 
 const CALL_MS = 2_000
 
+interface LayerWish {
+	readonly layer: number
+	readonly loads: readonly string[]
+	readonly skewBefore: number
+	readonly skewAfter: number
+	readonly benefitMs: number
+	readonly costMs: number
+}
+
 interface ProcessStatus {
 	readonly address: string
 	readonly kind?: string
@@ -14,7 +23,11 @@
 	readonly state?: string
 	readonly running?: number
 	readonly waiting?: number
-	readonly map?: { readonly fence: number; readonly skew: number }
+	readonly map?: {
+		readonly fence: number
+		readonly skew: number
+		readonly wish?: { readonly layers: readonly LayerWish[] }
+	}
 	readonly error?: string
 }
 
@@ -35,7 +48,8 @@
 export class Status extends Command {
 	static override summary = 'Show what entries and agents hold.'
 	static override description = `Asks the operators' listener of each process
-for its revision, members, map fence, load and requests in flight. Exit code 0:
+for its revision, members, map fence, load and requests in flight; below the
+table, which experts the rebalancer last wanted to move, and at what gain and cost. Exit code 0:
 all answered; 1: one did not; 2: wrong arguments.`
 	static override examples = [
 		'<%= config.bin %> status 10.0.0.5:7402 10.0.0.6:7402',
@@ -62,7 +76,9 @@
 			this.error('name at least one address IP:port', { exit: 2 })
 		const found = await Promise.all(addresses.map(ask))
 		if (flags.json) this.log(JSON.stringify(found, null, 2))
-		else for (const line of formatTable(found)) this.log(line)
+		else
+			for (const line of [...formatTable(found), ...formatWishes(found)])
+				this.log(line)
 		if (found.some(status => status.error)) this.exit(1)
 	}
 
@@ -110,3 +126,15 @@
 			.trimEnd(),
 	)
 }
+
+/** What the rebalancer of each group wanted at its last plan, and why. */
+function formatWishes(rows: readonly ProcessStatus[]): string[] {
+	return rows.flatMap(row =>
+		(row.map?.wish?.layers ?? []).map(wish => {
+			const skew = `${wish.skewBefore.toFixed(2)} to ${wish.skewAfter.toFixed(2)}`
+			const worth = `gain ${wish.benefitMs.toFixed(0)} ms, cost ${wish.costMs.toFixed(0)} ms`
+			const loads = wish.loads.join(' ')
+			return `${row.name}: layer ${wish.layer}: ${loads} (expert>rank), skew ${skew}, ${worth}`
+		}),
+	)
+}
--- a/packages/fakes/src/group.ts
+++ b/packages/fakes/src/group.ts
@@ -239,6 +239,7 @@
 		step: protocol.step,
 		mapId: protocol.mapId,
 		mapSince: state.mapSince,
+		nextMapId: protocol.committed?.mapId ?? protocol.mapId,
 		fence: protocol.committed?.fence ?? 0,
 		inDoubt: protocol.promised !== undefined,
 		stepMs: state.stepMs,
--- a/packages/fakes/src/orders.ts
+++ b/packages/fakes/src/orders.ts
@@ -20,7 +20,11 @@
 	/** Engines that check no fences take these from their agent alone. */
 	| { readonly order: 'look' }
 	| { readonly order: 'hold' }
-	| { readonly order: 'gate'; readonly step: number }
+	| {
+			readonly order: 'gate'
+			readonly step: number
+			readonly mapId: string
+	  }
 	| { readonly order: 'open' }
 	| { readonly order: 'switch'; readonly change: MapChange }
 
@@ -42,12 +46,26 @@
 ): Promise<EngineReply> {
 	const state = model.ranks[rank]!
 	if (order.order === 'rank') {
+		const unstaged = refuseUnstaged(state, order.req)
+		if (unstaged) return { ...describe(state, false), reply: unstaged }
 		const reply = takeRankRequest(state.protocol, order.req)
 		return { ...describe(state, reply.type !== 'refused'), reply }
 	}
 	return describe(state, await obey(model, state, order))
 }
 
+/** An engine promises no map whose weights it does not hold. */
+function refuseUnstaged(
+	state: RankModel,
+	req: RankRequest,
+): RankReply | undefined {
+	if (req.type !== 'prepare' || state.staged.has(req.change.mapId))
+		return undefined
+	const { fence } = req
+	const highest = state.protocol.fence
+	return { type: 'refused', fence, request: 'prepare', highest }
+}
+
 async function obey(
 	model: GroupModel,
 	state: RankModel,
@@ -65,7 +83,8 @@
 			return true
 		case 'gate': {
 			const { step } = order
-			if (step <= protocol.step) return false
+			const staged = state.staged.has(order.mapId)
+			if (step <= protocol.step || !staged) return false
 			const { generation, mapId } = protocol
 			protocol.promised = { fence: 0, generation, step, mapId }
 			return true
