Judge in one place whether a call ever connected

Cause: the proof that no byte left stood twice, in the entry and in the agent, and could have drifted apart. Change: one function in runtime for both; no change of behaviour.

--- a/packages/agent/src/io/backend.ts
+++ b/packages/agent/src/io/backend.ts
@@ -5,9 +5,13 @@
 
 import type { EventEmitter } from 'node:events'
 import type { IncomingHttpHeaders } from 'node:http'
-import { splitHopHeaders } from '@juniperhook/runtime'
+import {
+	messageOf,
+	neverConnected,
+	splitHopHeaders,
+} from '@juniperhook/runtime'
 import { createParser } from 'eventsource-parser'
-import { Agent, type Dispatcher, errors, request } from 'undici'
+import { Agent, type Dispatcher, request } from 'undici'
 
 /** What an engine sends as its last event. */
 const STREAM_END = '[DONE]'
@@ -109,13 +113,13 @@
 			dispatcher,
 		})
 	} catch (err) {
-		const detail = describe(err)
+		const detail = messageOf(err)
 		return { how: neverConnected(err) ? 'unstarted' : 'broken', detail }
 	}
 	try {
 		return await relay(res)
 	} catch (err) {
-		return { how: 'broken', detail: describe(err) }
+		return { how: 'broken', detail: messageOf(err) }
 	}
 }
 
@@ -175,14 +179,3 @@
 function isEventStream(headers: IncomingHttpHeaders): boolean {
 	return String(headers['content-type'] ?? '').includes('text/event-stream')
 }
-
-function neverConnected(err: unknown): boolean {
-	if (err instanceof errors.ConnectTimeoutError) return true
-	const code = err instanceof Error && 'code' in err ? err.code : ''
-	const codes = ['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH']
-	return codes.includes(String(code))
-}
-
-function describe(err: unknown): string {
-	return err instanceof Error ? err.message : String(err)
-}
--- a/packages/entry/src/io/attempt.ts
+++ b/packages/entry/src/io/attempt.ts
@@ -5,11 +5,12 @@
 import type { AnswerFrame, OfferMeta, ResumeMeta } from '@juniperhook/runtime'
 import {
 	createFrameReader,
+	neverConnected,
 	OFFER_HEADER,
 	packHeader,
 	RESUME_HEADER,
 } from '@juniperhook/runtime'
-import { Agent, type Dispatcher, errors, request } from 'undici'
+import { Agent, type Dispatcher, request } from 'undici'
 
 const CONNECT_MS = 1_000
 
@@ -160,9 +161,3 @@
 	}
 	opened.sink.frame(frame)
 }
-
-function neverConnected(err: unknown): boolean {
-	if (err instanceof errors.ConnectTimeoutError) return true
-	const code = err instanceof Error && 'code' in err ? String(err.code) : ''
-	return ['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH'].includes(code)
-}
