--- a/packages/core/src/core/routing.ts
+++ b/packages/core/src/core/routing.ts
@@ -63,6 +63,24 @@
 	}
 }
 
+/** Takes over what another table knows of a server. */
+export function copyServerRow(
+	from: ServerTable,
+	to: ServerTable,
+	name: string,
+): void {
+	const old = from.rowOf.get(name)
+	const row = to.rowOf.get(name)
+	if (old === undefined || row === undefined) return
+	to.reported[row] = from.reported[old]!
+	to.sentSince[row] = from.sentSince[old]!
+	to.reportedAt[row] = from.reportedAt[old]!
+	to.serviceMs[row] = from.serviceMs[old]!
+	to.stepShare[row] = from.stepShare[old]!
+	to.failures[row] = from.failures[old]!
+	to.ejectedUntil[row] = from.ejectedUntil[old]!
+}
+
 /** A load report from an agent. */
 export interface LoadReport {
 	/** Requests running and waiting. */
--- a/packages/entry/src/io/servers.ts
+++ b/packages/entry/src/io/servers.ts
@@ -6,6 +6,7 @@
 import type { Config, Placed, ServerTable } from '@juniperhook/core'
 import {
 	applyReport,
+	copyServerRow,
 	createServerTable,
 	listServiceServers,
 	pickSubset,
@@ -96,7 +97,7 @@
 	const names = Object.keys(config.server)
 	const old = view.table
 	view.table = createServerTable(names)
-	for (const name of names) copyRow(old, view.table, name)
+	for (const name of names) copyServerRow(old, view.table, name)
 	dropPeers(view, config)
 	for (const [name, server] of Object.entries(config.server)) {
 		if (view.peers.has(name)) continue
@@ -173,19 +174,6 @@
 	if (peer.link) notify(peer.link, 'cancelAttempt', ref)
 }
 
-function copyRow(from: ServerTable, to: ServerTable, name: string): void {
-	const old = from.rowOf.get(name)
-	const row = to.rowOf.get(name)
-	if (old === undefined || row === undefined) return
-	to.reported[row] = from.reported[old]!
-	to.sentSince[row] = from.sentSince[old]!
-	to.reportedAt[row] = from.reportedAt[old]!
-	to.serviceMs[row] = from.serviceMs[old]!
-	to.stepShare[row] = from.stepShare[old]!
-	to.failures[row] = from.failures[old]!
-	to.ejectedUntil[row] = from.ejectedUntil[old]!
-}
-
 function dropPeers(view: ServerView, config: Config): void {
 	for (const [name, peer] of view.peers) {
 		if (config.server[name]?.agent === peer.address) continue
--- /dev/null
+++ b/packages/gateway/src/attempt.ts
@@ -0,0 +1,227 @@
+/** One attempt: a server with room, a call to it, and what its head proves. */
+
+import type { ErrorKind } from '@juniperhook/core'
+import { createRetryWindow, noteResult, takeRetry } from '@juniperhook/core'
+import { readNow } from '@juniperhook/runtime'
+import type { CallerRequest } from './callerRequest.ts'
+import type { GatewayContext } from './context.ts'
+import { noteHeld, noteToldLoad } from './fleet.ts'
+import { listEndToEndHeaders } from './reply.ts'
+import type { ServerAnswer } from './serverCall.ts'
+import { callServer } from './serverCall.ts'
+import { awaitServer, serveWaiting } from './waiting.ts'
+
+/** A request waits for a server for this part of its target time. */
+const WAIT_SHARE = 0.2
+/** An attempt with less time left than this is not made, ms. */
+const MIN_LEFT_MS = 5
+
+/** A request on its way through attempts. */
+export interface Job {
+	readonly request: CallerRequest
+	readonly service: string
+	/** Aborted when the caller leaves or the time is over. */
+	readonly signal: AbortSignal
+	/** Ids of servers it has been sent to. */
+	readonly tried: Set<string>
+	/** Sends that reached, or may have reached, a server. */
+	sends: number
+	/** Whether a server may have run it. */
+	mayHaveRun: boolean
+	/** Where a stream goes on; the caller's own value at first. */
+	lastEventId: string | undefined
+}
+
+/** What an attempt came to. */
+export type AttemptResult =
+	| {
+			readonly kind: 'answer'
+			readonly answer: ServerAnswer
+			readonly serverId: string
+			/** Ends the attempt; to be called once. */
+			release(good: boolean): void
+	  }
+	/** The server says, or it is proved, that it did not run. */
+	| { readonly kind: 'notRun'; readonly reason: string }
+	/** It may have run. */
+	| { readonly kind: 'lost'; readonly reason: string }
+	/** No server was asked. */
+	| { readonly kind: 'refused'; readonly error: ErrorKind }
+
+/** Makes one attempt. */
+export async function makeAttempt(
+	ctx: GatewayContext,
+	job: Job,
+): Promise<AttemptResult> {
+	const { request } = job
+	const askedAt = readNow()
+	const grant = await awaitServer(ctx, {
+		service: job.service,
+		team: request.team?.name ?? '',
+		priority: request.priority,
+		tried: job.tried,
+		waitMs: Math.min(
+			request.route.targetMs * WAIT_SHARE,
+			request.givenUpAt - askedAt,
+		),
+		signal: job.signal,
+	})
+	const now = readNow()
+	ctx.metrics.waiting.observe((now - askedAt) / 1_000)
+	switch (grant.kind) {
+		case 'full':
+			return { kind: 'refused', error: 'overloaded' }
+		case 'none':
+			return { kind: 'refused', error: 'noServer' }
+		case 'server':
+			return await sendTo(ctx, job, grant.id)
+		default:
+			return grant satisfies never
+	}
+}
+
+async function sendTo(
+	ctx: GatewayContext,
+	job: Job,
+	serverId: string,
+): Promise<AttemptResult> {
+	const { request } = job
+	const { fleet, wire } = ctx
+	const server = fleet.servers[fleet.table.rowOf.get(serverId)!]!
+	const free = () => {
+		noteHeld(fleet, serverId, -1)
+		serveWaiting(ctx)
+	}
+	const left = request.deadlineAt - readNow()
+	const untilGivenUp = request.givenUpAt - readNow()
+	if (untilGivenUp < MIN_LEFT_MS || job.signal.aborted) {
+		free()
+		return { kind: 'refused', error: 'startBudget' }
+	}
+	job.tried.add(serverId)
+	job.sends++
+	const result = await callServer({
+		address: server.address,
+		method: request.method,
+		path: request.path,
+		headers: buildHeaders(ctx, job, serverId, Math.floor(left)),
+		body: request.body,
+		id: request.id,
+		idHeader: wire.requestId,
+		agent: request.repeatable ? ctx.pool.kept : ctx.pool.single,
+		headMs: untilGivenUp,
+		signal: job.signal,
+	})
+	const note = (good: boolean) => {
+		const row = fleet.table.rowOf.get(serverId)
+		if (row !== undefined) noteResult(fleet.table, row, good, readNow())
+	}
+	if (result.kind !== 'answer') {
+		free()
+		if (!job.signal.aborted) note(false)
+		if (result.kind === 'lost') job.mayHaveRun = true
+		logAttempt(ctx, job, serverId, result.kind, result.reason)
+		return result.kind === 'notSent'
+			? { kind: 'notRun', reason: result.reason }
+			: result
+	}
+	const { answer } = result
+	const { headers } = answer.message
+	noteToldLoad(fleet, serverId, readHeader(headers[wire.load]), readNow())
+	if (headers[wire.notRun] !== undefined || answer.status === 421) {
+		answer.message.resume()
+		free()
+		note(false)
+		logAttempt(ctx, job, serverId, 'notRun', String(answer.status))
+		return { kind: 'notRun', reason: `status ${answer.status}` }
+	}
+	job.mayHaveRun = true
+	return {
+		kind: 'answer',
+		answer,
+		serverId,
+		release: good => {
+			free()
+			note(good)
+		},
+	}
+}
+
+/** Whether another attempt may be made, by count, proof and budget. */
+export function mayTryAgain(ctx: GatewayContext, job: Job): boolean {
+	const { request } = job
+	if (job.signal.aborted) return false
+	if (job.mayHaveRun && !request.repeatable) return false
+	if (job.sends >= request.route.maxAttempts) return false
+	return takeRetry(
+		retriesOf(ctx, job.service),
+		ctx.settings.retries,
+		ctx.entries,
+		readNow(),
+	)
+}
+
+/** The retry window of a service. */
+export function retriesOf(ctx: GatewayContext, service: string) {
+	const known = ctx.retries.get(service)
+	if (known) return known
+	const window = createRetryWindow()
+	ctx.retries.set(service, window)
+	return window
+}
+
+function buildHeaders(
+	ctx: GatewayContext,
+	job: Job,
+	serverId: string,
+	leftMs: number,
+): string[] {
+	const { wire } = ctx
+	const { request } = job
+	const own = new Set([
+		'authorization',
+		'expect',
+		wire.team,
+		wire.deadlineMs,
+		wire.expectServer,
+		wire.lastEventId,
+		wire.priority,
+	])
+	const headers = listEndToEndHeaders(request.rawHeaders, own)
+	headers.push(wire.deadlineMs, String(leftMs))
+	headers.push(wire.expectServer, serverId)
+	headers.push(wire.priority, String(Math.min(9, request.priority)))
+	if (request.team) headers.push(wire.team, request.team.name)
+	if (job.lastEventId !== undefined)
+		headers.push(wire.lastEventId, job.lastEventId)
+	if (request.body.length > 0 || request.method === 'POST')
+		headers.push('Content-Length', String(request.body.length))
+	headers.push('Connection', request.repeatable ? 'keep-alive' : 'close')
+	return headers
+}
+
+function readHeader(value: string | string[] | undefined): string | undefined {
+	return Array.isArray(value) ? value[0] : value
+}
+
+/** Writes how an attempt went. */
+export function logAttempt(
+	ctx: GatewayContext,
+	job: Job,
+	serverId: string,
+	outcome: string,
+	reason: string,
+): void {
+	const { request } = job
+	ctx.log.write('attempt', {
+		req: request.id,
+		server: serverId,
+		service: job.service,
+		send: job.sends,
+		outcome,
+		reason,
+		tookMs: Math.round(readNow() - request.arrivedAt),
+		config: request.routes.config.version,
+		list: ctx.list.revision,
+	})
+}
--- /dev/null
+++ b/packages/gateway/src/catalog.ts
@@ -0,0 +1,207 @@
+/**
+ * Follows the published configuration and server list: by watching the source,
+ * and by what peers pass on. What is newer wins, whoever tells it.
+ */
+
+import type { ServerRecord } from '@juniperhook/core'
+import {
+	createRouteTable,
+	doubtRemoval,
+	findMissing,
+	settleRemovals,
+	takeRecord,
+} from '@juniperhook/core'
+import { readNow, sleep } from '@juniperhook/runtime'
+import type { GatewayContext } from './context.ts'
+import { applyServerList } from './fleet.ts'
+import type {
+	CatalogSnapshot,
+	CatalogSource,
+	PublishedConfig,
+} from './ports.ts'
+import { serveWaiting } from './waiting.ts'
+
+/**
+ * How long a watch waits, ms. A watch whose path was cut and healed says
+ * nothing until then, and the platform counts a VM as in touch after 3 s.
+ */
+const WATCH_MS = 2_500
+/** Between calls to a source that failed, ms; it grows up to the second. */
+const MIN_PAUSE_MS = 100
+const MAX_PAUSE_MS = 800
+/** The source counts as away when it has not answered for this long, ms. */
+const AWAY_AFTER_MS = 1_000
+/**
+ * How long entries that ran out while the source was away are still believed
+ * after its return, ms: the servers write theirs again within two seconds.
+ */
+const LAPSED_GRACE_MS = 1_900
+
+/** How a catalog is being followed. */
+export interface CatalogFollower {
+	/** When the source last answered, ms. */
+	answeredAt: number
+	/** Removals are doubted until then, ms. */
+	doubtUntil: number
+	away: boolean
+}
+
+/** Follows a source until the process ends. */
+export async function followCatalog(
+	ctx: GatewayContext,
+	source: CatalogSource,
+): Promise<void> {
+	const follower = {
+		answeredAt: readNow(),
+		doubtUntil: 0,
+		away: false,
+	}
+	let revision: number | undefined
+	let pause = MIN_PAUSE_MS
+	for (;;) {
+		const whole = revision === undefined
+		const result = whole
+			? await source.read()
+			: await source.watch(revision!, WATCH_MS)
+		const now = readNow()
+		ctx.metrics.sourceCalls.inc({ outcome: result.ok ? 'answered' : 'failed' })
+		if (!result.ok) {
+			noteAway(ctx, follower, now, result.reason)
+			if (result.lostHistory) revision = undefined
+			else if (now - follower.answeredAt > AWAY_AFTER_MS) revision = undefined
+			await sleep(pause * (0.5 + ctx.random()))
+			pause = Math.min(pause * 2, MAX_PAUSE_MS)
+			continue
+		}
+		pause = MIN_PAUSE_MS
+		noteBack(ctx, follower, now)
+		takeSnapshot(ctx, result.value, whole, follower, now)
+		revision = result.value.revision
+	}
+}
+
+function noteAway(
+	ctx: GatewayContext,
+	follower: CatalogFollower,
+	now: number,
+	reason: string,
+): void {
+	if (follower.away || now - follower.answeredAt < AWAY_AFTER_MS) return
+	follower.away = true
+	ctx.log.write('source lost', {
+		reason,
+		silentMs: Math.round(now - follower.answeredAt),
+	})
+}
+
+function noteBack(
+	ctx: GatewayContext,
+	follower: CatalogFollower,
+	now: number,
+): void {
+	if (follower.away) {
+		follower.away = false
+		follower.doubtUntil = now + LAPSED_GRACE_MS
+		ctx.log.write('source back', {
+			awayMs: Math.round(now - follower.answeredAt),
+		})
+	}
+	follower.answeredAt = now
+}
+
+function takeSnapshot(
+	ctx: GatewayContext,
+	snapshot: CatalogSnapshot,
+	whole: boolean,
+	follower: CatalogFollower,
+	now: number,
+): void {
+	for (const reason of snapshot.faults)
+		ctx.log.write('published value refused', { reason })
+	if (snapshot.config) adoptConfig(ctx, snapshot.config, 'source')
+	const records = [...snapshot.servers]
+	if (whole) {
+		const present = new Set(records.map(record => record.id))
+		records.push(...findMissing(ctx.list, present, snapshot.revision))
+	}
+	takeRecords(
+		ctx,
+		records,
+		'source',
+		now < follower.doubtUntil ? follower.doubtUntil : 0,
+	)
+}
+
+/** Takes records of servers; removals are doubted until `doubtUntil`, if set. */
+export function takeRecords(
+	ctx: GatewayContext,
+	records: readonly ServerRecord[],
+	from: string,
+	doubtUntil = 0,
+): void {
+	let changed = false
+	for (const record of records) {
+		if (!record.server && doubtUntil > 0) {
+			doubtRemoval(ctx.list, record, doubtUntil)
+			continue
+		}
+		if (!takeRecord(ctx.list, record)) continue
+		changed = true
+		logRecord(ctx, record, from)
+	}
+	if (changed) refreshFleet(ctx)
+}
+
+function logRecord(
+	ctx: GatewayContext,
+	record: ServerRecord,
+	from: string,
+): void {
+	const { server } = record
+	const state = server ? (server.leaving ? 'leaving' : 'serving') : 'gone'
+	ctx.log.write('server', {
+		server: record.id,
+		state,
+		service: server?.service,
+		address: server?.address,
+		revision: record.revision,
+		from,
+	})
+}
+
+/** Believes removals whose time has come. */
+export function tickCatalog(ctx: GatewayContext): void {
+	const settled = settleRemovals(ctx.list, readNow())
+	for (const server of settled)
+		ctx.log.write('server', { server, state: 'gone', from: 'not back' })
+	if (settled.length > 0) refreshFleet(ctx)
+}
+
+/** Puts a configuration in force unless it is older; true when it is news. */
+export function adoptConfig(
+	ctx: GatewayContext,
+	published: PublishedConfig,
+	from: string,
+): boolean {
+	const { version } = published.config
+	const held = ctx.routes?.config.version
+	if (held !== undefined && version <= held) return false
+	ctx.routes = createRouteTable(published.config)
+	ctx.published = published
+	ctx.configSince = readNow()
+	ctx.metrics.configVersion.set(version)
+	ctx.log.write('configuration in force', {
+		version,
+		before: held,
+		from,
+		routes: published.config.routes.length,
+	})
+	refreshFleet(ctx)
+	return true
+}
+
+function refreshFleet(ctx: GatewayContext): void {
+	const { fleet, list, routes, settings } = ctx
+	applyServerList(fleet, list, settings.dataCentre, routes)
+	serveWaiting(ctx)
+}
--- /dev/null
+++ b/packages/gateway/src/context.ts
@@ -0,0 +1,58 @@
+/** What all parts of a gateway share. */
+
+import type {
+	Random,
+	RetryAllowance,
+	RetryWindow,
+	RouteTable,
+	ServerList,
+} from '@juniperhook/core'
+import type { EventLog } from '@juniperhook/runtime'
+import type { Fleet } from './fleet.ts'
+import type { GatewayMetrics } from './metrics.ts'
+import type { PublishedConfig, WireNames } from './ports.ts'
+import type { ServerPool } from './serverPool.ts'
+
+/** What a gateway is told of its VM. */
+export interface GatewaySettings {
+	readonly name: string
+	readonly ip: string
+	readonly dataCentre: string
+	/** Where callers connect. */
+	readonly callers: string
+	/** Where the platform's balancer asks for readiness. */
+	readonly readiness: string
+	/** Where other entries connect. */
+	readonly control: string
+	/** Where metrics are served; absent for none. */
+	readonly metrics: string | undefined
+	/** Control addresses of some entries; may be stale. */
+	readonly seeds: readonly string[]
+	/** From SIGTERM to SIGKILL, ms. */
+	readonly stopMs: number
+	readonly retries: RetryAllowance
+}
+
+/** A running gateway's state. */
+export interface GatewayContext {
+	readonly settings: GatewaySettings
+	readonly wire: WireNames
+	readonly log: EventLog
+	readonly metrics: GatewayMetrics
+	readonly random: Random
+	readonly fleet: Fleet
+	readonly pool: ServerPool
+	readonly list: ServerList
+	/** The configuration in force, indexed. */
+	routes: RouteTable | undefined
+	published: PublishedConfig | undefined
+	/** When the configuration came into force, ms. */
+	configSince: number
+	/** Retries to each service. */
+	readonly retries: Map<string, RetryWindow>
+	/** Entries that are believed to live, with this one. */
+	entries: number
+	/** Requests being served. */
+	open: number
+	stopping: boolean
+}
--- /dev/null
+++ b/packages/gateway/src/forward.ts
@@ -0,0 +1,199 @@
+/** A request from its reading to its last byte: attempts until one is final. */
+
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import type { ErrorKind } from '@juniperhook/core'
+import { drawService, noteRequest } from '@juniperhook/core'
+import { readNow } from '@juniperhook/runtime'
+import type { AttemptResult, Job } from './attempt.ts'
+import { logAttempt, makeAttempt, mayTryAgain, retriesOf } from './attempt.ts'
+import type { CallerRequest } from './callerRequest.ts'
+import { readCallerRequest } from './callerRequest.ts'
+import type { GatewayContext } from './context.ts'
+import { writeFailure, writeWhole } from './reply.ts'
+import { readAnswerBody } from './serverCall.ts'
+import { relayStream } from './streamRelay.ts'
+
+const SERVER_ERROR = 500
+
+/** Serves one request of a caller. */
+export async function serveCaller(
+	ctx: GatewayContext,
+	req: IncomingMessage,
+	res: ServerResponse,
+): Promise<void> {
+	ctx.open++
+	try {
+		const intake = await readCallerRequest(ctx, req)
+		switch (intake.kind) {
+			case 'gone':
+				break
+			case 'refused':
+				refuseIntake(ctx, req, res, intake.error)
+				break
+			case 'request':
+				await serveRequest(ctx, intake.request, res)
+				break
+			default:
+				intake satisfies never
+		}
+	} finally {
+		ctx.open--
+	}
+}
+
+function refuseIntake(
+	ctx: GatewayContext,
+	req: IncomingMessage,
+	res: ServerResponse,
+	error: ErrorKind,
+): void {
+	const id = String(req.headers[ctx.wire.requestId] ?? '')
+	ctx.log.write('request refused', {
+		req: id,
+		error,
+		host: req.headers.host,
+		config: ctx.routes?.config.version,
+	})
+	// The rest of a body is not read: the connection cannot be used again.
+	if (!req.complete) res.shouldKeepAlive = false
+	writeFailure(ctx, res, error, id || undefined)
+}
+
+async function serveRequest(
+	ctx: GatewayContext,
+	request: CallerRequest,
+	res: ServerResponse,
+): Promise<void> {
+	const service = drawService(request.route.shares, ctx.random)
+	noteRequest(retriesOf(ctx, service), ctx.settings.retries, readNow())
+	const control = new AbortController()
+	const job: Job = {
+		request,
+		service,
+		signal: control.signal,
+		tried: new Set(),
+		sends: 0,
+		mayHaveRun: false,
+		lastEventId: request.lastEventId,
+	}
+	const left = request.givenUpAt - readNow()
+	const timer = setTimeout(() => {
+		finish(ctx, job, res, job.mayHaveRun ? 'noAnswer' : 'startBudget')
+		control.abort()
+	}, left)
+	res.on('close', () => {
+		clearTimeout(timer)
+		if (!res.writableFinished) control.abort()
+	})
+	await runAttempts(ctx, job, res)
+}
+
+/** Ends a request that gets no server's answer. */
+function finish(
+	ctx: GatewayContext,
+	job: Job,
+	res: ServerResponse,
+	error: ErrorKind,
+): void {
+	if (res.writableEnded || res.destroyed) return
+	const { request } = job
+	ctx.log.write('request failed', {
+		req: request.id,
+		route: request.route.name,
+		service: job.service,
+		error,
+		sends: job.sends,
+		tried: [...job.tried],
+		tookMs: Math.round(readNow() - request.arrivedAt),
+		begun: res.headersSent,
+		config: request.routes.config.version,
+	})
+	writeFailure(ctx, res, error, request.id)
+}
+
+async function runAttempts(
+	ctx: GatewayContext,
+	job: Job,
+	res: ServerResponse,
+): Promise<void> {
+	for (;;) {
+		const result = await makeAttempt(ctx, job)
+		if (job.signal.aborted) {
+			if (result.kind === 'answer') result.answer.cut()
+			if (result.kind === 'answer') result.release(true)
+			return
+		}
+		const next = await settle(ctx, job, res, result)
+		if (next.kind === 'done') return
+		if (next.kind === 'again') {
+			ctx.metrics.retries.inc({ reason: next.reason })
+			continue
+		}
+		finish(ctx, job, res, next.error)
+		return
+	}
+}
+
+/** What follows an attempt. */
+export type Next =
+	| { readonly kind: 'done' }
+	| { readonly kind: 'again'; readonly reason: string }
+	| { readonly kind: 'failed'; readonly error: ErrorKind }
+
+async function settle(
+	ctx: GatewayContext,
+	job: Job,
+	res: ServerResponse,
+	result: AttemptResult,
+): Promise<Next> {
+	switch (result.kind) {
+		case 'refused':
+			return {
+				kind: 'failed',
+				error: job.mayHaveRun ? 'linkLost' : result.error,
+			}
+		case 'notRun':
+			if (mayTryAgain(ctx, job)) return { kind: 'again', reason: 'notRun' }
+			return {
+				kind: 'failed',
+				error: job.mayHaveRun ? 'linkLost' : 'unreachable',
+			}
+		case 'lost':
+			if (mayTryAgain(ctx, job)) return { kind: 'again', reason: 'lost' }
+			return { kind: 'failed', error: 'linkLost' }
+		case 'answer':
+			return await takeAnswer(ctx, job, res, result)
+		default:
+			return result satisfies never
+	}
+}
+
+async function takeAnswer(
+	ctx: GatewayContext,
+	job: Job,
+	res: ServerResponse,
+	result: Extract<AttemptResult, { kind: 'answer' }>,
+): Promise<Next> {
+	const { answer, serverId } = result
+	const { message, status } = answer
+	const type = String(message.headers['content-type'] ?? '')
+	const isStream = status === 200 && type.includes('text/event-stream')
+	if (isStream) return await relayStream(ctx, job, res, result)
+	const body = await readAnswerBody(answer)
+	const sealed = message.headers[ctx.wire.seal] !== undefined
+	const usable = body.kind === 'whole' && (sealed || status >= 300)
+	const good = usable && status < SERVER_ERROR
+	result.release(good)
+	if (job.signal.aborted) return { kind: 'done' }
+	if (!good) {
+		const reason = body.kind === 'broken' ? body.reason : `status ${status}`
+		logAttempt(ctx, job, serverId, 'failed', reason)
+		if (mayTryAgain(ctx, job)) return { kind: 'again', reason: 'failed' }
+	}
+	if (!usable) return { kind: 'failed', error: 'truncated' }
+	logAttempt(ctx, job, serverId, 'answered', String(status))
+	const { arrivedAt, method } = job.request
+	ctx.metrics.firstByte.observe((readNow() - arrivedAt) / 1_000)
+	writeWhole(ctx, res, message, body.body, method)
+	return { kind: 'done' }
+}
--- /dev/null
+++ b/packages/gateway/src/gateway.ts
@@ -0,0 +1,200 @@
+/** An entry that serves callers straight from backend servers. */
+
+import { randomBytes } from 'node:crypto'
+import type { Server } from 'node:http'
+import { createServer, STATUS_CODES } from 'node:http'
+import type { Duplex } from 'node:stream'
+import type { ErrorKind } from '@juniperhook/core'
+import {
+	createRandom,
+	createServerList,
+	ERRORS,
+	splitAddress,
+} from '@juniperhook/core'
+import type { EventLog } from '@juniperhook/runtime'
+import { readNow } from '@juniperhook/runtime'
+import { followCatalog, tickCatalog } from './catalog.ts'
+import type { GatewayContext, GatewaySettings } from './context.ts'
+import { createFleet } from './fleet.ts'
+import { serveCaller } from './forward.ts'
+import { createGatewayMetrics } from './metrics.ts'
+import { startPeers } from './peers.ts'
+import type { CatalogSource, WireNames } from './ports.ts'
+import { createServerPool } from './serverPool.ts'
+import { serveWaiting } from './waiting.ts'
+
+/** Largest headers that Node reads; the configuration's bound is lower. */
+const MAX_HEADER_BYTES = 65_536
+/** Until a configuration is known, ms. */
+const FIRST_HEADER_MS = 10_000
+const FIRST_IDLE_MS = 15_000
+/** Kept connections outlive the published idle time by this, ms. */
+const IDLE_SLACK_MS = 2_000
+/** Between looks at queues, removals and limits, ms. */
+const TICK_MS = 50
+/** After SIGTERM, the balancer needs two looks, a second apart, to notice. */
+const BALANCER_MS = 2_500
+/** Before SIGKILL, connections that are still open are cut, ms. */
+const CUT_BEFORE_KILL_MS = 300
+const STOP_CHECK_MS = 50
+
+/** Starts a gateway; resolves when it listens. */
+export async function startGateway(
+	settings: GatewaySettings,
+	wire: WireNames,
+	source: CatalogSource,
+	log: EventLog,
+): Promise<GatewayContext> {
+	const ctx: GatewayContext = {
+		settings,
+		wire,
+		log,
+		metrics: createGatewayMetrics(),
+		random: createRandom(randomBytes(4).readUInt32LE()),
+		fleet: createFleet(),
+		pool: createServerPool(),
+		list: createServerList(),
+		routes: undefined,
+		published: undefined,
+		configSince: 0,
+		retries: new Map(),
+		entries: Math.max(1, settings.seeds.length),
+		open: 0,
+		stopping: false,
+	}
+	const callers = listenForCallers(ctx)
+	await listenOn(callers, settings.callers)
+	await listenOn(createReadiness(ctx), settings.readiness)
+	if (settings.metrics) await listenOn(createMetrics(ctx), settings.metrics)
+	await startPeers(ctx, source)
+	void followCatalog(ctx, source)
+	setInterval(() => tick(ctx, callers), TICK_MS)
+	process.once('SIGTERM', () => void stopGateway(ctx, callers))
+	log.write('entry started', { name: settings.name, address: settings.callers })
+	return ctx
+}
+
+function tick(ctx: GatewayContext, callers: Server): void {
+	tickCatalog(ctx)
+	serveWaiting(ctx)
+	const limits = ctx.routes?.config.limits
+	if (!limits) return
+	callers.headersTimeout = limits.headerTimeoutMs
+	callers.keepAliveTimeout = limits.idleTimeoutMs + IDLE_SLACK_MS
+}
+
+function listenForCallers(ctx: GatewayContext): Server {
+	const server = createServer(
+		{
+			maxHeaderSize: MAX_HEADER_BYTES,
+			headersTimeout: FIRST_HEADER_MS,
+			requestTimeout: 0,
+			keepAliveTimeout: FIRST_IDLE_MS + IDLE_SLACK_MS,
+			connectionsCheckingInterval: 500,
+			noDelay: true,
+		},
+		(req, res) => {
+			serveCaller(ctx, req, res).catch(err => {
+				ctx.log.write('internal fault', { detail: String(err?.stack ?? err) })
+				res.destroy()
+			})
+		},
+	)
+	server.on('clientError', (err: NodeJS.ErrnoException, socket: Duplex) =>
+		answerClientError(ctx, err, socket),
+	)
+	return server
+}
+
+function answerClientError(
+	ctx: GatewayContext,
+	err: NodeJS.ErrnoException,
+	socket: Duplex,
+): void {
+	const kind = kindOfClientError(err.code)
+	if (!kind || !socket.writable) {
+		socket.destroy()
+		return
+	}
+	ctx.metrics.refusals.inc({ kind })
+	const { status, text } = ERRORS[kind]
+	const body = JSON.stringify({ error: kind, message: text, ran: 'no' })
+	const head = [
+		`HTTP/1.1 ${status} ${STATUS_CODES[status]}`,
+		'Content-Type: application/json',
+		`Content-Length: ${Buffer.byteLength(body)}`,
+		'Connection: close',
+	]
+	socket.end(`${head.join('\r\n')}\r\n\r\n${body}`)
+}
+
+/** The kind of a request that Node's parser gave up on. */
+function kindOfClientError(code: string | undefined): ErrorKind | undefined {
+	switch (code) {
+		case 'HPE_HEADER_OVERFLOW':
+			return 'headersTooLarge'
+		case 'ERR_HTTP_REQUEST_TIMEOUT':
+			return 'requestTimeout'
+		case 'ECONNRESET':
+		case 'EPIPE':
+			return undefined
+		default:
+			return 'badRequest'
+	}
+}
+
+function createReadiness(ctx: GatewayContext): Server {
+	return createServer((_req, res) => {
+		const ready = ctx.routes !== undefined && !ctx.stopping
+		res.writeHead(ready ? 200 : 503, { 'Content-Length': 0 })
+		res.end()
+	})
+}
+
+function createMetrics(ctx: GatewayContext): Server {
+	return createServer(async (_req, res) => {
+		const { registry } = ctx.metrics
+		const text = await registry.metrics()
+		res.writeHead(200, { 'Content-Type': registry.contentType })
+		res.end(text)
+	})
+}
+
+function listenOn(server: Server, address: string): Promise<void> {
+	const { ip, port } = splitAddress(address)
+	return new Promise((resolve, reject) => {
+		server.once('error', reject)
+		server.listen(port, ip, resolve)
+	})
+}
+
+/** Readiness goes first; kept connections are served until they end. */
+async function stopGateway(
+	ctx: GatewayContext,
+	callers: Server,
+): Promise<void> {
+	const startedAt = readNow()
+	const { stopMs } = ctx.settings
+	ctx.stopping = true
+	ctx.log.write('stop begun', { open: ctx.open })
+	const endAt = startedAt + stopMs - CUT_BEFORE_KILL_MS
+	const quietAt = startedAt + Math.min(BALANCER_MS, stopMs / 2)
+	while (readNow() < endAt) {
+		if (readNow() >= quietAt && ctx.open === 0) break
+		await sleepHeld(STOP_CHECK_MS)
+	}
+	callers.close()
+	callers.closeIdleConnections()
+	while (readNow() < endAt && ctx.open > 0) await sleepHeld(STOP_CHECK_MS)
+	ctx.log.write('stopped', {
+		open: ctx.open,
+		tookMs: Math.round(readNow() - startedAt),
+	})
+	ctx.log.flush()
+	process.exit(0)
+}
+
+/** Waits and keeps the process alive meanwhile. */
+function sleepHeld(ms: number): Promise<void> {
+	return new Promise(resolve => setTimeout(resolve, ms))
+}
--- /dev/null
+++ b/packages/gateway/src/index.ts
@@ -0,0 +1,12 @@
+/** Serves callers straight from backend servers, by published routes. */
+
+export type { GatewayContext, GatewaySettings } from './context.ts'
+export * from './eventSplitter.ts'
+export { startGateway } from './gateway.ts'
+export type {
+	CatalogSnapshot,
+	CatalogSource,
+	PublishedConfig,
+	SourceResult,
+	WireNames,
+} from './ports.ts'
--- /dev/null
+++ b/packages/gateway/src/metrics.ts
@@ -0,0 +1,83 @@
+/** Counters and histograms of a gateway, by prom-client. */
+
+import { ERROR_KINDS } from '@juniperhook/core'
+import { Counter, Gauge, Histogram, Registry } from 'prom-client'
+
+const LATENCY_BUCKETS = [
+	0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4,
+]
+const PAUSE_BUCKETS = [0.02, 0.04, 0.06, 0.08, 0.1, 0.12, 0.2, 0.5, 1, 2]
+
+/** What a gateway counts. */
+export interface GatewayMetrics {
+	readonly registry: Registry
+	readonly answers: Counter<'status'>
+	/** Requests refused or given up, by error kind. */
+	readonly refusals: Counter<'kind'>
+	/** Sends after the first, by the reason of the one before. */
+	readonly retries: Counter<'reason'>
+	/** Streams that went on at another server. */
+	readonly resumes: Counter
+	readonly firstByte: Histogram
+	readonly pauses: Histogram
+	readonly waiting: Histogram
+	readonly configVersion: Gauge
+	readonly sourceCalls: Counter<'outcome'>
+}
+
+/** Makes the metrics, all known labels at zero. */
+export function createGatewayMetrics(): GatewayMetrics {
+	const registry = new Registry()
+	const registers = [registry]
+	const refusals = new Counter({
+		name: 'juniperhook_refusals_total',
+		help: 'Requests refused or given up',
+		labelNames: ['kind'],
+		registers,
+	})
+	for (const kind of ERROR_KINDS) refusals.inc({ kind }, 0)
+	return {
+		registry,
+		refusals,
+		answers: new Counter({
+			name: 'juniperhook_answers_total',
+			help: 'Answers by status',
+			labelNames: ['status'],
+			registers,
+		}),
+		retries: new Counter({
+			name: 'juniperhook_retries_total',
+			help: 'Sends after the first',
+			labelNames: ['reason'],
+			registers,
+		}),
+		resumes: new Counter({
+			name: 'juniperhook_resumes_total',
+			help: 'Streams that went on at another server',
+			registers,
+		}),
+		firstByte: histogram(registry, 'first_byte', LATENCY_BUCKETS),
+		pauses: histogram(registry, 'event_pause', PAUSE_BUCKETS),
+		waiting: histogram(registry, 'queue', LATENCY_BUCKETS),
+		configVersion: new Gauge({
+			name: 'juniperhook_config_version',
+			help: 'Version of the configuration in force',
+			registers,
+		}),
+		sourceCalls: new Counter({
+			name: 'juniperhook_source_calls_total',
+			help: 'Calls to the configuration source',
+			labelNames: ['outcome'],
+			registers,
+		}),
+	}
+}
+
+function histogram(registry: Registry, part: string, buckets: number[]) {
+	return new Histogram({
+		name: `juniperhook_${part}_seconds`,
+		help: `Time of ${part.replace('_', ' ')}`,
+		buckets,
+		registers: [registry],
+	})
+}
--- /dev/null
+++ b/packages/gateway/src/peers.ts
@@ -0,0 +1,259 @@
+/**
+ * Entries tell each other what they hold: the version of their configuration,
+ * the revision of their server list, and how many requests they have at each
+ * server. One that is behind asks for what it lacks, so that entries which the
+ * source turns away still learn of changes.
+ */
+
+import { splitAddress } from '@juniperhook/core'
+import type { Methods, RpcLink } from '@juniperhook/runtime'
+import {
+	call,
+	connectRpc,
+	messageOf,
+	notify,
+	readNow,
+	serveRpc,
+	sleep,
+} from '@juniperhook/runtime'
+import * as v from 'valibot'
+import { adoptConfig, takeRecords } from './catalog.ts'
+import type { GatewayContext } from './context.ts'
+import { dropPeerLoad, notePeerLoad } from './fleet.ts'
+import type { CatalogSource } from './ports.ts'
+
+/** Between states told to peers while something changes, ms. */
+const TELL_MS = 100
+/** A state is told at least this often, ms. */
+const HEARTBEAT_MS = 500
+/** A peer that has been silent for this long holds nothing any more, ms. */
+const SILENT_MS = 2_000
+/** A peer counts as an entry for this long after its last word, ms. */
+const REMEMBERED_MS = 10_000
+/** Entries that one entry keeps links to; more hear of changes in turn. */
+const MAX_LINKS = 12
+const RECONNECT_MS = 300
+const MAX_RECONNECT_MS = 1_500
+const CONNECT_MS = 500
+
+const StateSchema = v.object({
+	name: v.string(),
+	control: v.string(),
+	config: v.number(),
+	list: v.number(),
+	held: v.record(v.string(), v.number()),
+	peers: v.array(v.string()),
+})
+type State = v.InferOutput<typeof StateSchema>
+
+const ServerSchema = v.object({
+	id: v.string(),
+	service: v.string(),
+	address: v.string(),
+	dataCentre: v.string(),
+	slots: v.number(),
+	leaving: v.boolean(),
+	coldMs: v.number(),
+})
+const PullSchema = v.object({
+	config: v.optional(v.string()),
+	records: v.array(
+		v.object({
+			id: v.string(),
+			revision: v.number(),
+			server: v.optional(ServerSchema),
+		}),
+	),
+})
+const PullRequestSchema = v.object({ config: v.number(), list: v.number() })
+
+/** Links to peers and what was heard of them. */
+interface Peers {
+	/** By control address; undefined while there is no link. */
+	readonly links: Map<string, RpcLink | undefined>
+	/** When each peer, by name, was last heard, ms. */
+	readonly heardAt: Map<string, number>
+	readonly pulling: Set<string>
+	toldAt: number
+	told: string
+}
+
+/** Serves peers and keeps links to them. */
+export async function startPeers(
+	ctx: GatewayContext,
+	source: CatalogSource,
+): Promise<void> {
+	const peers: Peers = {
+		links: new Map(),
+		heardAt: new Map(),
+		pulling: new Set(),
+		toldAt: 0,
+		told: '',
+	}
+	const methods: Methods = {
+		state: (params: unknown, link: RpcLink) =>
+			void takeState(ctx, peers, source, params, link),
+		pull: (params: unknown) => answerPull(ctx, params),
+	}
+	await serveRpc(ctx.settings.control, methods)
+	for (const seed of ctx.settings.seeds) addPeer(ctx, peers, methods, seed)
+	setInterval(() => {
+		for (const address of peers.links.keys())
+			addPeer(ctx, peers, methods, address)
+		tellPeers(ctx, peers)
+		forgetSilent(ctx, peers)
+	}, TELL_MS)
+}
+
+function addPeer(
+	ctx: GatewayContext,
+	peers: Peers,
+	methods: Methods,
+	address: string,
+): void {
+	if (address === ctx.settings.control || connecting.has(address)) return
+	if (connecting.size >= MAX_LINKS) return
+	connecting.add(address)
+	peers.links.set(address, undefined)
+	void keepLink(ctx, peers, methods, address)
+}
+
+/** Addresses that this process keeps links to. */
+const connecting = new Set<string>()
+
+async function keepLink(
+	ctx: GatewayContext,
+	peers: Peers,
+	methods: Methods,
+	address: string,
+): Promise<void> {
+	let pause = RECONNECT_MS
+	for (;;) {
+		try {
+			const link = await connectRpc(address, methods, CONNECT_MS)
+			pause = RECONNECT_MS
+			peers.links.set(address, link)
+			ctx.log.write('peer linked', { peer: address })
+			notify(link, 'state', stateOf(ctx, peers))
+			await new Promise(resolve => link.socket.once('close', resolve))
+			peers.links.set(address, undefined)
+			ctx.log.write('peer lost', { peer: address })
+		} catch (err) {
+			if (pause === RECONNECT_MS)
+				ctx.log.write('peer not reached', {
+					peer: address,
+					reason: messageOf(err),
+				})
+		}
+		await sleep(pause * (0.5 + ctx.random()))
+		pause = Math.min(pause * 2, MAX_RECONNECT_MS)
+	}
+}
+
+function stateOf(ctx: GatewayContext, peers: Peers): State {
+	return {
+		name: ctx.settings.name,
+		control: ctx.settings.control,
+		config: ctx.routes?.config.version ?? -1,
+		list: ctx.list.revision,
+		held: Object.fromEntries(ctx.fleet.held),
+		peers: [...peers.links.keys()],
+	}
+}
+
+function tellPeers(ctx: GatewayContext, peers: Peers): void {
+	const state = stateOf(ctx, peers)
+	const text = JSON.stringify(state)
+	const now = readNow()
+	if (text === peers.told && now - peers.toldAt < HEARTBEAT_MS) return
+	peers.told = text
+	peers.toldAt = now
+	for (const link of peers.links.values()) if (link) tell(link, state)
+}
+
+/** Bytes waiting on a link beyond which its peer is not reading, or cut off. */
+const MAX_WAITING_BYTES = 65_536
+
+function tell(link: RpcLink, state: State): void {
+	if (link.socket.writableLength > MAX_WAITING_BYTES) link.socket.destroy()
+	else notify(link, 'state', state)
+}
+
+async function takeState(
+	ctx: GatewayContext,
+	peers: Peers,
+	source: CatalogSource,
+	params: unknown,
+	link: RpcLink,
+): Promise<void> {
+	const state = v.parse(StateSchema, params)
+	const now = readNow()
+	peers.heardAt.set(state.name, now)
+	for (const address of [state.control, ...state.peers])
+		if (isKnownPort(ctx, address) && !peers.links.has(address))
+			peers.links.set(address, undefined)
+	const held = new Map(Object.entries(state.held))
+	notePeerLoad(ctx.fleet, state.name, held, now)
+	const version = ctx.routes?.config.version ?? -1
+	const behind = state.config > version || state.list > ctx.list.revision
+	if (!behind || peers.pulling.has(state.name)) return
+	peers.pulling.add(state.name)
+	try {
+		const reply = await call(link, 'pull', {
+			config: version,
+			list: ctx.list.revision,
+		})
+		takePulled(ctx, source, reply, state.name)
+	} catch (err) {
+		ctx.log.write('peer did not answer', {
+			peer: state.name,
+			reason: messageOf(err),
+		})
+	} finally {
+		peers.pulling.delete(state.name)
+	}
+}
+
+/** Peers listen on the same control port everywhere. */
+function isKnownPort(ctx: GatewayContext, address: string): boolean {
+	const own = splitAddress(ctx.settings.control).port
+	return splitAddress(address).port === own
+}
+
+function takePulled(
+	ctx: GatewayContext,
+	source: CatalogSource,
+	reply: unknown,
+	peer: string,
+): void {
+	const pulled = v.parse(PullSchema, reply)
+	const published =
+		pulled.config === undefined ? undefined : source.decode(pulled.config)
+	if (published) adoptConfig(ctx, published, peer)
+	const records = pulled.records.map(({ id, revision, server }) => ({
+		id,
+		revision,
+		server,
+	}))
+	takeRecords(ctx, records, peer)
+}
+
+function answerPull(ctx: GatewayContext, params: unknown): object {
+	const asked = v.parse(PullRequestSchema, params)
+	const version = ctx.routes?.config.version ?? -1
+	const records = [...ctx.list.records.values()]
+	return {
+		...(version > asked.config && { config: ctx.published?.text }),
+		records: records.filter(record => record.revision > asked.list),
+	}
+}
+
+function forgetSilent(ctx: GatewayContext, peers: Peers): void {
+	const now = readNow()
+	for (const [name, heardAt] of peers.heardAt) {
+		if (now - heardAt > SILENT_MS) dropPeerLoad(ctx.fleet, name, now)
+		if (now - heardAt > REMEMBERED_MS) peers.heardAt.delete(name)
+	}
+	const seeds = ctx.settings.seeds.length
+	ctx.entries = Math.max(peers.heardAt.size + 1, seeds)
+}
--- /dev/null
+++ b/packages/gateway/src/ports.ts
@@ -0,0 +1,69 @@
+/** What a gateway needs from the platform that it runs on. */
+
+import type {
+	ListedServer,
+	ServerRecord,
+	TrafficConfig,
+} from '@juniperhook/core'
+
+/** A published configuration, with the text it was decoded from. */
+export interface PublishedConfig {
+	readonly config: TrafficConfig
+	/** The text as published, for peers. */
+	readonly text: string
+}
+
+/** Everything published, as of a revision. */
+export interface CatalogSnapshot {
+	readonly revision: number
+	readonly config: PublishedConfig | undefined
+	readonly servers: readonly ServerRecord[]
+	/** Values that could not be decoded, and why. */
+	readonly faults: readonly string[]
+}
+
+/** What a call to a source gave. */
+export type SourceResult<T> =
+	| { readonly ok: true; readonly value: T }
+	/** The changes asked for are no longer known: read everything again. */
+	| { readonly ok: false; readonly lostHistory: true; readonly reason: string }
+	| { readonly ok: false; readonly lostHistory: false; readonly reason: string }
+
+/** Where configuration and servers are published. */
+export interface CatalogSource {
+	/** Reads everything. */
+	read(): Promise<SourceResult<CatalogSnapshot>>
+	/** Waits for changes after a revision; none when the time is over. */
+	watch(
+		revision: number,
+		waitMs: number,
+	): Promise<SourceResult<CatalogSnapshot>>
+	/** Decodes a configuration's text that a peer passed on. */
+	decode(text: string): PublishedConfig | undefined
+}
+
+/** Names and formats of headers between callers, entries and servers. */
+export interface WireNames {
+	readonly requestId: string
+	readonly deadlineMs: string
+	/** Scheme of `authorization` before the key. */
+	readonly keyScheme: string
+	readonly team: string
+	/** Id of the only server that may run the request. */
+	readonly expectServer: string
+	/** Marks an answer that says that the request was not run. */
+	readonly notRun: string
+	/** Present on every genuine answer of a server. */
+	readonly seal: string
+	/** `running,waiting,slots` of the server. */
+	readonly load: string
+	readonly lastEventId: string
+	readonly priority: string
+	/** Tokens of the prompt and the most that are generated. */
+	readonly tokens: string
+	/** Parts of the prompt, in order. */
+	readonly promptParts: string
+}
+
+/** A listed server and how much this entry has sent it. */
+export type { ListedServer }
--- /dev/null
+++ b/packages/gateway/src/streamRelay.ts
@@ -0,0 +1,77 @@
+/**
+ * Passes a stream's events on as they come, whole and in order. A stream that
+ * breaks off goes on at another server within the same answer.
+ */
+
+import type { ServerResponse } from 'node:http'
+import { readNow } from '@juniperhook/runtime'
+import type { AttemptResult, Job } from './attempt.ts'
+import { logAttempt, mayTryAgain } from './attempt.ts'
+import type { GatewayContext } from './context.ts'
+import type { StreamEvent } from './eventSplitter.ts'
+import { createEventSplitter, splitEvents } from './eventSplitter.ts'
+import type { Next } from './forward.ts'
+import { writeStreamHead } from './reply.ts'
+
+/** Relays one server's part of a stream. */
+export function relayStream(
+	ctx: GatewayContext,
+	job: Job,
+	res: ServerResponse,
+	result: Extract<AttemptResult, { kind: 'answer' }>,
+): Promise<Next> {
+	const { answer, serverId } = result
+	const { message } = answer
+	const splitter = createEventSplitter()
+	let lastAt = readNow()
+	let sound = true
+	const pass = (event: StreamEvent) => {
+		if (!isNext(job.lastEventId, event.id)) {
+			sound = false
+			answer.cut()
+			return
+		}
+		const now = readNow()
+		if (res.headersSent) ctx.metrics.pauses.observe((now - lastAt) / 1_000)
+		else {
+			writeStreamHead(ctx, res, message)
+			ctx.metrics.firstByte.observe((now - job.request.arrivedAt) / 1_000)
+		}
+		lastAt = now
+		res.write(event.bytes)
+		if (event.id !== undefined) job.lastEventId = event.id
+	}
+	return new Promise(resolve => {
+		message.on('data', (data: Buffer) => {
+			for (const event of splitEvents(splitter, data)) if (sound) pass(event)
+		})
+		message.on('close', () => {
+			const whole = message.complete && sound && splitter.held.length === 0
+			result.release(whole || job.signal.aborted)
+			if (job.signal.aborted) {
+				resolve({ kind: 'done' })
+				return
+			}
+			if (whole) {
+				if (!res.headersSent) writeStreamHead(ctx, res, message)
+				res.end()
+				logAttempt(ctx, job, serverId, 'answered', 'stream ended')
+				resolve({ kind: 'done' })
+				return
+			}
+			logAttempt(ctx, job, serverId, 'broken', `after ${job.lastEventId}`)
+			if (!mayTryAgain(ctx, job)) {
+				resolve({ kind: 'failed', error: 'truncated' })
+				return
+			}
+			ctx.metrics.resumes.inc()
+			resolve({ kind: 'again', reason: 'broken' })
+		})
+	})
+}
+
+/** Whether an event's id follows the last one; ids are rising numbers. */
+function isNext(last: string | undefined, id: string | undefined): boolean {
+	if (last === undefined || id === undefined) return true
+	return Number(id) > Number(last)
+}
--- /dev/null
+++ b/packages/gateway/src/waiting.ts
@@ -0,0 +1,115 @@
+/** Requests that wait for a server with room, by priority and then by team. */
+
+import type { Waiting } from '@juniperhook/core'
+import {
+	chooseRow,
+	dequeue,
+	enqueue,
+	type FairQueue,
+	removeWaiting,
+} from '@juniperhook/core'
+import { readNow } from '@juniperhook/runtime'
+import type { GatewayContext } from './context.ts'
+import { noteHeld, queueOf } from './fleet.ts'
+
+/** Requests that an engine may hold beyond its slots. */
+const ENGINE_QUEUE_ROOM = 2
+/** Requests that a plain server may hold beyond its slots. */
+const PLAIN_QUEUE_ROOM = 6
+
+/** What a request that asks for a server gets. */
+export type Grant =
+	| { readonly kind: 'server'; readonly id: string }
+	/** None had room in time. */
+	| { readonly kind: 'full' }
+	| { readonly kind: 'none' }
+
+/** A request that waits. */
+export interface Waiter extends Waiting {
+	readonly service: string
+	/** Ids of servers it has been to. */
+	readonly tried: ReadonlySet<string>
+	grant(grant: Grant): void
+}
+
+/** What a request asks for. */
+export interface ServerWish {
+	readonly service: string
+	readonly team: string
+	readonly priority: number
+	readonly tried: ReadonlySet<string>
+	/** How long it may wait, ms. */
+	readonly waitMs: number
+	readonly signal: AbortSignal
+}
+
+/** Gets a server with room; the caller gives it back with `noteHeld`. */
+export function awaitServer(
+	ctx: GatewayContext,
+	wish: ServerWish,
+): Promise<Grant> {
+	const queue = queueOf(ctx.fleet, wish.service)
+	if (queue.waiting.length === 0) {
+		const grant = choose(ctx, wish.service, wish.tried)
+		if (grant.kind !== 'full') return Promise.resolve(grant)
+	}
+	if (wish.waitMs <= 0) return Promise.resolve({ kind: 'full' })
+	return new Promise(resolve => {
+		const leave = (grant: Grant) => {
+			clearTimeout(timer)
+			wish.signal.removeEventListener('abort', giveUp)
+			removeWaiting(queue, waiter)
+			resolve(grant)
+		}
+		const giveUp = () => leave({ kind: 'full' })
+		const waiter: Waiter = {
+			...wish,
+			weight: 1,
+			virtualStart: 0,
+			order: 0,
+			grant: leave,
+		}
+		const timer = setTimeout(giveUp, wish.waitMs)
+		wish.signal.addEventListener('abort', giveUp)
+		enqueue(queue, waiter)
+	})
+}
+
+/** Gives waiting requests the servers that have room now. */
+export function serveWaiting(ctx: GatewayContext): void {
+	for (const queue of ctx.fleet.queues.values()) serveQueue(ctx, queue)
+}
+
+function serveQueue(ctx: GatewayContext, queue: FairQueue<Waiter>): void {
+	for (let next = queue.waiting[0]; next; next = queue.waiting[0]) {
+		const grant = choose(ctx, next.service, next.tried)
+		if (grant.kind === 'full') return
+		dequeue(queue)
+		next.grant(grant)
+	}
+}
+
+function choose(
+	ctx: GatewayContext,
+	service: string,
+	triedIds: ReadonlySet<string>,
+): Grant {
+	const { fleet, routes } = ctx
+	const tried = new Set<number>()
+	for (const id of triedIds) {
+		const row = fleet.table.rowOf.get(id)
+		if (row !== undefined) tried.add(row)
+	}
+	const isEngine = routes?.services.get(service)?.engine !== undefined
+	const query = {
+		rows: fleet.rowsOf.get(service) ?? [],
+		tried,
+		queueRoom: isEngine ? ENGINE_QUEUE_ROOM : PLAIN_QUEUE_ROOM,
+		near: fleet.near,
+	}
+	const choice = chooseRow(fleet.table, query, readNow(), ctx.random)
+	if (choice.kind !== 'row') return choice
+	const { id } = fleet.servers[choice.row]!
+	noteHeld(fleet, id, 1)
+	return { kind: 'server', id }
+}
--- /dev/null
+++ b/scripts/buildPlatform.mjs
@@ -0,0 +1,12 @@
+/** Bundles the platform's two processes into `target/`. */
+
+import { rmSync } from 'node:fs'
+import { build } from 'esbuild'
+import { SHARED } from './bundle.mjs'
+
+rmSync('target', { recursive: true, force: true })
+await build({
+	...SHARED,
+	entryPoints: ['platform/src/main.ts'],
+	outdir: 'target',
+})
