--- /dev/null
+++ b/packages/core/src/core/groupRound.ts
@@ -0,0 +1,400 @@
+/**
+ * One change of a lock-step group's expert map, as a pure state machine.
+ *
+ * Engines keep the state that must outlive a coordinator: the map, what is
+ * prepared and armed, a hold, and the highest fence seen. An order may be lost,
+ * doubled, or carried out seconds later. What makes a change safe then:
+ *
+ * - Each round has a fence of its own, higher than any before. The anchor
+ *   (rank 0) sees it before anything else is ordered: from then on no order of
+ *   an older round can hold or release the group there.
+ * - The group is held at the anchor before the first rank is armed, and is let
+ *   go only after every rank has confirmed that it is armed alike. A
+ *   coordinator that dies in between leaves the group held, not split.
+ * - A newer round that finds the group held finishes the change. If a rank
+ *   refuses, the next one disarms every rank under its own fence before it lets
+ *   go. A round that finds the anchor armed and not held waits: the change was
+ *   decided and only has not begun yet.
+ * - Every order carries the group's epoch, so none outlives a new forming.
+ *
+ * PROOF.md has the argument; the tests explore these functions.
+ */
+
+/** Rank that decides for its group: fences and holds are kept there. */
+export const ANCHOR_RANK = 0
+
+/** Experts by set and by rank. */
+export type GroupMap = readonly (readonly (readonly number[])[])[]
+
+/** What a coordinator may ask of an engine. */
+export type EngineOrder =
+	| {
+			readonly type: 'prepare'
+			readonly version: number
+			readonly fence: number
+			readonly epoch: number
+			readonly map: GroupMap
+	  }
+	| {
+			readonly type: 'arm'
+			readonly version: number
+			readonly step: number
+			readonly fence: number
+			readonly epoch: number
+	  }
+	| {
+			readonly type: 'disarm'
+			readonly version: number
+			readonly fence: number
+			readonly epoch: number
+	  }
+	| {
+			readonly type: 'hold' | 'go'
+			readonly step: number
+			readonly fence: number
+			readonly epoch: number
+	  }
+
+/** How an engine took an order. */
+export type OrderAnswer =
+	/** Begun, or it holds already. */
+	| 'done'
+	/** It does not fit the engine's state. */
+	| 'conflict'
+	/** A higher fence has been seen. */
+	| 'fenced'
+	/** No answer: it may be carried out at any later time. */
+	| 'silent'
+
+/** A rank as its engine reports it. */
+export interface RankReport {
+	readonly group: string
+	readonly rank: number
+	readonly size: number
+	readonly epoch: number
+	/** Whether the group runs. */
+	readonly open: boolean
+	/** Last pass begun. */
+	readonly step: number
+	/** Version of the map in use. */
+	readonly map: number
+	/** Version whose experts have been copied. */
+	readonly prepared: number | undefined
+	readonly armed:
+		| { readonly version: number; readonly step: number }
+		| undefined
+	/** Pass that is not begun before a `go`. */
+	readonly held: number | undefined
+	readonly running: number
+	readonly waiting: number
+	/** Over 1: the engine is slow. */
+	readonly pace: number
+}
+
+/** Where a round stands. */
+export type RoundPhase =
+	/** The anchor is to see the round's fence. */
+	| 'fencing'
+	/** The anchor's state under the fence is to be read. */
+	| 'inspecting'
+	/** A decided change of an older round has not begun yet. */
+	| 'waiting'
+	| 'preparing'
+	| 'holding'
+	| 'arming'
+	/** A change that a rank refused is taken back. */
+	| 'disarming'
+	| 'releasing'
+	/** The map is to be seen in use. */
+	| 'settling'
+	| 'done'
+	/** Given up; nothing of it can take effect any more. */
+	| 'failed'
+
+/** One change in the making. */
+export interface GroupRound {
+	readonly fence: number
+	readonly epoch: number
+	readonly ranks: number
+	/** Version of the new map; of an older round's while that is finished. */
+	version: number
+	/** Absent for a round that only settles what an older one left. */
+	map: GroupMap | undefined
+	phase: RoundPhase
+	/** First pass with the new map. */
+	step: number
+	/** Ranks that have confirmed the present phase. */
+	readonly confirmed: Set<number>
+	/** Whether it is finishing an older round's change. */
+	inherited: boolean
+	/** Takes back an older round's change instead of finishing it. */
+	readonly undo: boolean
+	/** Why it failed; empty unless it has. */
+	reason: string
+}
+
+/** Why a round failed that the next one has to take back. */
+export const REFUSED_TO_ARM = 'a rank refuses to be armed'
+
+/** Begins a round; the fence must be unique and above all that were seen. */
+export function createRound(
+	fence: number,
+	epoch: number,
+	ranks: number,
+	map: GroupMap | undefined,
+	undo = false,
+): GroupRound {
+	return {
+		fence,
+		epoch,
+		ranks,
+		version: fence,
+		map,
+		phase: 'fencing',
+		step: 0,
+		confirmed: new Set(),
+		inherited: false,
+		undo,
+		reason: '',
+	}
+}
+
+/** Whether nothing more is to be done. */
+export function isOver(round: GroupRound): boolean {
+	return round.phase === 'done' || round.phase === 'failed'
+}
+
+/** An order for a rank. */
+export interface WantedOrder {
+	readonly rank: number
+	readonly order: EngineOrder
+}
+
+/** Orders that the present phase still needs, unanswered ones again. */
+export function listWanted(round: GroupRound): WantedOrder[] {
+	const { fence, epoch, version, step, map } = round
+	switch (round.phase) {
+		case 'fencing':
+			// A version that no rank knows: nothing happens but the fence.
+			return atAnchor({ type: 'disarm', version: fence, fence, epoch })
+		case 'preparing':
+			if (!map) return []
+			return atRest(round, { type: 'prepare', version, fence, epoch, map })
+		case 'holding':
+			// Until a report of the anchor has told which pass is next.
+			if (step === 0) return []
+			return atAnchor({ type: 'hold', step, fence, epoch })
+		case 'arming':
+			return atRest(round, { type: 'arm', version, step, fence, epoch })
+		case 'disarming':
+			return atRest(round, { type: 'disarm', version, fence, epoch })
+		case 'releasing':
+			return atAnchor({ type: 'go', step, fence, epoch })
+		case 'inspecting':
+		case 'waiting':
+		case 'settling':
+		case 'done':
+		case 'failed':
+			return []
+		default:
+			return round.phase satisfies never
+	}
+}
+
+function atAnchor(order: EngineOrder): WantedOrder[] {
+	return [{ rank: ANCHOR_RANK, order }]
+}
+
+function atRest(round: GroupRound, order: EngineOrder): WantedOrder[] {
+	const wanted: WantedOrder[] = []
+	for (let rank = 0; rank < round.ranks; rank++)
+		if (!round.confirmed.has(rank)) wanted.push({ rank, order })
+	return wanted
+}
+
+/** Takes the answer to an order of this round. */
+export function takeOrderAnswer(
+	round: GroupRound,
+	{ rank, order }: WantedOrder,
+	answer: OrderAnswer,
+): void {
+	if (isOver(round) || order.type !== typeOf(round.phase)) return
+	if ('step' in order && order.step !== round.step) return
+	if ('version' in order && order.version !== round.version) return
+	switch (answer) {
+		case 'silent':
+			return
+		case 'fenced':
+			fail(round, 'a newer round has begun')
+			return
+		case 'conflict':
+			takeConflict(round, rank)
+			return
+		case 'done':
+			confirm(round, rank)
+			return
+		default:
+			answer satisfies never
+	}
+}
+
+function typeOf(phase: RoundPhase): EngineOrder['type'] | undefined {
+	switch (phase) {
+		case 'fencing':
+		case 'disarming':
+			return 'disarm'
+		case 'preparing':
+			return 'prepare'
+		case 'holding':
+			return 'hold'
+		case 'arming':
+			return 'arm'
+		case 'releasing':
+			return 'go'
+		case 'inspecting':
+		case 'waiting':
+		case 'settling':
+		case 'done':
+		case 'failed':
+			return undefined
+		default:
+			return phase satisfies never
+	}
+}
+
+function confirm(round: GroupRound, rank: number): void {
+	switch (round.phase) {
+		case 'fencing':
+			enter(round, 'inspecting')
+			return
+		case 'holding':
+			enter(round, 'arming')
+			return
+		case 'releasing':
+			enter(round, round.version === 0 ? 'done' : 'settling')
+			return
+		case 'preparing':
+			if (confirmRank(round, rank)) enter(round, 'holding')
+			return
+		case 'arming':
+			if (confirmRank(round, rank)) enter(round, 'releasing')
+			return
+		case 'disarming':
+			// Nobody is armed and no older order can arm: the hold may go.
+			if (!confirmRank(round, rank)) return
+			round.version = 0
+			enter(round, 'releasing')
+			return
+		case 'inspecting':
+		case 'waiting':
+		case 'settling':
+		case 'done':
+		case 'failed':
+			return
+		default:
+			round.phase satisfies never
+	}
+}
+
+/** True when all ranks have confirmed. */
+function confirmRank(round: GroupRound, rank: number): boolean {
+	round.confirmed.add(rank)
+	return round.confirmed.size === round.ranks
+}
+
+function enter(round: GroupRound, phase: RoundPhase): void {
+	round.phase = phase
+	round.confirmed.clear()
+}
+
+function fail(round: GroupRound, reason: string): void {
+	enter(round, 'failed')
+	round.reason = reason
+}
+
+function takeConflict(round: GroupRound, rank: number): void {
+	switch (round.phase) {
+		case 'arming':
+			// The group stays held. Taking back needs a new fence: an order of
+			// this round may still arm a rank after it has been disarmed.
+			fail(round, REFUSED_TO_ARM)
+			return
+		case 'holding':
+			// The pass has begun: a later one is chosen with the next report.
+			round.step = 0
+			return
+		case 'preparing':
+			fail(round, `rank ${rank} cannot prepare`)
+			return
+		case 'fencing':
+		case 'disarming':
+		case 'releasing':
+			fail(round, `rank ${rank} refuses: the group has formed anew`)
+			return
+		case 'inspecting':
+		case 'waiting':
+		case 'settling':
+		case 'done':
+		case 'failed':
+			return
+		default:
+			round.phase satisfies never
+	}
+}
+
+/**
+ * Takes a report of the anchor that was made after the present phase began.
+ * `lead` is the number of passes that are to begin before the change.
+ */
+export function takeAnchorReport(
+	round: GroupRound,
+	report: RankReport,
+	lead: number,
+): void {
+	if (isOver(round)) return
+	if (report.epoch !== round.epoch || !report.open) {
+		fail(round, 'the group has formed anew')
+		return
+	}
+	switch (round.phase) {
+		case 'inspecting':
+		case 'waiting':
+			inspect(round, report)
+			return
+		case 'holding':
+			if (round.step === 0) round.step = report.step + 1 + lead
+			return
+		case 'settling':
+			if (report.map === round.version) enter(round, 'done')
+			return
+		case 'fencing':
+		case 'preparing':
+		case 'arming':
+		case 'disarming':
+		case 'releasing':
+		case 'done':
+		case 'failed':
+			return
+		default:
+			round.phase satisfies never
+	}
+}
+
+function inspect(round: GroupRound, report: RankReport): void {
+	const { held, armed, prepared } = report
+	if (held !== undefined) {
+		// Every rank had prepared this version before the hold was asked for.
+		round.inherited = true
+		round.step = held
+		round.version = armed?.version ?? prepared ?? 0
+		if (round.version === 0) enter(round, 'releasing')
+		else enter(round, round.undo ? 'disarming' : 'arming')
+		return
+	}
+	if (armed !== undefined) {
+		enter(round, 'waiting')
+		return
+	}
+	if (round.map) enter(round, 'preparing')
+	else enter(round, 'done')
+}
--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -100,6 +100,9 @@
 	}
 	job.tried.add(serverId)
 	job.sends++
+	// Until the opposite is proved: the time may run out before.
+	const mayHaveRunBefore = job.mayHaveRun
+	job.mayHaveRun = true
 	const result = await callServer({
 		address: server.address,
 		method: request.method,
@@ -119,7 +122,7 @@
 	if (result.kind !== 'answer') {
 		free()
 		if (!job.signal.aborted) note(false)
-		if (result.kind === 'lost') job.mayHaveRun = true
+		if (result.kind === 'notSent') job.mayHaveRun = mayHaveRunBefore
 		logAttempt(ctx, job, serverId, result.kind, result.reason)
 		return result.kind === 'notSent'
 			? { kind: 'notRun', reason: result.reason }
@@ -130,12 +133,12 @@
 	noteToldLoad(fleet, serverId, readHeader(headers[wire.load]), readNow())
 	if (headers[wire.notRun] !== undefined || answer.status === 421) {
 		answer.message.resume()
+		job.mayHaveRun = mayHaveRunBefore
 		free()
 		note(false)
 		logAttempt(ctx, job, serverId, 'notRun', String(answer.status))
 		return { kind: 'notRun', reason: `status ${answer.status}` }
 	}
-	job.mayHaveRun = true
 	return {
 		kind: 'answer',
 		answer,
--- /dev/null
+++ b/packages/groups/src/coordinator.ts
@@ -0,0 +1,403 @@
+/**
+ * A group's coordinator: it reads what experts are in demand, plans, and takes
+ * the group from map to map, one round at a time.
+ */
+
+import type {
+	ExpertLayout,
+	GroupMap,
+	GroupRound,
+	Random,
+	RankReport,
+	WantedOrder,
+} from '@juniperhook/core'
+import {
+	ANCHOR_RANK,
+	createRound,
+	dealExperts,
+	isOver,
+	listWanted,
+	passFactor,
+	planSet,
+	REFUSED_TO_ARM,
+	takeAnchorReport,
+	takeOrderAnswer,
+} from '@juniperhook/core'
+import type { EventLog } from '@juniperhook/runtime'
+import { readNow } from '@juniperhook/runtime'
+import type { Demand } from './demand.ts'
+import { createDemand, decayDemand, shareOfSet, takeCounts } from './demand.ts'
+import type { EnginePort, PublishedGroup } from './ports.ts'
+import type { RankClient } from './rankClient.ts'
+import {
+	closeRankClient,
+	countsOfRank,
+	openRankClient,
+	orderRank,
+	placementOfRank,
+	reportRank,
+} from './rankClient.ts'
+
+/** Between readings of counts, ms: a few passes. */
+const COUNTS_MS = 200
+/** Ranks whose counts are read; the others' requests are like theirs. */
+const MAX_COUNTED = 16
+/** Between steps of a round that waits for a report, ms. */
+const LOOK_MS = 20
+/** Time from the hold until all ranks are armed, ms; passes meanwhile run. */
+const LEAD_MS = 60
+/** A round that cannot be prepared is given up after this time, ms. */
+const PREPARE_LIMIT_MS = 4_000
+/** Choices that must have been seen before the first plan. */
+const MIN_SEEN = 20_000
+/** A plan must make passes shorter by this part. */
+const MIN_GAIN = 0.03
+/** How long demand is expected to last, ms. */
+const HORIZON_MS = 2_500
+/** Passes take this much longer while experts are copied. */
+const COPY_SLOWDOWN = 0.15
+/** Fences are a counter and this many random low bits, so that none is doubled. */
+const FENCE_BITS = 12
+const BYTES_TO_BITS = 8
+/** After a failed round, ms. */
+const FAILED_PAUSE_MS = 200
+
+/** A coordinator's state. */
+export interface Coordinator {
+	readonly port: EnginePort
+	readonly log: EventLog
+	readonly random: Random
+	readonly homeRank: number
+	readonly agentPort: number
+	readonly clients: Map<number, RankClient>
+	layout: ExpertLayout | undefined
+	linkMbps: number
+	demand: Demand
+	/** Map in use, if known, and the epoch and version it belongs to. */
+	map: GroupMap | undefined
+	mapEpoch: number
+	mapVersion: number
+	/** Highest counter part of a fence that is known. */
+	counter: number
+	undo: boolean
+	passMs: number
+	lastReport: { report: RankReport; at: number } | undefined
+	stopped: boolean
+}
+
+/** Makes a coordinator that has not begun. */
+export function createCoordinator(
+	port: EnginePort,
+	log: EventLog,
+	random: Random,
+	homeRank: number,
+	agentPort: number,
+): Coordinator {
+	return {
+		port,
+		log,
+		random,
+		homeRank,
+		agentPort,
+		clients: new Map(),
+		layout: undefined,
+		linkMbps: 0,
+		demand: createDemand(0, 0),
+		map: undefined,
+		mapEpoch: -1,
+		mapVersion: -1,
+		counter: 0,
+		undo: false,
+		passMs: 50,
+		lastReport: undefined,
+		stopped: false,
+	}
+}
+
+/** Fits the coordinator to a group as published. */
+export function fitGroup(co: Coordinator, group: PublishedGroup): void {
+	const { layout } = group
+	if (co.layout?.sets !== layout.sets || co.layout.experts !== layout.experts)
+		co.demand = createDemand(layout.sets, layout.experts)
+	co.layout = layout
+	co.linkMbps = group.linkMbps
+	const engines = new Map(group.members.map(item => [item.rank, item.engine]))
+	for (const [rank, client] of co.clients) {
+		if (engines.get(rank) === client.member.engine) continue
+		closeRankClient(client)
+		co.clients.delete(rank)
+	}
+	for (const member of group.members) {
+		if (co.clients.has(member.rank)) continue
+		const home = member.rank === co.homeRank
+		const client = openRankClient(co.port, member, co.agentPort, home)
+		co.clients.set(member.rank, client)
+	}
+}
+
+/** Coordinates until it is stopped. */
+export async function runCoordinator(co: Coordinator): Promise<void> {
+	let countedAt = 0
+	while (!co.stopped) {
+		if (readNow() - countedAt >= COUNTS_MS) {
+			countedAt = readNow()
+			await readDemand(co)
+		}
+		const report = await readAnchor(co)
+		if (report && isWhole(co, report)) await improve(co, report)
+		await pause(LOOK_MS)
+	}
+	for (const client of co.clients.values()) closeRankClient(client)
+	co.clients.clear()
+}
+
+/** Tells a coordinator to end; a change in the making is left as it stands. */
+export function stopCoordinator(co: Coordinator): void {
+	co.stopped = true
+}
+
+function isWhole(co: Coordinator, report: RankReport): boolean {
+	return report.open && co.clients.size === report.size
+}
+
+async function readDemand(co: Coordinator): Promise<void> {
+	decayDemand(co.demand, readNow())
+	const counted = [...co.clients.values()].slice(0, MAX_COUNTED)
+	await Promise.all(
+		counted.map(async client => {
+			const counts = await countsOfRank(client)
+			if (counts) takeCounts(co.demand, client.member.rank, counts)
+		}),
+	)
+}
+
+/** A fresh report of the anchor; passes are timed on the way. */
+async function readAnchor(co: Coordinator): Promise<RankReport | undefined> {
+	const client = co.clients.get(ANCHOR_RANK)
+	if (!client) return undefined
+	const report = await reportRank(client)
+	if (!report) return undefined
+	const at = readNow()
+	const last = co.lastReport
+	const passes = last ? report.step - last.report.step : 0
+	if (last && passes > 0 && last.report.epoch === report.epoch) {
+		const took = (at - last.at) / passes
+		co.passMs += (Math.min(took, 500) - co.passMs) / 4
+	}
+	if (!last || passes !== 0) co.lastReport = { report, at }
+	const versions = [report.map, report.prepared, report.armed?.version]
+	for (const version of versions)
+		co.counter = Math.max(
+			co.counter,
+			Math.floor((version ?? 0) / 2 ** FENCE_BITS),
+		)
+	return report
+}
+
+/** Settles what an older round left, or makes the map better if that pays. */
+async function improve(co: Coordinator, report: RankReport): Promise<void> {
+	if (report.held !== undefined) {
+		await runRound(co, report, undefined)
+		return
+	}
+	if (report.armed !== undefined) return
+	const map = await readMap(co, report)
+	if (!map || co.demand.seen < MIN_SEEN) return
+	const better = planMap(co, map)
+	if (better) await runRound(co, report, better)
+}
+
+/** The map in use, from memory or from the ranks. */
+async function readMap(
+	co: Coordinator,
+	report: RankReport,
+): Promise<GroupMap | undefined> {
+	if (co.map && co.mapEpoch === report.epoch && co.mapVersion === report.map)
+		return co.map
+	const { layout } = co
+	if (!layout) return undefined
+	if (report.map === 0) {
+		const dealt = dealExperts(report.size, layout)
+		setMap(
+			co,
+			Array.from({ length: layout.sets }, () => dealt),
+			report,
+		)
+		return co.map
+	}
+	const ranks = await Promise.all(
+		Array.from({ length: report.size }, (_, rank) =>
+			placementOfRank(co.clients.get(rank)!),
+		),
+	)
+	const known = ranks.every(
+		rank => rank?.epoch === report.epoch && rank.map === report.map,
+	)
+	if (!known) return undefined
+	const sets = Array.from({ length: layout.sets }, (_, set) =>
+		ranks.map(rank => rank!.experts[set]!),
+	)
+	setMap(co, sets, report)
+	return co.map
+}
+
+function setMap(
+	co: Coordinator,
+	map: GroupMap,
+	{ epoch, map: version }: { epoch: number; map: number },
+): void {
+	co.map = map
+	co.mapEpoch = epoch
+	co.mapVersion = version
+}
+
+/** A better map, if its gain outweighs the copying. */
+function planMap(co: Coordinator, map: GroupMap): GroupMap | undefined {
+	const { layout, demand } = co
+	if (!layout) return undefined
+	const startedAt = readNow()
+	const plans = map.map((placement, set) =>
+		planSet(placement, shareOfSet(demand, set), layout),
+	)
+	const before = passFactor(
+		plans.map(plan => plan.before),
+		layout.expertShare,
+	)
+	const after = passFactor(
+		plans.map(plan => plan.after),
+		layout.expertShare,
+	)
+	const gain = 1 - after / before
+	const mostNew = plans.reduce((sum, plan) => sum + plan.mostNew, 0)
+	const copyMs =
+		(mostNew * layout.expertMb * BYTES_TO_BITS) / (co.linkMbps / 1_000)
+	const worth = gain * HORIZON_MS > COPY_SLOWDOWN * copyMs
+	if (gain < MIN_GAIN || !worth) return undefined
+	co.log.write('map planned', {
+		before: Number(before.toFixed(3)),
+		after: Number(after.toFixed(3)),
+		copies: plans.reduce((sum, plan) => sum + plan.copies, 0),
+		copyMs: Math.round(copyMs),
+		passMs: Math.round(co.passMs),
+		tookMs: Math.round(readNow() - startedAt),
+		of: co.mapVersion,
+	})
+	return plans.map(plan => plan.placement)
+}
+
+function nextFence(co: Coordinator): number {
+	co.counter++
+	const low = Math.floor(co.random() * 2 ** FENCE_BITS)
+	return co.counter * 2 ** FENCE_BITS + low
+}
+
+/** Takes a round to its end, or until this coordinator is stopped. */
+async function runRound(
+	co: Coordinator,
+	report: RankReport,
+	map: GroupMap | undefined,
+): Promise<void> {
+	const fence = nextFence(co)
+	const round = createRound(fence, report.epoch, report.size, map, co.undo)
+	const startedAt = readNow()
+	co.log.write('round begun', {
+		fence,
+		epoch: round.epoch,
+		step: report.step,
+		held: report.held,
+	})
+	const asked = new Set<string>()
+	while (!isOver(round) && !co.stopped) {
+		for (const wanted of listWanted(round)) void give(co, round, wanted, asked)
+		await pause(round.phase === 'arming' ? LOOK_MS / 4 : LOOK_MS / 2)
+		if (needsReport(round)) {
+			const { phase } = round
+			const fresh = await readAnchor(co)
+			const lead = Math.max(1, Math.ceil(LEAD_MS / co.passMs))
+			if (fresh && round.phase === phase) takeAnchorReport(round, fresh, lead)
+		}
+		const tooLong = readNow() - startedAt > PREPARE_LIMIT_MS
+		if (tooLong && isHarmless(round)) break
+	}
+	await endRound(co, round, startedAt)
+}
+
+function needsReport(round: GroupRound): boolean {
+	switch (round.phase) {
+		case 'inspecting':
+		case 'waiting':
+		case 'settling':
+			return true
+		case 'holding':
+			return round.step === 0
+		case 'fencing':
+		case 'preparing':
+		case 'arming':
+		case 'disarming':
+		case 'releasing':
+		case 'done':
+		case 'failed':
+			return false
+		default:
+			return round.phase satisfies never
+	}
+}
+
+/** Whether a round may be left where it is: nothing is held or armed by it. */
+function isHarmless({ phase }: GroupRound): boolean {
+	return phase === 'fencing' || phase === 'preparing' || phase === 'waiting'
+}
+
+/** Gives an order unless the same one is under way. */
+async function give(
+	co: Coordinator,
+	round: GroupRound,
+	wanted: WantedOrder,
+	asked: Set<string>,
+): Promise<void> {
+	const { rank, order } = wanted
+	const key = `${rank} ${order.type} ${'step' in order ? order.step : ''}`
+	const client = co.clients.get(rank)
+	if (!client || asked.has(key)) return
+	asked.add(key)
+	const answer = await orderRank(client, order)
+	asked.delete(key)
+	const { phase } = round
+	takeOrderAnswer(round, wanted, answer)
+	if (answer !== 'done')
+		co.log.write('order not taken', {
+			rank,
+			order: order.type,
+			answer,
+			fence: round.fence,
+			phase,
+		})
+}
+
+async function endRound(
+	co: Coordinator,
+	round: GroupRound,
+	startedAt: number,
+): Promise<void> {
+	co.log.write('round over', {
+		fence: round.fence,
+		phase: round.phase,
+		reason: round.reason,
+		inherited: round.inherited,
+		step: round.step,
+		tookMs: Math.round(readNow() - startedAt),
+	})
+	co.undo = round.reason === REFUSED_TO_ARM
+	if (round.phase !== 'done') {
+		// Another coordinator may have a higher counter than any report shows.
+		co.counter += 1 + Math.floor(co.random() * 8)
+		await pause(FAILED_PAUSE_MS * (0.5 + co.random()))
+		return
+	}
+	const ours = round.map && !round.inherited && round.version > 0
+	if (ours) setMap(co, round.map!, { epoch: round.epoch, map: round.version })
+}
+
+function pause(ms: number): Promise<void> {
+	return new Promise(resolve => setTimeout(resolve, ms))
+}
--- /dev/null
+++ b/packages/groups/src/index.ts
@@ -0,0 +1,7 @@
+/** Keeps the expert map of a lock-step group, beside its engines. */
+
+export * from './agent.ts'
+export * from './coordinator.ts'
+export * from './demand.ts'
+export * from './ports.ts'
+export * from './rankService.ts'
--- /dev/null
+++ b/packages/groups/src/rankClient.ts
@@ -0,0 +1,151 @@
+/**
+ * A coordinator's way to a rank: through the agent beside its engine, or
+ * straight to the engine where there is no agent to be had.
+ */
+
+import type { EngineOrder, OrderAnswer, RankReport } from '@juniperhook/core'
+import { splitAddress } from '@juniperhook/core'
+import type { RpcLink } from '@juniperhook/runtime'
+import { call, connectRpc, readNow, sleep } from '@juniperhook/runtime'
+import type {
+	EnginePort,
+	GroupMember,
+	RankCounts,
+	RankPlacement,
+} from './ports.ts'
+import type { RankAnswers } from './rankService.ts'
+import { giveOrder } from './rankService.ts'
+
+const CONNECT_MS = 300
+const RECONNECT_MS = 150
+const MAX_RECONNECT_MS = 1_000
+/** An order that has no answer by then is sent again, ms. */
+const ORDER_MS = 250
+/** A prepare is answered once the experts are copied, ms. */
+const PREPARE_MS = 3_000
+const READ_MS = 250
+/** Without an agent for this long, its engine is called from here, ms. */
+const ALONE_AFTER_MS = 400
+/** What a report from afar may lag behind, ms. */
+const REPORT_LAG_MS = 300
+
+/** A rank within a coordinator's reach. */
+export interface RankClient {
+	readonly member: GroupMember
+	readonly port: EnginePort
+	/** This process's own engine needs no link. */
+	readonly home: boolean
+	link: RpcLink | undefined
+	/** When the link was lost or first sought, ms. */
+	linklessSince: number
+	closed: boolean
+}
+
+/** Makes a client and keeps its link. */
+export function openRankClient(
+	port: EnginePort,
+	member: GroupMember,
+	agentPort: number,
+	home: boolean,
+): RankClient {
+	const client: RankClient = {
+		member,
+		port,
+		home,
+		link: undefined,
+		linklessSince: readNow(),
+		closed: false,
+	}
+	const { ip } = splitAddress(member.engine)
+	if (!home) void keepLink(client, `${ip}:${agentPort}`)
+	return client
+}
+
+/** Ends a client. */
+export function closeRankClient(client: RankClient): void {
+	client.closed = true
+	client.link?.socket.destroy()
+}
+
+async function keepLink(client: RankClient, address: string): Promise<void> {
+	let pause = RECONNECT_MS
+	while (!client.closed) {
+		try {
+			const link = await connectRpc(address, {}, CONNECT_MS)
+			client.link = link
+			pause = RECONNECT_MS
+			await new Promise(resolve => link.socket.once('close', resolve))
+		} catch {
+			// Refused or cut off: the engine is called without its agent.
+			pause = Math.min(pause * 2, MAX_RECONNECT_MS)
+		}
+		if (client.link) client.linklessSince = readNow()
+		client.link = undefined
+		await sleep(pause)
+	}
+}
+
+/** Whether an engine is to be called without its agent. */
+function isAlone(client: RankClient): boolean {
+	if (client.home) return true
+	return !client.link && readNow() - client.linklessSince > ALONE_AFTER_MS
+}
+
+/** Gives an order; `silent` when nothing is known of it. */
+export async function orderRank(
+	client: RankClient,
+	order: EngineOrder,
+): Promise<OrderAnswer> {
+	const { port, member } = client
+	if (isAlone(client)) return await giveOrder(port, member.engine, order)
+	const timeoutMs = order.type === 'prepare' ? PREPARE_MS : ORDER_MS
+	const answer = await ask(client, 'order', order, timeoutMs)
+	return answer ?? 'silent'
+}
+
+/** A report that was made after this call began. */
+export async function reportRank(
+	client: RankClient,
+): Promise<RankReport | undefined> {
+	const { port, member } = client
+	if (client.home) return await port.report(member.engine)
+	if (!isAlone(client))
+		return (await ask(client, 'report', {}, READ_MS)) ?? undefined
+	await sleep(REPORT_LAG_MS)
+	return await port.report(member.engine)
+}
+
+/** Counts, from an agent only: from afar they cost the group time. */
+export async function countsOfRank(
+	client: RankClient,
+): Promise<RankCounts | undefined> {
+	const { port, member } = client
+	if (client.home) return await port.counts(member.engine)
+	return (await ask(client, 'counts', {}, READ_MS)) ?? undefined
+}
+
+/** The experts of a rank. */
+export async function placementOfRank(
+	client: RankClient,
+): Promise<RankPlacement | undefined> {
+	const { port, member } = client
+	if (isAlone(client)) return await port.placement(member.engine)
+	return (await ask(client, 'placement', {}, READ_MS)) ?? undefined
+}
+
+async function ask<M extends keyof RankAnswers>(
+	client: RankClient,
+	method: M,
+	params: object,
+	timeoutMs: number,
+): Promise<RankAnswers[M] | null> {
+	const { link } = client
+	if (!link) return null
+	try {
+		return await call<RankAnswers[M]>(link, method, params, timeoutMs)
+	} catch {
+		// An agent that does not answer is asked anew on a new connection.
+		link.socket.destroy()
+		return null
+	}
+}
