--- a/packages/core/src/core/groupPlan.ts
+++ b/packages/core/src/core/groupPlan.ts
@@ -57,16 +57,21 @@
 	readonly expert: number
 }
 
-/** Plans one set. `share` holds each expert's part of the demand. */
+/**
+ * Plans one set, with as few copies as bring the most loaded rank down to
+ * `target` times the mean. `share` holds each expert's part of the demand.
+ */
 export function planSet(
 	placement: SetPlacement,
 	share: Float64Array,
 	layout: ExpertLayout,
+	target = 1,
 ): SetPlan {
 	const search = createSearch(placement, share, layout)
 	const before = maxOf(search.loads)
 	const most = search.ranks * STEPS_PER_RANK
 	for (let step = 0; step < most; step++) {
+		if (maxOf(search.loads) <= target) break
 		const changes = findBest(search)
 		if (!changes) break
 		for (const change of changes) apply(search, change)
@@ -155,12 +160,13 @@
 	const hot = order.at(-1)!
 	const targets = order.slice(0, MAX_TARGETS).filter(rank => rank !== hot)
 	let best: Change[] | undefined
-	let bestGain = sumOfPowers(search) * MIN_PROGRESS
+	let bestWorth = sumOfPowers(search) * MIN_PROGRESS
 	const weigh = (changes: Change[]) => {
-		const gain = gainOf(search, changes)
-		if (gain <= bestGain) return
+		const worth =
+			gainOf(search, changes) / Math.max(1, copiesOf(search, changes))
+		if (worth <= bestWorth) return
 		best = changes
-		bestGain = gain
+		bestWorth = worth
 	}
 	const { places } = search
 	for (let from = hot * places; from < (hot + 1) * places; from++) {
@@ -220,6 +226,16 @@
 		}
 }
 
+/** Experts that changes copy. */
+function copiesOf(search: Search, changes: readonly Change[]): number {
+	let copies = 0
+	for (const { at, expert } of changes) {
+		const rank = Math.floor(at / search.places)
+		if (expert !== FREE && isNew(search, rank, expert)) copies++
+	}
+	return copies
+}
+
 function hasExpert(search: Search, rank: number, expert: number): boolean {
 	return search.has[rank * search.share.length + expert] === 1
 }
--- a/packages/groups/src/coordinator.ts
+++ b/packages/groups/src/coordinator.ts
@@ -4,7 +4,6 @@
  */
 
 import type {
-	ExpertLayout,
 	GroupMap,
 	GroupRound,
 	Random,
@@ -20,6 +19,7 @@
 	passFactor,
 	planSet,
 	REFUSED_TO_ARM,
+	skewOfSet,
 	takeAnchorReport,
 	takeOrderAnswer,
 } from '@juniperhook/core'
@@ -31,11 +31,11 @@
 import type { RankClient } from './rankClient.ts'
 import {
 	closeRankClient,
-	countsOfRank,
 	openRankClient,
 	orderRank,
 	placementOfRank,
 	reportRank,
+	sampleRank,
 } from './rankClient.ts'
 
 /** Between readings of counts, ms: a few passes. */
@@ -51,14 +51,20 @@
 /** Choices that must have been seen before the first plan. */
 const MIN_SEEN = 20_000
 /** A plan must make passes shorter by this part. */
-const MIN_GAIN = 0.03
-/** How long demand is expected to last, ms. */
-const HORIZON_MS = 2_500
-/** Passes take this much longer while experts are copied. */
-const COPY_SLOWDOWN = 0.15
+const MIN_GAIN = 0.05
+/** Part of the longest pause in time that a pass may take. */
+const PAUSE_SHARE = 0.65
+/** Part of an engine's slots that requests may hold. */
+const SLOTS_SHARE = 0.8
+/** Imbalance that is always or never accepted, over a balanced pass. */
+const MIN_FACTOR = 1.12
+const MAX_FACTOR = 2
+/** A plan aims at this part of the imbalance that is allowed. */
+const TARGET_SHARE = 0.4
+/** Weight of a new reading of what ranks hold. */
+const HELD_WEIGHT = 0.3
 /** Fences are a counter and this many random low bits, so that none is doubled. */
 const FENCE_BITS = 12
-const BYTES_TO_BITS = 8
 /** After a failed round, ms. */
 const FAILED_PAUSE_MS = 200
 
@@ -70,9 +76,10 @@
 	readonly homeRank: number
 	readonly agentPort: number
 	readonly clients: Map<number, RankClient>
-	layout: ExpertLayout | undefined
-	linkMbps: number
+	group: PublishedGroup | undefined
 	demand: Demand
+	/** Requests that a rank holds, smoothed. */
+	held: number
 	/** Map in use, if known, and the epoch and version it belongs to. */
 	map: GroupMap | undefined
 	mapEpoch: number
@@ -100,9 +107,9 @@
 		homeRank,
 		agentPort,
 		clients: new Map(),
-		layout: undefined,
-		linkMbps: 0,
+		group: undefined,
 		demand: createDemand(0, 0),
+		held: 0,
 		map: undefined,
 		mapEpoch: -1,
 		mapVersion: -1,
@@ -117,10 +124,10 @@
 /** Fits the coordinator to a group as published. */
 export function fitGroup(co: Coordinator, group: PublishedGroup): void {
 	const { layout } = group
-	if (co.layout?.sets !== layout.sets || co.layout.experts !== layout.experts)
+	const { sets, experts } = co.demand
+	if (sets !== layout.sets || experts !== layout.experts)
 		co.demand = createDemand(layout.sets, layout.experts)
-	co.layout = layout
-	co.linkMbps = group.linkMbps
+	co.group = group
 	const engines = new Map(group.members.map(item => [item.rank, item.engine]))
 	for (const [rank, client] of co.clients) {
 		if (engines.get(rank) === client.member.engine) continue
@@ -163,12 +170,18 @@
 async function readDemand(co: Coordinator): Promise<void> {
 	decayDemand(co.demand, readNow())
 	const counted = [...co.clients.values()].slice(0, MAX_COUNTED)
+	const busy: number[] = []
 	await Promise.all(
 		counted.map(async client => {
-			const counts = await countsOfRank(client)
-			if (counts) takeCounts(co.demand, client.member.rank, counts)
+			const sample = await sampleRank(client)
+			if (!sample) return
+			takeCounts(co.demand, client.member.rank, sample)
+			busy.push(sample.running + sample.waiting)
 		}),
 	)
+	if (busy.length === 0) return
+	const mean = busy.reduce((sum, held) => sum + held, 0) / busy.length
+	co.held += (mean - co.held) * HELD_WEIGHT
 }
 
 /** A fresh report of the anchor; passes are timed on the way. */
@@ -214,7 +227,7 @@
 ): Promise<GroupMap | undefined> {
 	if (co.map && co.mapEpoch === report.epoch && co.mapVersion === report.map)
 		return co.map
-	const { layout } = co
+	const layout = co.group?.layout
 	if (!layout) return undefined
 	if (report.map === 0) {
 		const dealt = dealExperts(report.size, layout)
@@ -251,40 +264,64 @@
 	co.mapVersion = version
 }
 
-/** A better map, if its gain outweighs the copying. */
+/** A better map, if passes need it and its gain outweighs the copying. */
 function planMap(co: Coordinator, map: GroupMap): GroupMap | undefined {
-	const { layout, demand } = co
-	if (!layout) return undefined
+	const { group, demand } = co
+	if (!group) return undefined
+	const { layout } = group
 	const startedAt = readNow()
-	const plans = map.map((placement, set) =>
-		planSet(placement, shareOfSet(demand, set), layout),
+	const shares = map.map((_, set) => shareOfSet(demand, set))
+	const skews = map.map((placement, set) =>
+		skewOfSet(placement, shares[set]!, layout),
 	)
-	const before = passFactor(
-		plans.map(plan => plan.before),
-		layout.expertShare,
+	const before = passFactor(skews, layout.expertShare)
+	const allowed = allowedFactor(co, group, before)
+	if (before <= allowed) return undefined
+	const target = 1 + (allowed - 1) * TARGET_SHARE
+	const plans = map.map((placement, set) =>
+		planSet(placement, shares[set]!, layout, target),
 	)
 	const after = passFactor(
 		plans.map(plan => plan.after),
 		layout.expertShare,
 	)
-	const gain = 1 - after / before
-	const mostNew = plans.reduce((sum, plan) => sum + plan.mostNew, 0)
-	const copyMs =
-		(mostNew * layout.expertMb * BYTES_TO_BITS) / (co.linkMbps / 1_000)
-	const worth = gain * HORIZON_MS > COPY_SLOWDOWN * copyMs
-	if (gain < MIN_GAIN || !worth) return undefined
+	if (1 - after / before < MIN_GAIN) return undefined
 	co.log.write('map planned', {
-		before: Number(before.toFixed(3)),
-		after: Number(after.toFixed(3)),
+		before: round3(before),
+		after: round3(after),
+		allowed: round3(allowed),
 		copies: plans.reduce((sum, plan) => sum + plan.copies, 0),
-		copyMs: Math.round(copyMs),
 		passMs: Math.round(co.passMs),
+		held: round3(co.held),
 		tookMs: Math.round(readNow() - startedAt),
 		of: co.mapVersion,
 	})
 	return plans.map(plan => plan.placement)
 }
 
+/**
+ * How much longer than balanced a pass may be: pauses stay in time, and since
+ * requests stay longer when passes do, slots stay free.
+ */
+function allowedFactor(
+	co: Coordinator,
+	group: PublishedGroup,
+	factor: number,
+): number {
+	const balancedMs = co.passMs / factor
+	const balancedHeld = co.held / factor
+	const byPause =
+		group.maxPauseMs > 0
+			? (PAUSE_SHARE * group.maxPauseMs) / balancedMs
+			: MAX_FACTOR
+	const bySlots = (SLOTS_SHARE * group.slots) / Math.max(0.1, balancedHeld)
+	return Math.max(MIN_FACTOR, Math.min(byPause, bySlots, MAX_FACTOR))
+}
+
+function round3(value: number): number {
+	return Number(value.toFixed(3))
+}
+
 function nextFence(co: Coordinator): number {
 	co.counter++
 	const low = Math.floor(co.random() * 2 ** FENCE_BITS)
--- a/packages/groups/src/ports.ts
+++ b/packages/groups/src/ports.ts
@@ -14,6 +14,12 @@
 	readonly counts: readonly number[]
 }
 
+/** Counts, with how busy the rank is. */
+export interface RankSample extends RankCounts {
+	readonly running: number
+	readonly waiting: number
+}
+
 /** The experts that a rank holds. */
 export interface RankPlacement {
 	readonly epoch: number
@@ -43,6 +49,10 @@
 	readonly members: readonly GroupMember[]
 	readonly layout: ExpertLayout
 	readonly linkMbps: number
+	/** Requests that an engine runs at once. */
+	readonly slots: number
+	/** Longest pause between events that is in time, ms; 0 if unstated. */
+	readonly maxPauseMs: number
 }
 
 /** Where groups are published. */
--- a/packages/groups/src/rankClient.ts
+++ b/packages/groups/src/rankClient.ts
@@ -10,11 +10,11 @@
 import type {
 	EnginePort,
 	GroupMember,
-	RankCounts,
 	RankPlacement,
+	RankSample,
 } from './ports.ts'
 import type { RankAnswers } from './rankService.ts'
-import { giveOrder } from './rankService.ts'
+import { giveOrder, takeSample } from './rankService.ts'
 
 const CONNECT_MS = 300
 const RECONNECT_MS = 150
@@ -116,12 +116,12 @@
 }
 
 /** Counts, from an agent only: from afar they cost the group time. */
-export async function countsOfRank(
+export async function sampleRank(
 	client: RankClient,
-): Promise<RankCounts | undefined> {
+): Promise<RankSample | undefined> {
 	const { port, member } = client
-	if (client.home) return await port.counts(member.engine)
-	return (await ask(client, 'counts', {}, READ_MS)) ?? undefined
+	if (client.home) return await takeSample(port, member.engine)
+	return (await ask(client, 'sample', {}, READ_MS)) ?? undefined
 }
 
 /** The experts of a rank. */
--- a/packages/groups/src/rankService.ts
+++ b/packages/groups/src/rankService.ts
@@ -6,7 +6,7 @@
 import type { EngineOrder, OrderAnswer, RankReport } from '@juniperhook/core'
 import type { Methods } from '@juniperhook/runtime'
 import { readNow } from '@juniperhook/runtime'
-import type { EnginePort, RankCounts, RankPlacement } from './ports.ts'
+import type { EnginePort, RankPlacement, RankSample } from './ports.ts'
 
 /** Between looks at an engine that copies experts, ms. */
 const COPY_LOOK_MS = 25
@@ -89,12 +89,23 @@
 	return {
 		hello,
 		report: () => orNull(port.report(engine)),
-		counts: () => orNull(port.counts(engine)),
+		sample: () => orNull(takeSample(port, engine)),
 		placement: () => orNull(port.placement(engine)),
 		order: (order: EngineOrder) => giveOrder(port, engine, order),
 	}
 }
 
+/** Counts of an engine, with how busy it is. */
+export async function takeSample(
+	port: EnginePort,
+	engine: string,
+): Promise<RankSample | undefined> {
+	const counts = await port.counts(engine)
+	const report = await port.report(engine)
+	if (!counts || !report) return undefined
+	return { ...counts, running: report.running, waiting: report.waiting }
+}
+
 /** JSON has no undefined. */
 async function orNull<T>(value: Promise<T | undefined>): Promise<T | null> {
 	return (await value) ?? null
@@ -103,7 +114,7 @@
 /** What the methods answer. */
 export interface RankAnswers {
 	readonly report: RankReport | null
-	readonly counts: RankCounts | null
+	readonly sample: RankSample | null
 	readonly placement: RankPlacement | null
 	readonly order: OrderAnswer
 }
