--- a/packages/core/src/core/groupPlan.ts
+++ b/packages/core/src/core/groupPlan.ts
@@ -47,8 +47,10 @@
 	readonly copies: Int16Array
 	/** New experts on each rank. */
 	readonly fresh: Int16Array
-	/** Load of each rank; the mean is 1. */
+	/** Time that each rank takes; the mean is 1 when none is slow. */
 	readonly loads: Float64Array
+	/** Time that a rank takes for an even share of the demand. */
+	readonly slowness: Float64Array
 }
 
 /** One place that gets another expert. */
@@ -59,15 +61,17 @@
 
 /**
  * Plans one set, with as few copies as bring the most loaded rank down to
- * `target` times the mean. `share` holds each expert's part of the demand.
+ * `target` times the mean. `share` holds each expert's part of the demand,
+ * `paces` how slow each rank is.
  */
 export function planSet(
 	placement: SetPlacement,
 	share: Float64Array,
 	layout: ExpertLayout,
+	paces: readonly number[] = [],
 	target = 1,
 ): SetPlan {
-	const search = createSearch(placement, share, layout)
+	const search = createSearch(placement, share, layout, paces)
 	const before = maxOf(search.loads)
 	const most = search.ranks * STEPS_PER_RANK
 	for (let step = 0; step < most; step++) {
@@ -90,8 +94,9 @@
 	placement: SetPlacement,
 	share: Float64Array,
 	layout: ExpertLayout,
+	paces: readonly number[] = [],
 ): number {
-	return maxOf(createSearch(placement, share, layout).loads)
+	return maxOf(createSearch(placement, share, layout, paces).loads)
 }
 
 /** Time of a pass over that of one with balanced ranks. */
@@ -115,6 +120,7 @@
 	placement: SetPlacement,
 	share: Float64Array,
 	layout: ExpertLayout,
+	paces: readonly number[],
 ): Search {
 	const ranks = placement.length
 	const { places, experts, maxNew } = layout
@@ -129,6 +135,7 @@
 		copies: new Int16Array(experts),
 		fresh: new Int16Array(ranks),
 		loads: new Float64Array(ranks),
+		slowness: new Float64Array(ranks).map((_, at) => ranks * (paces[at] ?? 1)),
 	}
 	for (const [rank, own] of placement.entries())
 		for (const [slot, expert] of own.entries()) {
@@ -142,14 +149,14 @@
 }
 
 function refreshLoads(search: Search): void {
-	const { ranks, places, slots, share, copies, loads } = search
+	const { ranks, places, slots, share, copies, loads, slowness } = search
 	for (let rank = 0; rank < ranks; rank++) {
 		let load = 0
 		for (let at = rank * places; at < (rank + 1) * places; at++) {
 			const expert = slots[at]!
 			if (expert !== FREE) load += share[expert]! / copies[expert]!
 		}
-		loads[rank] = load * ranks
+		loads[rank] = load * slowness[rank]!
 	}
 }
 
@@ -250,7 +257,7 @@
 
 /** How much changes lower the sum of powers. */
 function gainOf(search: Search, changes: readonly Change[]): number {
-	const { loads, slots, places, share, copies, ranks } = search
+	const { loads, slots, places, share, copies, slowness } = search
 	touched.clear()
 	for (const { at, expert } of changes) {
 		const rank = Math.floor(at / places)
@@ -262,11 +269,11 @@
 		const oldNext = exchanged ? oldCount : oldCount - 1
 		const newNext = exchanged ? newCount : newCount + 1
 		if (old !== FREE) {
-			add(rank, (-share[old]! / oldCount) * ranks)
+			add(rank, (-share[old]! / oldCount) * slowness[rank]!)
 			if (!exchanged) spread(search, old, rank, oldCount, oldNext)
 		}
 		if (expert !== FREE) {
-			add(rank, (share[expert]! / newNext) * ranks)
+			add(rank, (share[expert]! / newNext) * slowness[rank]!)
 			if (!exchanged) spread(search, expert, rank, newCount, newNext)
 		}
 	}
@@ -294,10 +301,11 @@
 	after: number,
 ): void {
 	if (after <= 0 || before <= 0) return
-	const { ranks, share } = search
-	const change = share[expert]! * ranks * (1 / after - 1 / before)
+	const { ranks, share, slowness } = search
+	const change = share[expert]! * (1 / after - 1 / before)
 	for (let other = 0; other < ranks; other++)
-		if (other !== rank && hasExpert(search, other, expert)) add(other, change)
+		if (other !== rank && hasExpert(search, other, expert))
+			add(other, change * slowness[other]!)
 }
 
 function apply(search: Search, { at, expert }: Change): void {
--- a/packages/core/src/core/serverList.ts
+++ b/packages/core/src/core/serverList.ts
@@ -20,13 +20,20 @@
 	readonly records: Map<string, ServerRecord>
 	/** Removals that are not believed yet, and when they will be, ms. */
 	readonly doubted: Map<string, { record: ServerRecord; until: number }>
+	/** Ids whose address is known to belong to another server now. */
+	readonly displaced: Set<string>
 	/** Highest revision among the records. */
 	revision: number
 }
 
 /** Makes an empty list. */
 export function createServerList(): ServerList {
-	return { records: new Map(), doubted: new Map(), revision: 0 }
+	return {
+		records: new Map(),
+		doubted: new Map(),
+		displaced: new Set(),
+		revision: 0,
+	}
 }
 
 /** Takes a record; true when it is news. */
@@ -39,9 +46,25 @@
 	list.records.set(record.id, record)
 	list.doubted.delete(record.id)
 	list.revision = Math.max(list.revision, record.revision)
+	if (record.server && !known) displace(list, record.id, record.server.address)
 	return true
 }
 
+/** A new server at an address shows that the one listed there has ended. */
+function displace(list: ServerList, id: string, address: string): void {
+	const revision = list.records.get(id)!.revision
+	for (const other of list.records.values()) {
+		if (other.id === id || other.server?.address !== address) continue
+		const older = other.revision < revision ? other.id : id
+		list.displaced.add(older)
+	}
+}
+
+/** Notes that a server itself has said that it is another one. */
+export function noteDisplaced(list: ServerList, id: string): void {
+	list.displaced.add(id)
+}
+
 /**
  * Takes a removal that may only be an entry that ran out while the store was
  * away: it is believed at `until` unless the entry comes back first.
@@ -69,11 +92,12 @@
 	return settled
 }
 
-/** Servers that are neither removed nor leaving. */
+/** Servers that are neither removed, displaced nor leaving. */
 export function listServing(list: ServerList): ListedServer[] {
 	const serving: ListedServer[] = []
-	for (const { server } of list.records.values())
-		if (server && !server.leaving) serving.push(server)
+	for (const { id, server } of list.records.values())
+		if (server && !server.leaving && !list.displaced.has(id))
+			serving.push(server)
 	return serving
 }
 
--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -4,6 +4,7 @@
 import { createRetryWindow, noteResult, takeRetry } from '@juniperhook/core'
 import { readNow } from '@juniperhook/runtime'
 import type { CallerRequest } from './callerRequest.ts'
+import { dropDisplaced } from './catalog.ts'
 import type { GatewayContext } from './context.ts'
 import { noteHeld, noteToldLoad } from './fleet.ts'
 import { listEndToEndHeaders } from './reply.ts'
@@ -16,6 +17,11 @@
 /** An attempt with less time left than this is not made, ms. */
 const MIN_LEFT_MS = 5
 
+/** The address belongs to another server now. */
+const MISDIRECTED = 421
+/** Sends that a server is proved not to have run, besides those that count. */
+const MAX_REFUSED_SENDS = 3
+
 /** A request on its way through attempts. */
 export interface Job {
 	readonly request: CallerRequest
@@ -24,8 +30,10 @@
 	readonly signal: AbortSignal
 	/** Ids of servers it has been sent to. */
 	readonly tried: Set<string>
-	/** Sends that reached, or may have reached, a server. */
+	/** Sends so far. */
 	sends: number
+	/** Sends that a server is proved not to have run. */
+	refusedSends: number
 	/** Whether a server may have run it. */
 	mayHaveRun: boolean
 	/** Where a stream goes on; the caller's own value at first. */
@@ -122,7 +130,7 @@
 	if (result.kind !== 'answer') {
 		free()
 		if (!job.signal.aborted) note(false)
-		if (result.kind === 'notSent') job.mayHaveRun = mayHaveRunBefore
+		if (result.kind === 'notSent') noteNotRun(job, mayHaveRunBefore)
 		logAttempt(ctx, job, serverId, result.kind, result.reason)
 		return result.kind === 'notSent'
 			? { kind: 'notRun', reason: result.reason }
@@ -131,9 +139,10 @@
 	const { answer } = result
 	const { headers } = answer.message
 	noteToldLoad(fleet, serverId, readHeader(headers[wire.load]), readNow())
-	if (headers[wire.notRun] !== undefined || answer.status === 421) {
+	if (headers[wire.notRun] !== undefined || answer.status === MISDIRECTED) {
+		if (answer.status === MISDIRECTED) dropDisplaced(ctx, serverId)
 		answer.message.resume()
-		job.mayHaveRun = mayHaveRunBefore
+		noteNotRun(job, mayHaveRunBefore)
 		free()
 		note(false)
 		logAttempt(ctx, job, serverId, 'notRun', String(answer.status))
@@ -150,12 +159,19 @@
 	}
 }
 
+function noteNotRun(job: Job, mayHaveRunBefore: boolean): void {
+	job.mayHaveRun = mayHaveRunBefore
+	job.refusedSends++
+}
+
 /** Whether another attempt may be made, by count, proof and budget. */
 export function mayTryAgain(ctx: GatewayContext, job: Job): boolean {
 	const { request } = job
 	if (job.signal.aborted) return false
 	if (job.mayHaveRun && !request.repeatable) return false
-	if (job.sends >= request.route.maxAttempts) return false
+	const runs = job.sends - job.refusedSends
+	if (runs >= request.route.maxAttempts) return false
+	if (job.refusedSends > MAX_REFUSED_SENDS) return false
 	return takeRetry(
 		retriesOf(ctx, job.service),
 		ctx.settings.retries,
--- a/packages/gateway/src/catalog.ts
+++ b/packages/gateway/src/catalog.ts
@@ -8,6 +8,7 @@
 	createRouteTable,
 	doubtRemoval,
 	findMissing,
+	noteDisplaced,
 	settleRemovals,
 	takeRecord,
 } from '@juniperhook/core'
@@ -200,6 +201,13 @@
 	return true
 }
 
+/** Takes a server out that has said that it is another one. */
+export function dropDisplaced(ctx: GatewayContext, id: string): void {
+	noteDisplaced(ctx.list, id)
+	ctx.log.write('server', { server: id, state: 'displaced', from: 'answer' })
+	refreshFleet(ctx)
+}
+
 function refreshFleet(ctx: GatewayContext): void {
 	const { fleet, list, routes, settings } = ctx
 	applyServerList(fleet, list, settings.dataCentre, routes)
--- a/packages/gateway/src/forward.ts
+++ b/packages/gateway/src/forward.ts
@@ -73,6 +73,7 @@
 		signal: control.signal,
 		tried: new Set(),
 		sends: 0,
+		refusedSends: 0,
 		mayHaveRun: false,
 		lastEventId: request.lastEventId,
 	}
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -168,7 +168,10 @@
 	})
 }
 
-/** Readiness goes first; kept connections are served until they end. */
+/**
+ * Readiness goes first. Once the balancer has noticed, idle connections are
+ * closed as they fall idle, and the process ends with the last request.
+ */
 async function stopGateway(
 	ctx: GatewayContext,
 	callers: Server,
@@ -178,14 +181,12 @@
 	ctx.stopping = true
 	ctx.log.write('stop begun', { open: ctx.open })
 	const endAt = startedAt + stopMs - CUT_BEFORE_KILL_MS
-	const quietAt = startedAt + Math.min(BALANCER_MS, stopMs / 2)
-	while (readNow() < endAt) {
-		if (readNow() >= quietAt && ctx.open === 0) break
-		await sleepHeld(STOP_CHECK_MS)
-	}
+	await sleepHeld(Math.min(BALANCER_MS, stopMs / 2))
 	callers.close()
-	callers.closeIdleConnections()
-	while (readNow() < endAt && ctx.open > 0) await sleepHeld(STOP_CHECK_MS)
+	do {
+		callers.closeIdleConnections()
+		await sleepHeld(STOP_CHECK_MS)
+	} while (ctx.open > 0 && readNow() < endAt)
 	ctx.log.write('stopped', {
 		open: ctx.open,
 		tookMs: Math.round(readNow() - startedAt),
--- a/packages/groups/src/agent.ts
+++ b/packages/groups/src/agent.ts
@@ -11,6 +11,7 @@
 import { call, connectRpc, readNow, serveRpc } from '@juniperhook/runtime'
 import type { Coordinator } from './coordinator.ts'
 import {
+	bypassAgent,
 	createCoordinator,
 	fitGroup,
 	runCoordinator,
@@ -22,13 +23,19 @@
 
 /** Ranks whose agents may coordinate. */
 const CANDIDATES = 3
-/** Between looks at the own engine and at lower candidates, ms. */
-const LOOK_MS = 200
-/** A lower candidate that is silent for this long is taken for dead, ms. */
-const SILENT_MS = 700
+/** Between a candidate's looks at its engine and at lower candidates, ms. */
+const CANDIDATE_LOOK_MS = 80
+/** Between looks of agents that only serve, ms. */
+const LOOK_MS = 500
+/**
+ * A lower candidate that is silent for this long is taken for dead, ms. Taking
+ * over is safe at any time; a coordinator that stops while it holds the group
+ * makes every stream wait, and callers give a stream up after 2 s.
+ */
+const SILENT_MS = 350
 /** Between readings of the published group, ms. */
 const READ_MS = 2_000
-const HELLO_MS = 250
+const HELLO_MS = 150
 
 /** What an agent is told of its VM. */
 export interface AgentSettings {
@@ -90,7 +97,8 @@
 	process.once('SIGTERM', () => stopAgent(agent))
 	while (!agent.stopping) {
 		await look(agent)
-		await new Promise(resolve => setTimeout(resolve, LOOK_MS))
+		const lookMs = isCandidate(agent.report) ? CANDIDATE_LOOK_MS : LOOK_MS
+		await new Promise(resolve => setTimeout(resolve, lookMs))
 	}
 }
 
@@ -105,8 +113,7 @@
 async function look(agent: Agent): Promise<void> {
 	const report = await agent.port.report(agent.settings.engine)
 	if (report) agent.report = report
-	const isCandidate = agent.report && agent.report.rank < CANDIDATES
-	if (!agent.report || !isCandidate) {
+	if (!agent.report || !isCandidate(agent.report)) {
 		stepDown(agent, 'not a candidate')
 		return
 	}
@@ -116,6 +123,10 @@
 	else stepUp(agent, agent.report)
 }
 
+function isCandidate(report: RankReport | undefined): boolean {
+	return report !== undefined && report.rank < CANDIDATES
+}
+
 async function readGroup(agent: Agent, report: RankReport): Promise<void> {
 	const now = readNow()
 	if (now - agent.readAt < READ_MS) return
@@ -171,6 +182,8 @@
 	const { agentPort } = settings
 	const co = createCoordinator(port, log, random, report.rank, agentPort)
 	fitGroup(co, group)
+	// The agents of lower ranks are silent: their engines are called directly.
+	for (let rank = 0; rank < report.rank; rank++) bypassAgent(co, rank)
 	agent.coordinator = co
 	log.write('coordinates', { group: report.group, rank: report.rank })
 	void runCoordinator(co)
--- a/packages/groups/src/coordinator.ts
+++ b/packages/groups/src/coordinator.ts
@@ -31,6 +31,7 @@
 import type { RankClient } from './rankClient.ts'
 import {
 	closeRankClient,
+	noteSilent,
 	openRankClient,
 	orderRank,
 	placementOfRank,
@@ -80,6 +81,8 @@
 	demand: Demand
 	/** Requests that a rank holds, smoothed. */
 	held: number
+	/** How slow each rank is; 1 is its usual speed. */
+	readonly paces: Map<number, number>
 	/** Map in use, if known, and the epoch and version it belongs to. */
 	map: GroupMap | undefined
 	mapEpoch: number
@@ -110,6 +113,7 @@
 		group: undefined,
 		demand: createDemand(0, 0),
 		held: 0,
+		paces: new Map(),
 		map: undefined,
 		mapEpoch: -1,
 		mapVersion: -1,
@@ -142,6 +146,12 @@
 	}
 }
 
+/** Calls a rank's engine without its agent for a while. */
+export function bypassAgent(co: Coordinator, rank: number): void {
+	const client = co.clients.get(rank)
+	if (client) noteSilent(client)
+}
+
 /** Coordinates until it is stopped. */
 export async function runCoordinator(co: Coordinator): Promise<void> {
 	let countedAt = 0
@@ -177,6 +187,7 @@
 			if (!sample) return
 			takeCounts(co.demand, client.member.rank, sample)
 			busy.push(sample.running + sample.waiting)
+			co.paces.set(client.member.rank, sample.pace)
 		}),
 	)
 	if (busy.length === 0) return
@@ -271,15 +282,16 @@
 	const { layout } = group
 	const startedAt = readNow()
 	const shares = map.map((_, set) => shareOfSet(demand, set))
+	const paces = map[0]!.map((_, rank) => co.paces.get(rank) ?? 1)
 	const skews = map.map((placement, set) =>
-		skewOfSet(placement, shares[set]!, layout),
+		skewOfSet(placement, shares[set]!, layout, paces),
 	)
 	const before = passFactor(skews, layout.expertShare)
 	const allowed = allowedFactor(co, group, before)
 	if (before <= allowed) return undefined
 	const target = 1 + (allowed - 1) * TARGET_SHARE
 	const plans = map.map((placement, set) =>
-		planSet(placement, shares[set]!, layout, target),
+		planSet(placement, shares[set]!, layout, paces, target),
 	)
 	const after = passFactor(
 		plans.map(plan => plan.after),
@@ -293,6 +305,7 @@
 		copies: plans.reduce((sum, plan) => sum + plan.copies, 0),
 		passMs: Math.round(co.passMs),
 		held: round3(co.held),
+		slow: paces.filter(pace => pace > 1.2).length,
 		tookMs: Math.round(readNow() - startedAt),
 		of: co.mapVersion,
 	})
--- a/packages/groups/src/ports.ts
+++ b/packages/groups/src/ports.ts
@@ -18,6 +18,8 @@
 export interface RankSample extends RankCounts {
 	readonly running: number
 	readonly waiting: number
+	/** Over 1: the engine is slow. */
+	readonly pace: number
 }
 
 /** The experts that a rank holds. */
--- a/packages/groups/src/rankClient.ts
+++ b/packages/groups/src/rankClient.ts
@@ -26,8 +26,10 @@
 const READ_MS = 250
 /** Without an agent for this long, its engine is called from here, ms. */
 const ALONE_AFTER_MS = 400
-/** What a report from afar may lag behind, ms. */
-const REPORT_LAG_MS = 300
+/** After an agent did not answer, its engine is called from here, ms. */
+const DIRECT_MS = 1_000
+/** What a report from afar may lag behind, ms; engines say 200. */
+const REPORT_LAG_MS = 230
 
 /** A rank within a coordinator's reach. */
 export interface RankClient {
@@ -38,6 +40,8 @@
 	link: RpcLink | undefined
 	/** When the link was lost or first sought, ms. */
 	linklessSince: number
+	/** Its agent is bypassed until then, ms. */
+	directUntil: number
 	closed: boolean
 }
 
@@ -54,6 +58,7 @@
 		home,
 		link: undefined,
 		linklessSince: readNow(),
+		directUntil: 0,
 		closed: false,
 	}
 	const { ip } = splitAddress(member.engine)
@@ -85,9 +90,14 @@
 	}
 }
 
+/** Notes that an agent does not answer. */
+export function noteSilent(client: RankClient): void {
+	client.directUntil = readNow() + DIRECT_MS
+}
+
 /** Whether an engine is to be called without its agent. */
 function isAlone(client: RankClient): boolean {
-	if (client.home) return true
+	if (client.home || readNow() < client.directUntil) return true
 	return !client.link && readNow() - client.linklessSince > ALONE_AFTER_MS
 }
 
@@ -144,8 +154,9 @@
 	try {
 		return await call<RankAnswers[M]>(link, method, params, timeoutMs)
 	} catch {
-		// An agent that does not answer is asked anew on a new connection.
+		// A frozen agent still takes connections: it is bypassed for a while.
 		link.socket.destroy()
+		noteSilent(client)
 		return null
 	}
 }
--- a/packages/groups/src/rankService.ts
+++ b/packages/groups/src/rankService.ts
@@ -103,7 +103,8 @@
 	const counts = await port.counts(engine)
 	const report = await port.report(engine)
 	if (!counts || !report) return undefined
-	return { ...counts, running: report.running, waiting: report.waiting }
+	const { running, waiting, pace } = report
+	return { ...counts, running, waiting, pace }
 }
 
 /** JSON has no undefined. */
