--- a/packages/core/src/core/groupRound.ts
+++ b/packages/core/src/core/groupRound.ts
@@ -9,8 +9,9 @@
  *   (rank 0) sees it before anything else is ordered: from then on no order of
  *   an older round can hold or release the group there.
  * - The group is held at the anchor before the first rank is armed, and is let
- *   go only after every rank has confirmed that it is armed alike. A
- *   coordinator that dies in between leaves the group held, not split.
+ *   go only after every rank has confirmed that it is armed alike, or before
+ *   any was asked to be. A coordinator that dies in between leaves the group
+ *   held, not split.
  * - A newer round that finds the group held finishes the change. If a rank
  *   refuses, the next one disarms every rank under its own fence before it lets
  *   go. A round that finds the anchor armed and not held waits: the change was
@@ -54,6 +55,8 @@
 			readonly fence: number
 			readonly epoch: number
 	  }
+	/** Only asks whether the rank can be reached. */
+	| { readonly type: 'probe'; readonly epoch: number }
 
 /** How an engine took an order. */
 export type OrderAnswer =
@@ -101,6 +104,8 @@
 	| 'waiting'
 	| 'preparing'
 	| 'holding'
+	/** Every rank is to answer once more before the first is armed. */
+	| 'probing'
 	| 'arming'
 	/** A change that a rank refused is taken back. */
 	| 'disarming'
@@ -184,6 +189,8 @@
 			// Until a report of the anchor has told which pass is next.
 			if (step === 0) return []
 			return atAnchor({ type: 'hold', step, fence, epoch })
+		case 'probing':
+			return atRest(round, { type: 'probe', epoch })
 		case 'arming':
 			return atRest(round, { type: 'arm', version, step, fence, epoch })
 		case 'disarming':
@@ -247,6 +254,8 @@
 			return 'prepare'
 		case 'holding':
 			return 'hold'
+		case 'probing':
+			return 'probe'
 		case 'arming':
 			return 'arm'
 		case 'releasing':
@@ -268,7 +277,10 @@
 			enter(round, 'inspecting')
 			return
 		case 'holding':
-			enter(round, 'arming')
+			enter(round, 'probing')
+			return
+		case 'probing':
+			if (confirmRank(round, rank)) enter(round, 'arming')
 			return
 		case 'releasing':
 			enter(round, round.version === 0 ? 'done' : 'settling')
@@ -327,6 +339,7 @@
 			fail(round, `rank ${rank} cannot prepare`)
 			return
 		case 'fencing':
+		case 'probing':
 		case 'disarming':
 		case 'releasing':
 			fail(round, `rank ${rank} refuses: the group has formed anew`)
@@ -369,6 +382,7 @@
 			return
 		case 'fencing':
 		case 'preparing':
+		case 'probing':
 		case 'arming':
 		case 'disarming':
 		case 'releasing':
@@ -380,6 +394,16 @@
 	}
 }
 
+/**
+ * Gives a change up because a rank has not answered the probe: nothing has been
+ * armed under this fence, so the group may go on with its old map.
+ */
+export function giveUpProbing(round: GroupRound): void {
+	if (round.phase !== 'probing') return
+	round.version = 0
+	enter(round, 'releasing')
+}
+
 function inspect(round: GroupRound, report: RankReport): void {
 	const { held, armed, prepared } = report
 	if (held !== undefined) {
--- a/packages/groups/src/agent.ts
+++ b/packages/groups/src/agent.ts
@@ -1,7 +1,7 @@
 /**
  * The agent beside an engine that may be a rank of a group. It serves whoever
- * coordinates the group; the agents of the first ranks coordinate it, the
- * lowest that lives.
+ * coordinates the group; the agents of a few ranks may coordinate it, the
+ * first of them that lives does.
  */
 
 import { randomBytes } from 'node:crypto'
@@ -21,14 +21,17 @@
 import type { AgentHello } from './rankService.ts'
 import { createRankMethods } from './rankService.ts'
 
-/** Ranks whose agents may coordinate. */
-const CANDIDATES = 3
-/** Between a candidate's looks at its engine and at lower candidates, ms. */
+/**
+ * Ranks whose agents may coordinate, first choice first. The anchor's comes
+ * last: if its VM stops, nobody can let a held group go.
+ */
+const CANDIDATES = [1, 2, 3, 0]
+/** Between a candidate's looks at its engine and at earlier ones, ms. */
 const CANDIDATE_LOOK_MS = 80
 /** Between looks of agents that only serve, ms. */
 const LOOK_MS = 500
 /**
- * A lower candidate that is silent for this long is taken for dead, ms. Taking
+ * An earlier candidate that is silent for this long is taken for dead, ms. Taking
  * over is safe at any time; a coordinator that stops while it holds the group
  * makes every stream wait, and callers give a stream up after 2 s.
  */
@@ -58,9 +61,9 @@
 	group: PublishedGroup | undefined
 	readAt: number
 	coordinator: Coordinator | undefined
-	/** Links to lower candidates, by rank. */
-	readonly lower: Map<number, { link: RpcLink; engine: string }>
-	/** When each lower candidate was last heard, ms. */
+	/** Links to earlier candidates, by rank. */
+	readonly earlier: Map<number, { link: RpcLink; engine: string }>
+	/** When each earlier candidate was last heard, ms. */
 	readonly heardAt: Map<number, number>
 	stopping: boolean
 }
@@ -81,7 +84,7 @@
 		group: undefined,
 		readAt: Number.NEGATIVE_INFINITY,
 		coordinator: undefined,
-		lower: new Map(),
+		earlier: new Map(),
 		heardAt: new Map(),
 		stopping: false,
 	}
@@ -118,13 +121,13 @@
 		return
 	}
 	await readGroup(agent, agent.report)
-	const rank = await findLower(agent, agent.report.rank)
+	const rank = await findEarlier(agent, agent.report.rank)
 	if (rank !== undefined) stepDown(agent, `rank ${rank} lives`)
 	else stepUp(agent, agent.report)
 }
 
 function isCandidate(report: RankReport | undefined): boolean {
-	return report !== undefined && report.rank < CANDIDATES
+	return report !== undefined && CANDIDATES.includes(report.rank)
 }
 
 async function readGroup(agent: Agent, report: RankReport): Promise<void> {
@@ -138,15 +141,15 @@
 	if (agent.coordinator) fitGroup(agent.coordinator, group)
 }
 
-/** The lowest candidate below `rank` that has been heard of late. */
-async function findLower(
+/** The first candidate before `rank` that has been heard of late. */
+async function findEarlier(
 	agent: Agent,
 	rank: number,
 ): Promise<number | undefined> {
-	for (let lower = 0; lower < rank; lower++) {
-		await greet(agent, lower)
-		const heardAt = agent.heardAt.get(lower)
-		if (heardAt !== undefined && readNow() - heardAt < SILENT_MS) return lower
+	for (const earlier of CANDIDATES.slice(0, CANDIDATES.indexOf(rank))) {
+		await greet(agent, earlier)
+		const heardAt = agent.heardAt.get(earlier)
+		if (heardAt !== undefined && readNow() - heardAt < SILENT_MS) return earlier
 	}
 	return undefined
 }
@@ -155,18 +158,18 @@
 	const member = agent.group?.members.find(item => item.rank === rank)
 	if (!member) return
 	const { engine } = member
-	const known = agent.lower.get(rank)
+	const known = agent.earlier.get(rank)
 	try {
 		if (known && known.engine !== engine) throw new Error('moved')
 		const link = known?.link ?? (await openLink(agent, engine))
-		agent.lower.set(rank, { link, engine })
+		agent.earlier.set(rank, { link, engine })
 		const hello = await call<AgentHello>(link, 'hello', {}, HELLO_MS)
 		// One that does not know its rank yet cannot coordinate.
 		if (hello.rank === rank) agent.heardAt.set(rank, readNow())
 	} catch {
 		// Silence is judged by the time of the last word.
 		known?.link.socket.destroy()
-		agent.lower.delete(rank)
+		agent.earlier.delete(rank)
 	}
 }
 
@@ -182,8 +185,9 @@
 	const { agentPort } = settings
 	const co = createCoordinator(port, log, random, report.rank, agentPort)
 	fitGroup(co, group)
-	// The agents of lower ranks are silent: their engines are called directly.
-	for (let rank = 0; rank < report.rank; rank++) bypassAgent(co, rank)
+	// The agents of earlier candidates are silent: engines are called directly.
+	for (const rank of CANDIDATES.slice(0, CANDIDATES.indexOf(report.rank)))
+		bypassAgent(co, rank)
 	agent.coordinator = co
 	log.write('coordinates', { group: report.group, rank: report.rank })
 	void runCoordinator(co)
--- a/packages/groups/src/coordinator.ts
+++ b/packages/groups/src/coordinator.ts
@@ -14,6 +14,7 @@
 	ANCHOR_RANK,
 	createRound,
 	dealExperts,
+	giveUpProbing,
 	isOver,
 	listWanted,
 	passFactor,
@@ -31,9 +32,11 @@
 import type { RankClient } from './rankClient.ts'
 import {
 	closeRankClient,
+	hasAgent,
 	noteSilent,
 	openRankClient,
 	orderRank,
+	orderRankBy,
 	placementOfRank,
 	reportRank,
 	sampleRank,
@@ -45,6 +48,8 @@
 const MAX_COUNTED = 16
 /** Between steps of a round that waits for a report, ms. */
 const LOOK_MS = 20
+/** A rank that does not answer a probe for this long cannot be armed, ms. */
+const PROBE_MS = 130
 /** Time from the hold until all ranks are armed, ms; passes meanwhile run. */
 const LEAD_MS = 60
 /** A round that cannot be prepared is given up after this time, ms. */
@@ -66,6 +71,8 @@
 const HELD_WEIGHT = 0.3
 /** Fences are a counter and this many random low bits, so that none is doubled. */
 const FENCE_BITS = 12
+/** An order that takes longer is logged, ms. */
+const SLOW_ORDER_MS = 60
 /** After a failed round, ms. */
 const FAILED_PAUSE_MS = 200
 
@@ -83,6 +90,8 @@
 	held: number
 	/** How slow each rank is; 1 is its usual speed. */
 	readonly paces: Map<number, number>
+	/** When the anchor's engine stopped answering, ms; 0 while it answers. */
+	lostAt: number
 	/** Map in use, if known, and the epoch and version it belongs to. */
 	map: GroupMap | undefined
 	mapEpoch: number
@@ -114,6 +123,7 @@
 		demand: createDemand(0, 0),
 		held: 0,
 		paces: new Map(),
+		lostAt: 0,
 		map: undefined,
 		mapEpoch: -1,
 		mapVersion: -1,
@@ -132,14 +142,11 @@
 	if (sets !== layout.sets || experts !== layout.experts)
 		co.demand = createDemand(layout.sets, layout.experts)
 	co.group = group
-	const engines = new Map(group.members.map(item => [item.rank, item.engine]))
-	for (const [rank, client] of co.clients) {
-		if (engines.get(rank) === client.member.engine) continue
-		closeRankClient(client)
-		co.clients.delete(rank)
-	}
+	// A rank that is not listed may only have lapsed: it keeps its client.
 	for (const member of group.members) {
-		if (co.clients.has(member.rank)) continue
+		const known = co.clients.get(member.rank)
+		if (known?.member.engine === member.engine) continue
+		if (known) closeRankClient(known)
 		const home = member.rank === co.homeRank
 		const client = openRankClient(co.port, member, co.agentPort, home)
 		co.clients.set(member.rank, client)
@@ -200,8 +207,9 @@
 	const client = co.clients.get(ANCHOR_RANK)
 	if (!client) return undefined
 	const report = await reportRank(client)
-	if (!report) return undefined
 	const at = readNow()
+	noteReached(co, report !== undefined, at)
+	if (!report) return undefined
 	const last = co.lastReport
 	const passes = last ? report.step - last.report.step : 0
 	if (last && passes > 0 && last.report.epoch === report.epoch) {
@@ -218,6 +226,15 @@
 	return report
 }
 
+/** Logs when the anchor's engine is lost or answers again. */
+function noteReached(co: Coordinator, reached: boolean, now: number): void {
+	if (reached && co.lostAt > 0)
+		co.log.write('anchor back', { awayMs: Math.round(now - co.lostAt) })
+	if (!reached && co.lostAt === 0) co.log.write('anchor lost')
+	if (reached) co.lostAt = 0
+	else co.lostAt ||= now
+}
+
 /** Settles what an older round left, or makes the map better if that pays. */
 async function improve(co: Coordinator, report: RankReport): Promise<void> {
 	if (report.held !== undefined) {
@@ -357,15 +374,20 @@
 		held: report.held,
 	})
 	const asked = new Set<string>()
+	let shown = round.phase
+	let phaseAt = startedAt
 	while (!isOver(round) && !co.stopped) {
 		for (const wanted of listWanted(round)) void give(co, round, wanted, asked)
-		await pause(round.phase === 'arming' ? LOOK_MS / 4 : LOOK_MS / 2)
+		await pause(isUrgent(round) ? LOOK_MS / 8 : LOOK_MS / 2)
 		if (needsReport(round)) {
 			const { phase } = round
 			const fresh = await readAnchor(co)
 			const lead = Math.max(1, Math.ceil(LEAD_MS / co.passMs))
 			if (fresh && round.phase === phase) takeAnchorReport(round, fresh, lead)
 		}
+		if (round.phase !== shown) phaseAt = readNow()
+		shown = round.phase
+		if (readNow() - phaseAt > PROBE_MS) giveUpProbing(round)
 		const tooLong = readNow() - startedAt > PREPARE_LIMIT_MS
 		if (tooLong && isHarmless(round)) break
 	}
@@ -382,6 +404,7 @@
 			return round.step === 0
 		case 'fencing':
 		case 'preparing':
+		case 'probing':
 		case 'arming':
 		case 'disarming':
 		case 'releasing':
@@ -393,6 +416,11 @@
 	}
 }
 
+/** Whether the group is held. */
+function isUrgent({ phase }: GroupRound): boolean {
+	return phase === 'probing' || phase === 'arming' || phase === 'releasing'
+}
+
 /** Whether a round may be left where it is: nothing is held or armed by it. */
 function isHarmless({ phase }: GroupRound): boolean {
 	return phase === 'fencing' || phase === 'preparing' || phase === 'waiting'
@@ -410,20 +438,38 @@
 	const client = co.clients.get(rank)
 	if (!client || asked.has(key)) return
 	asked.add(key)
-	const answer = await orderRank(client, order)
+	const askedAt = readNow()
+	const holder = order.type === 'hold' ? findHolder(co) : undefined
+	const answer = holder
+		? await orderRankBy(client, holder, order)
+		: await orderRank(client, order)
 	asked.delete(key)
 	const { phase } = round
 	takeOrderAnswer(round, wanted, answer)
-	if (answer !== 'done')
-		co.log.write('order not taken', {
+	const tookMs = Math.round(readNow() - askedAt)
+	if (answer !== 'done' || (tookMs > SLOW_ORDER_MS && order.type !== 'prepare'))
+		co.log.write('order slow or refused', {
 			rank,
 			order: order.type,
 			answer,
+			tookMs,
 			fence: round.fence,
 			phase,
 		})
 }
 
+/**
+ * The rank whose agent asks for the hold. Should its VM stop right then, both
+ * the anchor and this coordinator can still be reached to let the group go.
+ */
+function findHolder(co: Coordinator): RankClient | undefined {
+	for (let rank = co.clients.size - 1; rank > ANCHOR_RANK; rank--) {
+		const client = co.clients.get(rank)
+		if (client && !client.home && hasAgent(client)) return client
+	}
+	return undefined
+}
+
 async function endRound(
 	co: Coordinator,
 	round: GroupRound,
--- a/packages/groups/src/rankClient.ts
+++ b/packages/groups/src/rankClient.ts
@@ -14,7 +14,7 @@
 	RankSample,
 } from './ports.ts'
 import type { RankAnswers } from './rankService.ts'
-import { giveOrder, takeSample } from './rankService.ts'
+import { giveOrder, isCarriedOut, takeSample } from './rankService.ts'
 
 const CONNECT_MS = 300
 const RECONNECT_MS = 150
@@ -24,6 +24,8 @@
 /** A prepare is answered once the experts are copied, ms. */
 const PREPARE_MS = 3_000
 const READ_MS = 250
+/** An order by way of another VM is looked after if it takes longer, ms. */
+const ELSEWHERE_MS = 100
 /** Without an agent for this long, its engine is called from here, ms. */
 const ALONE_AFTER_MS = 400
 /** After an agent did not answer, its engine is called from here, ms. */
@@ -113,6 +115,28 @@
 	return answer ?? 'silent'
 }
 
+/**
+ * Lets the agent of `by` give an order to this rank's engine, and looks for
+ * itself what became of it.
+ */
+export async function orderRankBy(
+	client: RankClient,
+	by: RankClient,
+	order: EngineOrder,
+): Promise<OrderAnswer> {
+	const { engine } = client.member
+	const params = { engine, order }
+	const answer = await ask(by, 'orderElsewhere', params, ELSEWHERE_MS)
+	if (answer) return answer
+	const report = await reportRank(client)
+	return report && isCarriedOut(report, order) ? 'done' : 'silent'
+}
+
+/** Whether the agent of a rank can be asked. */
+export function hasAgent(client: RankClient): boolean {
+	return client.link !== undefined && readNow() >= client.directUntil
+}
+
 /** A report that was made after this call began. */
 export async function reportRank(
 	client: RankClient,
--- a/packages/groups/src/rankService.ts
+++ b/packages/groups/src/rankService.ts
@@ -19,6 +19,10 @@
 	engine: string,
 	order: EngineOrder,
 ): Promise<OrderAnswer> {
+	if (order.type === 'probe') {
+		const report = await port.report(engine)
+		return report?.epoch === order.epoch ? 'done' : 'silent'
+	}
 	const answer = await port.order(engine, order)
 	switch (answer) {
 		case 'fenced':
@@ -64,6 +68,8 @@
 		}
 		case 'hold':
 			return report.held === order.step
+		case 'probe':
+			return true
 		case 'disarm':
 		case 'go':
 			// Their fence matters too, and no report shows it.
@@ -73,6 +79,13 @@
 	}
 }
 
+/** An order that an agent gives to the engine of another VM. */
+export interface OrderElsewhere {
+	/** `IP:port`. */
+	readonly engine: string
+	readonly order: EngineOrder
+}
+
 /** The last word of an agent on itself. */
 export interface AgentHello {
 	readonly rank: number
@@ -92,6 +105,8 @@
 		sample: () => orNull(takeSample(port, engine)),
 		placement: () => orNull(port.placement(engine)),
 		order: (order: EngineOrder) => giveOrder(port, engine, order),
+		orderElsewhere: ({ engine: other, order }: OrderElsewhere) =>
+			giveOrder(port, other, order),
 	}
 }
 
@@ -118,4 +133,5 @@
 	readonly sample: RankSample | null
 	readonly placement: RankPlacement | null
 	readonly order: OrderAnswer
+	readonly orderElsewhere: OrderAnswer
 }
