--- a/packages/core/src/core/groupRound.ts
+++ b/packages/core/src/core/groupRound.ts
@@ -138,6 +138,20 @@
 	reason: string
 }
 
+/** Version of the map that the round with this fence makes. */
+export function versionOfFence(fence: number): number {
+	return fence * 2
+}
+
+/** The fence whose round made a version. */
+export function fenceOfVersion(version: number): number {
+	return Math.floor(version / 2)
+}
+
+function unusedVersion(fence: number): number {
+	return fence * 2 + 1
+}
+
 /** Why a round failed that the next one has to take back. */
 export const REFUSED_TO_ARM = 'a rank refuses to be armed'
 
@@ -153,7 +167,7 @@
 		fence,
 		epoch,
 		ranks,
-		version: fence,
+		version: versionOfFence(fence),
 		map,
 		phase: 'fencing',
 		step: 0,
@@ -180,8 +194,14 @@
 	const { fence, epoch, version, step, map } = round
 	switch (round.phase) {
 		case 'fencing':
-			// A version that no rank knows: nothing happens but the fence.
-			return atAnchor({ type: 'disarm', version: fence, fence, epoch })
+			// A version that no map ever has: nothing happens but the fence,
+			// however late the order is carried out.
+			return atAnchor({
+				type: 'disarm',
+				version: unusedVersion(fence),
+				fence,
+				epoch,
+			})
 		case 'preparing':
 			if (!map) return []
 			return atRest(round, { type: 'prepare', version, fence, epoch, map })
@@ -227,7 +247,9 @@
 ): void {
 	if (isOver(round) || order.type !== typeOf(round.phase)) return
 	if ('step' in order && order.step !== round.step) return
-	if ('version' in order && order.version !== round.version) return
+	const expected =
+		round.phase === 'fencing' ? unusedVersion(round.fence) : round.version
+	if ('version' in order && order.version !== expected) return
 	switch (answer) {
 		case 'silent':
 			return
--- a/packages/groups/src/coordinator.ts
+++ b/packages/groups/src/coordinator.ts
@@ -14,6 +14,7 @@
 	ANCHOR_RANK,
 	createRound,
 	dealExperts,
+	fenceOfVersion,
 	giveUpProbing,
 	isOver,
 	listWanted,
@@ -221,7 +222,7 @@
 	for (const version of versions)
 		co.counter = Math.max(
 			co.counter,
-			Math.floor((version ?? 0) / 2 ** FENCE_BITS),
+			Math.floor(fenceOfVersion(version ?? 0) / 2 ** FENCE_BITS),
 		)
 	return report
 }
