--- a/packages/core/src/internal.ts
+++ b/packages/core/src/internal.ts
@@ -2,6 +2,8 @@
 
 export * from './core/admission.ts'
 export * from './core/affinity.ts'
+export * from './core/closure.ts'
+export * from './core/comeBack.ts'
 export * from './core/config.ts'
 export * from './core/diff.ts'
 export * from './core/dispatch.ts'
--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -1,7 +1,13 @@
 /** One attempt: a server with room, a call to it, and what its head proves. */
 
 import type { ErrorKind } from '@juniperhook/core'
-import { createRetryWindow, noteResult, takeRetry } from '@juniperhook/core'
+import {
+	createRetryWindow,
+	noteClosed,
+	noteOpen,
+	noteResult,
+	takeRetry,
+} from '@juniperhook/core'
 import { readNow } from '@juniperhook/runtime'
 import type { CallerRequest } from './callerRequest.ts'
 import { dropDisplaced } from './catalog.ts'
@@ -19,6 +25,7 @@
 
 /** The address belongs to another server now. */
 const MISDIRECTED = 421
+const UNAVAILABLE = 503
 /** Sends that a server is proved not to have run, besides those that count. */
 const MAX_REFUSED_SENDS = 3
 
@@ -145,9 +152,12 @@
 		noteNotRun(job, mayHaveRunBefore)
 		free()
 		note(false)
-		logAttempt(ctx, job, serverId, 'notRun', String(answer.status))
+		const fault = readHeader(headers[wire.atFault]) ?? ''
+		if (isGroupRefusal(ctx, job, answer.status)) closeService(ctx, job)
+		logAttempt(ctx, job, serverId, 'notRun', `${answer.status} ${fault}`)
 		return { kind: 'notRun', reason: `status ${answer.status}` }
 	}
+	openService(ctx, job.service)
 	return {
 		kind: 'answer',
 		answer,
@@ -159,6 +169,29 @@
 	}
 }
 
+/** Whether a refusal speaks for all ranks of a lock-step group. */
+function isGroupRefusal(
+	ctx: GatewayContext,
+	job: Job,
+	status: number,
+): boolean {
+	const { engine } = ctx.routes?.services.get(job.service) ?? {}
+	return status === UNAVAILABLE && engine?.experts !== undefined
+}
+
+function closeService(ctx: GatewayContext, { service }: Job): void {
+	if (!ctx.closures.has(service)) ctx.log.write('service closed', { service })
+	noteClosed(ctx.closures, service, readNow())
+}
+
+function openService(ctx: GatewayContext, service: string): void {
+	const since = ctx.closures.get(service)?.since
+	if (since === undefined || !noteOpen(ctx.closures, service)) return
+	const closedMs = Math.round(readNow() - since)
+	ctx.log.write('service open', { service, closedMs })
+	serveWaiting(ctx)
+}
+
 function noteNotRun(job: Job, mayHaveRunBefore: boolean): void {
 	job.mayHaveRun = mayHaveRunBefore
 	job.refusedSends++
--- a/packages/gateway/src/context.ts
+++ b/packages/gateway/src/context.ts
@@ -1,6 +1,7 @@
 /** What all parts of a gateway share. */
 
 import type {
+	Closures,
 	Random,
 	RetryAllowance,
 	RetryWindow,
@@ -48,6 +49,8 @@
 	published: PublishedConfig | undefined
 	/** When the configuration came into force, ms. */
 	configSince: number
+	/** Services whose servers refuse all at once. */
+	readonly closures: Closures
 	/** Retries to each service. */
 	readonly retries: Map<string, RetryWindow>
 	/** Entries that are believed to live, with this one. */
--- a/packages/gateway/src/forward.ts
+++ b/packages/gateway/src/forward.ts
@@ -2,7 +2,12 @@
 
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { ErrorKind } from '@juniperhook/core'
-import { drawService, noteRequest } from '@juniperhook/core'
+import {
+	chooseComeBack,
+	drawService,
+	ERRORS,
+	noteRequest,
+} from '@juniperhook/core'
 import { readNow } from '@juniperhook/runtime'
 import type { AttemptResult, Job } from './attempt.ts'
 import { logAttempt, makeAttempt, mayTryAgain, retriesOf } from './attempt.ts'
@@ -109,7 +114,11 @@
 		begun: res.headersSent,
 		config: request.routes.config.version,
 	})
-	writeFailure(ctx, res, error, request.id)
+	const closed = ctx.closures.has(job.service)
+	const left = request.deadlineAt - readNow()
+	const comeBack = chooseComeBack(closed, left, ctx.random)
+	const retryAfterMs = ERRORS[error].ran === 'no' ? comeBack : 0
+	writeFailure(ctx, res, error, request.id, retryAfterMs)
 }
 
 async function runAttempts(
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -57,6 +57,7 @@
 		routes: undefined,
 		published: undefined,
 		configSince: 0,
+		closures: new Map(),
 		retries: new Map(),
 		entries: Math.max(1, settings.seeds.length),
 		open: 0,
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -53,6 +53,8 @@
 	readonly expectServer: string
 	/** Marks an answer that says that the request was not run. */
 	readonly notRun: string
+	/** Names the server at fault in an answer that was not run. */
+	readonly atFault: string
 	/** Present on every genuine answer of a server. */
 	readonly seal: string
 	/** `running,waiting,slots` of the server. */
--- a/packages/gateway/src/waiting.ts
+++ b/packages/gateway/src/waiting.ts
@@ -6,6 +6,7 @@
 	dequeue,
 	enqueue,
 	type FairQueue,
+	mayEnter,
 	removeWaiting,
 } from '@juniperhook/core'
 import { readNow } from '@juniperhook/runtime'
@@ -107,8 +108,10 @@
 		queueRoom: isEngine ? ENGINE_QUEUE_ROOM : PLAIN_QUEUE_ROOM,
 		near: fleet.near,
 	}
-	const choice = chooseRow(fleet.table, query, readNow(), ctx.random)
+	const now = readNow()
+	const choice = chooseRow(fleet.table, query, now, ctx.random)
 	if (choice.kind !== 'row') return choice
+	if (!mayEnter(ctx.closures, service, now)) return { kind: 'full' }
 	const { id } = fleet.servers[choice.row]!
 	noteHeld(fleet, id, 1)
 	return { kind: 'server', id }
--- a/packages/groups/src/agent.ts
+++ b/packages/groups/src/agent.ts
@@ -94,7 +94,7 @@
 	})
 	await serveRpc(
 		`${settings.ip}:${settings.agentPort}`,
-		createRankMethods(port, settings.engine, hello),
+		createRankMethods(port, settings.engine, hello, () => agent.report),
 	)
 	log.write('agent started', { name: settings.name, engine: settings.engine })
 	process.once('SIGTERM', () => stopAgent(agent))
--- a/packages/groups/src/coordinator.ts
+++ b/packages/groups/src/coordinator.ts
@@ -50,9 +50,13 @@
 /** Between steps of a round that waits for a report, ms. */
 const LOOK_MS = 20
 /** A rank that does not answer a probe for this long cannot be armed, ms. */
-const PROBE_MS = 130
-/** Time from the hold until all ranks are armed, ms; passes meanwhile run. */
-const LEAD_MS = 60
+const PROBE_MS = 60
+/**
+ * Time from the hold until all ranks are armed, ms; passes meanwhile run. It
+ * covers a hold by way of a VM that has stopped and the probe that follows, so
+ * that streams do not pause for it.
+ */
+const LEAD_MS = 120
 /** A round that cannot be prepared is given up after this time, ms. */
 const PREPARE_LIMIT_MS = 4_000
 /** Choices that must have been seen before the first plan. */
--- a/packages/groups/src/rankClient.ts
+++ b/packages/groups/src/rankClient.ts
@@ -25,7 +25,7 @@
 const PREPARE_MS = 3_000
 const READ_MS = 250
 /** An order by way of another VM is looked after if it takes longer, ms. */
-const ELSEWHERE_MS = 100
+const ELSEWHERE_MS = 50
 /** Without an agent for this long, its engine is called from here, ms. */
 const ALONE_AFTER_MS = 400
 /** After an agent did not answer, its engine is called from here, ms. */
@@ -154,7 +154,7 @@
 	client: RankClient,
 ): Promise<RankSample | undefined> {
 	const { port, member } = client
-	if (client.home) return await takeSample(port, member.engine)
+	if (client.home) return await takeSample(port, member.engine, undefined)
 	return (await ask(client, 'sample', {}, READ_MS)) ?? undefined
 }
 
--- a/packages/groups/src/rankService.ts
+++ b/packages/groups/src/rankService.ts
@@ -98,11 +98,12 @@
 	port: EnginePort,
 	engine: string,
 	hello: () => AgentHello,
+	lastReport: () => RankReport | undefined,
 ): Methods {
 	return {
 		hello,
 		report: () => orNull(port.report(engine)),
-		sample: () => orNull(takeSample(port, engine)),
+		sample: () => orNull(takeSample(port, engine, lastReport())),
 		placement: () => orNull(port.placement(engine)),
 		order: (order: EngineOrder) => giveOrder(port, engine, order),
 		orderElsewhere: ({ engine: other, order }: OrderElsewhere) =>
@@ -110,13 +111,14 @@
 	}
 }
 
-/** Counts of an engine, with how busy it is. */
+/** Counts of an engine, with how busy it was when it was last looked at. */
 export async function takeSample(
 	port: EnginePort,
 	engine: string,
+	known: RankReport | undefined,
 ): Promise<RankSample | undefined> {
 	const counts = await port.counts(engine)
-	const report = await port.report(engine)
+	const report = known ?? (await port.report(engine))
 	if (!counts || !report) return undefined
 	const { running, waiting, pace } = report
 	return { ...counts, running, waiting, pace }
