--- a/packages/core/src/core/dispatch.ts
+++ b/packages/core/src/core/dispatch.ts
@@ -5,7 +5,7 @@
  */
 
 import type { Random, ServerTable } from '../internal.ts'
-import { drawIndex, isEjected } from '../internal.ts'
+import { drawIndex, isEjected, noteResult } from '../internal.ts'
 
 /** What a choice is made from. */
 export interface DispatchQuery {
@@ -32,6 +32,101 @@
 /** Most of a service's servers that may be left alone for their failures. */
 const MAX_EJECTED = 0.5
 
+/** Weight of a new result in the share of failures and the time taken. */
+const RESULT_WEIGHT = 0.2
+/** What is held against a server counts half after this time, ms. */
+const FORGIVE_MS = 3_000
+/** Load that a server seems to have for failing all tries the others serve. */
+const FAILURE_LOAD = 3
+/** Load that a server seems to have for being twice as slow as the fastest. */
+const SLOW_LOAD = 0.25
+/** A server counts as at most this many times slower. */
+const MAX_SLOW = 6
+/** Failures in a row that one connection which never came up stands for. */
+const UNREACHED_FAILURES = 3
+
+/** How a try on a server went. */
+export type TryResult =
+	/** With the time of a whole answer; a stream's tells nothing. */
+	| { readonly kind: 'good'; readonly tookMs: number | undefined }
+	| { readonly kind: 'failed' }
+	/** No connection came up. */
+	| { readonly kind: 'unreached' }
+
+/** Notes how a try went. */
+export function noteTry(
+	table: ServerTable,
+	row: number,
+	result: TryResult,
+	now: number,
+): void {
+	forgive(table, row, now)
+	const rate = table.failureRate[row]!
+	const failed = result.kind === 'good' ? 0 : 1
+	table.failureRate[row] = rate + RESULT_WEIGHT * (failed - rate)
+	switch (result.kind) {
+		case 'good':
+			if (result.tookMs !== undefined) noteTime(table, row, result.tookMs)
+			noteResult(table, row, true, now)
+			return
+		case 'failed':
+			noteResult(table, row, false, now)
+			return
+		case 'unreached':
+			for (let count = 0; count < UNREACHED_FAILURES; count++)
+				noteResult(table, row, false, now)
+			return
+		default:
+			result satisfies never
+	}
+}
+
+function noteTime(table: ServerTable, row: number, tookMs: number): void {
+	const usual = table.serviceMs[row]! || tookMs
+	table.serviceMs[row] = usual + RESULT_WEIGHT * (tookMs - usual)
+}
+
+/** Lets what is held against a server grow old, so that it is tried again. */
+function forgive(table: ServerTable, row: number, now: number): void {
+	const age = now - table.ratedAt[row]!
+	table.ratedAt[row] = now
+	table.failureRate[row]! *= 0.5 ** (age / FORGIVE_MS)
+}
+
+/** Failures and slowness, as load, against the best of `rows`. */
+function penaltiesOf(
+	table: ServerTable,
+	rows: readonly number[],
+	now: number,
+): Map<number, number> {
+	const rates = rows.map(row => {
+		const age = now - table.ratedAt[row]!
+		return table.failureRate[row]! * 0.5 ** (age / FORGIVE_MS)
+	})
+	const times = rows.map(row => table.serviceMs[row]!).filter(time => time > 0)
+	const fewest = Math.min(...rates)
+	const fastest = Math.min(...times)
+	const penalties = new Map<number, number>()
+	for (const [at, row] of rows.entries()) {
+		const failing = FAILURE_LOAD * (rates[at]! - fewest)
+		penalties.set(row, failing + slownessOf(table, row, fastest, now))
+	}
+	return penalties
+}
+
+function slownessOf(
+	table: ServerTable,
+	row: number,
+	fastest: number,
+	now: number,
+): number {
+	const time = table.serviceMs[row]!
+	if (time === 0) return 0
+	const times = Math.min(MAX_SLOW, time / fastest)
+	const age = now - table.ratedAt[row]!
+	return SLOW_LOAD * (times - 1) * 0.5 ** (age / FORGIVE_MS)
+}
+
 /** Chooses a server. */
 export function chooseRow(
 	table: ServerTable,
@@ -46,6 +141,7 @@
 	const sound = untried.filter(row => !isEjected(table, row, now))
 	const enough = sound.length >= open.length * (1 - MAX_EJECTED)
 	const candidates = enough && sound.length > 0 ? sound : untried
+	const penalties = penaltiesOf(table, candidates, now)
 	let best = -1
 	let bestLoad = Number.POSITIVE_INFINITY
 	const first = drawIndex(random, candidates.length)
@@ -54,7 +150,8 @@
 		const held = heldBy(table, row)
 		const slots = table.slots[row]!
 		if (held >= slots + query.queueRoom) continue
-		const load = held / slots + (query.near.has(row) ? 0 : FAR_LOAD)
+		const far = query.near.has(row) ? 0 : FAR_LOAD
+		const load = held / slots + far + penalties.get(row)!
 		if (load >= bestLoad) continue
 		best = row
 		bestLoad = load
--- a/packages/core/src/core/routing.ts
+++ b/packages/core/src/core/routing.ts
@@ -30,6 +30,10 @@
 	readonly failures: Uint16Array
 	/** Not before this time, ms, is an ejected server tried again. */
 	readonly ejectedUntil: Float64Array
+	/** Share of tries that failed of late. */
+	readonly failureRate: Float64Array
+	/** When the smoothed columns were last touched, ms. */
+	readonly ratedAt: Float64Array
 }
 
 /** Failures in a row after which a server is left alone for a while. */
@@ -60,6 +64,8 @@
 		stepShare: new Float64Array(size).fill(1),
 		failures: new Uint16Array(size),
 		ejectedUntil: new Float64Array(size),
+		failureRate: new Float64Array(size),
+		ratedAt: new Float64Array(size),
 	}
 }
 
@@ -79,6 +85,8 @@
 	to.stepShare[row] = from.stepShare[old]!
 	to.failures[row] = from.failures[old]!
 	to.ejectedUntil[row] = from.ejectedUntil[old]!
+	to.failureRate[row] = from.failureRate[old]!
+	to.ratedAt[row] = from.ratedAt[old]!
 }
 
 /** A load report from an agent. */
--- /dev/null
+++ b/packages/core/test/directRouting.test.ts
@@ -0,0 +1,260 @@
+/** Decisions of an entry that sends to servers itself, on small cases. */
+
+import { test } from 'uvu'
+import * as assert from 'uvu/assert'
+import type { ListedServer, TrafficConfig, TryResult } from '../src/index.ts'
+import {
+	chooseComeBack,
+	chooseRow,
+	createRandom,
+	createRetryWindow,
+	createRouteTable,
+	createServerList,
+	createServerTable,
+	doubtRemoval,
+	drawService,
+	findMissing,
+	findRoute,
+	listServing,
+	mayEnter,
+	noteClosed,
+	noteDisplaced,
+	noteOpen,
+	noteRequest,
+	noteTry,
+	settleRemovals,
+	TRY_AGAIN_MS,
+	takeRecord,
+	takeRetry,
+} from '../src/index.ts'
+
+const ROUTE = {
+	name: 'r',
+	host: 'huts.example',
+	pathPrefix: '/a/',
+	shares: [{ service: 'plain', weight: 1 }],
+	kind: 'repeatable',
+	timeoutMs: 1_000,
+	targetMs: 100,
+	priority: 5,
+	maxAttempts: 2,
+	anonymous: false,
+	resumable: false,
+	maxPauseMs: 0,
+} as const
+
+const CONFIG: TrafficConfig = {
+	version: 3,
+	routes: [
+		{ ...ROUTE, name: 'short' },
+		{ ...ROUTE, name: 'long', pathPrefix: '/a/b/' },
+		{ ...ROUTE, name: 'other', host: 'Lifts.example' },
+	],
+	services: [],
+	teams: [],
+	limits: {
+		maxHeaderBytes: 1,
+		maxBodyBytes: 1,
+		headerTimeoutMs: 1,
+		idleTimeoutMs: 1,
+	},
+}
+
+const ROUTES: { host: string; path: string; route: string | undefined }[] = [
+	{ host: 'huts.example', path: '/a/x', route: 'short' },
+	{ host: 'huts.example', path: '/a/b/x?q=1', route: 'long' },
+	{ host: 'HUTS.example:8080', path: '/a/b', route: 'short' },
+	{ host: 'lifts.example', path: '/a/', route: 'other' },
+	{ host: 'huts.example', path: '/ab/', route: undefined },
+	{ host: 'unknown.example', path: '/a/', route: undefined },
+]
+
+for (const { host, path, route } of ROUTES)
+	test(`route of ${host}${path} is ${route}`, () => {
+		const found = findRoute(createRouteTable(CONFIG), host, path)
+		assert.is(found?.name, route)
+	})
+
+test('service by weight: shares follow the weights', () => {
+	const random = createRandom(7)
+	const shares = [
+		{ service: 'a', weight: 90 },
+		{ service: 'b', weight: 10 },
+	]
+	let toB = 0
+	for (let draw = 0; draw < 2_000; draw++)
+		if (drawService(shares, random) === 'b') toB++
+	assert.ok(toB > 140 && toB < 260, `${toB} of 2000`)
+})
+
+function serverOf(id: string, address = `10.0.0.1:${id}`): ListedServer {
+	return {
+		id,
+		service: 'plain',
+		address,
+		dataCentre: 'north',
+		slots: 4,
+		leaving: false,
+		coldMs: 0,
+	}
+}
+
+function idsOf(list: ReturnType<typeof createServerList>): string[] {
+	return listServing(list).map(server => server.id)
+}
+
+test('server list: an older record never wins', () => {
+	const list = createServerList()
+	assert.ok(takeRecord(list, { id: '1', revision: 9, server: undefined }))
+	assert.not(takeRecord(list, { id: '1', revision: 5, server: serverOf('1') }))
+	assert.equal(idsOf(list), [])
+})
+
+test('server list: one that leaves does not come back', () => {
+	const list = createServerList()
+	const leaving = { ...serverOf('1'), leaving: true }
+	takeRecord(list, { id: '1', revision: 2, server: leaving })
+	assert.not(takeRecord(list, { id: '1', revision: 3, server: serverOf('1') }))
+	assert.equal(idsOf(list), [])
+})
+
+test('server list: a removal while the source was away is doubted', () => {
+	const list = createServerList()
+	takeRecord(list, { id: '1', revision: 2, server: serverOf('1') })
+	takeRecord(list, { id: '2', revision: 2, server: serverOf('2') })
+	for (const record of findMissing(list, new Set(), 7))
+		doubtRemoval(list, record, 1_000)
+	assert.equal(idsOf(list), ['1', '2'])
+	takeRecord(list, { id: '2', revision: 8, server: serverOf('2') })
+	assert.equal(settleRemovals(list, 999), [])
+	assert.equal(settleRemovals(list, 1_000), ['1'])
+	assert.equal(idsOf(list), ['2'])
+})
+
+test('server list: the newest id of an address is the one there', () => {
+	const list = createServerList()
+	const there = '10.0.0.9:80'
+	takeRecord(list, { id: 'old', revision: 2, server: serverOf('old', there) })
+	takeRecord(list, { id: 'new', revision: 6, server: serverOf('new', there) })
+	assert.equal(idsOf(list), ['new'])
+	noteDisplaced(list, 'new')
+	assert.equal(idsOf(list), [])
+})
+
+const ALLOWANCE = { ratio: 0.2, slack: 40, windowMs: 10_000 }
+
+const BUDGETS: {
+	name: string
+	entries: number
+	requests: number
+	most: number
+}[] = [
+	{ name: 'alone, no requests', entries: 1, requests: 0, most: 20 },
+	{ name: 'one of four, no requests', entries: 4, requests: 0, most: 5 },
+	{ name: 'one of four, 100 requests', entries: 4, requests: 100, most: 15 },
+]
+
+for (const { name, entries, requests, most } of BUDGETS)
+	test(`retry window: ${name} allows ${most}`, () => {
+		const window = createRetryWindow()
+		for (let count = 0; count < requests; count++)
+			noteRequest(window, ALLOWANCE, 100)
+		let taken = 0
+		while (takeRetry(window, ALLOWANCE, entries, 200)) taken++
+		assert.is(taken, most)
+		assert.ok(takeRetry(window, ALLOWANCE, entries, 10_700))
+	})
+
+const RESULTS: {
+	name: string
+	results: readonly (readonly [number, TryResult])[]
+	/** Row that is not chosen any more. */
+	avoided: number
+}[] = [
+	{
+		name: 'one that fails while the others serve',
+		results: [
+			[0, { kind: 'failed' }],
+			[0, { kind: 'failed' }],
+			[1, { kind: 'good', tookMs: 20 }],
+			[2, { kind: 'good', tookMs: 20 }],
+		],
+		avoided: 0,
+	},
+	{
+		name: 'one that takes five times as long',
+		results: [
+			[0, { kind: 'good', tookMs: 20 }],
+			[1, { kind: 'good', tookMs: 100 }],
+			[2, { kind: 'good', tookMs: 20 }],
+		],
+		avoided: 1,
+	},
+	{
+		name: 'one that no connection reaches',
+		results: [[2, { kind: 'unreached' }]],
+		avoided: 2,
+	},
+]
+
+const QUERY = {
+	rows: [0, 1, 2],
+	tried: new Set<number>(),
+	queueRoom: 0,
+	near: new Set([0, 1, 2]),
+}
+
+for (const { name, results, avoided } of RESULTS)
+	test(`choice of a server avoids ${name}`, () => {
+		const table = createServerTable(['a', 'b', 'c'])
+		table.open.fill(1)
+		table.slots.fill(4)
+		for (const [row, result] of results) noteTry(table, row, result, 1_000)
+		const random = createRandom(1)
+		for (let draw = 0; draw < 30; draw++) {
+			const choice = chooseRow(table, QUERY, 1_100, random)
+			assert.is(choice.kind, 'row')
+			if (choice.kind === 'row') assert.is.not(choice.row, avoided)
+		}
+	})
+
+test('choice of a server: full, none, and all failing alike', () => {
+	const table = createServerTable(['a', 'b', 'c'])
+	const random = createRandom(1)
+	assert.is(chooseRow(table, QUERY, 0, random).kind, 'none')
+	table.open.fill(1)
+	table.slots.fill(1)
+	table.sentSince.fill(1)
+	assert.is(chooseRow(table, QUERY, 0, random).kind, 'full')
+	table.sentSince.fill(0)
+	for (const row of QUERY.rows)
+		for (let count = 0; count < 9; count++)
+			noteTry(table, row, { kind: 'failed' }, 0)
+	assert.is(chooseRow(table, QUERY, 1, random).kind, 'row')
+})
+
+test('a closed service takes one try at a time', () => {
+	const closures = new Map()
+	noteClosed(closures, 's', 0)
+	assert.not(mayEnter(closures, 's', TRY_AGAIN_MS - 1))
+	assert.ok(mayEnter(closures, 's', TRY_AGAIN_MS))
+	assert.not(mayEnter(closures, 's', TRY_AGAIN_MS + 1))
+	assert.ok(noteOpen(closures, 's'))
+	assert.ok(mayEnter(closures, 's', TRY_AGAIN_MS + 1))
+})
+
+const COME_BACKS: { closed: boolean; leftMs: number; most: number }[] = [
+	{ closed: true, leftMs: 8_000, most: 1_610 },
+	{ closed: false, leftMs: 8_000, most: 805 },
+	{ closed: true, leftMs: 1_500, most: 480 },
+	{ closed: false, leftMs: 10, most: 50 },
+]
+
+for (const { closed, leftMs, most } of COME_BACKS)
+	test(`come back, closed ${closed}, ${leftMs} ms left: at most ${most}`, () => {
+		const random = createRandom(3)
+		for (let draw = 0; draw < 50; draw++)
+			assert.ok(chooseComeBack(closed, leftMs, random) <= most)
+	})
+
+test.run()
--- /dev/null
+++ b/packages/core/test/groupPlan.test.ts
@@ -0,0 +1,115 @@
+/** Plans for a lock-step group: fewest copies that reach a target. */
+
+import { test } from 'uvu'
+import * as assert from 'uvu/assert'
+import type { SetPlacement } from '../src/index.ts'
+import { createRandom, dealExperts, planSet, skewOfSet } from '../src/index.ts'
+
+const SIZES = [
+	{
+		name: '16 ranks, 64 experts',
+		ranks: 16,
+		experts: 64,
+		places: 5,
+		maxNew: 2,
+	},
+	{
+		name: '72 ranks, 144 experts',
+		ranks: 72,
+		experts: 144,
+		places: 3,
+		maxNew: 1,
+	},
+	{ name: '4 ranks, 8 experts', ranks: 4, experts: 8, places: 3, maxNew: 1 },
+	{
+		name: '64 ranks, 128 experts',
+		ranks: 64,
+		experts: 128,
+		places: 4,
+		maxNew: 2,
+	},
+]
+
+function layoutOf({ experts, places, maxNew }: (typeof SIZES)[number]) {
+	return {
+		sets: 1,
+		experts,
+		places,
+		maxNew,
+		expertMb: 880,
+		expertShare: 0.85,
+		reformMs: 600,
+	}
+}
+
+/** Demand in which a few experts are much liked. */
+function skewedShare(experts: number, seed: number): Float64Array {
+	const random = createRandom(seed)
+	const share = new Float64Array(experts).map(() => random() ** 4 + 0.02)
+	const total = share.reduce((sum, part) => sum + part, 0)
+	return share.map(part => part / total)
+}
+
+function checkPlacement(
+	placement: SetPlacement,
+	before: SetPlacement,
+	size: (typeof SIZES)[number],
+): void {
+	assert.is(new Set(placement.flat()).size, size.experts, 'every expert')
+	for (const [rank, own] of placement.entries()) {
+		assert.ok(own.length <= size.places, 'places')
+		assert.is(new Set(own).size, own.length, 'no expert twice on a rank')
+		const fresh = own.filter(expert => !before[rank]!.includes(expert))
+		assert.ok(fresh.length <= size.maxNew, 'new experts')
+	}
+}
+
+for (const size of SIZES)
+	test(`plan: ${size.name} is lawful and lowers the most loaded rank`, () => {
+		const layout = layoutOf(size)
+		let placement: SetPlacement = dealExperts(size.ranks, layout)
+		for (let seed = 1; seed <= 6; seed++) {
+			const share = skewedShare(size.experts, seed)
+			const plan = planSet(placement, share, layout)
+			checkPlacement(plan.placement, placement, size)
+			assert.ok(plan.after <= plan.before + 1e-9)
+			const told = skewOfSet(plan.placement, share, layout)
+			assert.ok(Math.abs(told - plan.after) < 1e-6)
+			placement = plan.placement
+		}
+	})
+
+test('plan: a nearer target takes more copies', () => {
+	const size = SIZES[0]!
+	const layout = layoutOf(size)
+	const share = skewedShare(size.experts, 4)
+	const dealt = dealExperts(size.ranks, layout)
+	const copies = [2, 1.5, 1.2].map(
+		target => planSet(dealt, share, layout, [], target).copies,
+	)
+	assert.ok(copies[0]! <= copies[1]! && copies[1]! <= copies[2]!)
+	assert.ok(copies[0]! < copies[2]!)
+})
+
+test('plan: a rank twelve times as slow gives its load away', () => {
+	const size = SIZES[0]!
+	const layout = layoutOf(size)
+	const share = skewedShare(size.experts, 4)
+	const paces = Array.from({ length: size.ranks }, (_, rank) =>
+		rank === 3 ? 12 : 1,
+	)
+	const dealt = dealExperts(size.ranks, layout)
+	const plan = planSet(dealt, share, layout, paces)
+	assert.ok(plan.before > 6, `before ${plan.before}`)
+	assert.ok(plan.after < plan.before / 2, `after ${plan.after}`)
+})
+
+test('plan: balanced demand is left alone', () => {
+	const size = SIZES[0]!
+	const layout = layoutOf(size)
+	const share = new Float64Array(size.experts).fill(1 / size.experts)
+	const dealt = dealExperts(size.ranks, layout)
+	assert.is(planSet(dealt, share, layout).copies, 0)
+})
+
+test.run()
--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -1,11 +1,11 @@
 /** One attempt: a server with room, a call to it, and what its head proves. */
 
-import type { ErrorKind } from '@juniperhook/core'
+import type { ErrorKind, TryResult } from '@juniperhook/core'
 import {
 	createRetryWindow,
 	noteClosed,
 	noteOpen,
-	noteResult,
+	noteTry,
 	takeRetry,
 } from '@juniperhook/core'
 import { readNow } from '@juniperhook/runtime'
@@ -29,6 +29,11 @@
 /** Sends that a server is proved not to have run, besides those that count. */
 const MAX_REFUSED_SENDS = 3
 
+/** A repeatable request is tried elsewhere after this part of its target. */
+const PATIENCE_SHARE = 0.5
+/** Or after so many times what its server usually takes, if that is longer. */
+const PATIENCE_TIMES = 4
+
 /** A request on its way through attempts. */
 export interface Job {
 	readonly request: CallerRequest
@@ -118,6 +123,7 @@
 	// Until the opposite is proved: the time may run out before.
 	const mayHaveRunBefore = job.mayHaveRun
 	job.mayHaveRun = true
+	const sentAt = readNow()
 	const result = await callServer({
 		address: server.address,
 		method: request.method,
@@ -127,16 +133,17 @@
 		id: request.id,
 		idHeader: wire.requestId,
 		agent: request.repeatable ? ctx.pool.kept : ctx.pool.single,
-		headMs: untilGivenUp,
+		headMs: Math.min(untilGivenUp, patienceFor(ctx, job)),
 		signal: job.signal,
 	})
-	const note = (good: boolean) => {
+	const note = (result: TryResult) => {
 		const row = fleet.table.rowOf.get(serverId)
-		if (row !== undefined) noteResult(fleet.table, row, good, readNow())
+		if (row !== undefined) noteTry(fleet.table, row, result, readNow())
 	}
 	if (result.kind !== 'answer') {
 		free()
-		if (!job.signal.aborted) note(false)
+		const reached = result.kind === 'lost'
+		if (!job.signal.aborted) note({ kind: reached ? 'failed' : 'unreached' })
 		if (result.kind === 'notSent') noteNotRun(job, mayHaveRunBefore)
 		logAttempt(ctx, job, serverId, result.kind, result.reason)
 		return result.kind === 'notSent'
@@ -151,7 +158,7 @@
 		answer.message.resume()
 		noteNotRun(job, mayHaveRunBefore)
 		free()
-		note(false)
+		// A full server is told by its load; it has not failed.
 		const fault = readHeader(headers[wire.atFault]) ?? ''
 		if (isGroupRefusal(ctx, job, answer.status)) closeService(ctx, job)
 		logAttempt(ctx, job, serverId, 'notRun', `${answer.status} ${fault}`)
@@ -164,11 +171,26 @@
 		serverId,
 		release: good => {
 			free()
-			note(good)
+			const isPlain = request.route.kind !== 'stream'
+			const tookMs = isPlain ? readNow() - sentAt : undefined
+			note(good ? { kind: 'good', tookMs } : { kind: 'failed' })
 		},
 	}
 }
 
+/**
+ * How long a server may take to begin its answer before another is tried, ms:
+ * only where there is another try, and the whole answer comes at once.
+ */
+function patienceFor(ctx: GatewayContext, job: Job): number {
+	const { route } = job.request
+	const isLast = job.sends - job.refusedSends >= route.maxAttempts
+	if (route.kind !== 'repeatable' || isLast) return Number.POSITIVE_INFINITY
+	const row = ctx.fleet.table.rowOf.get([...job.tried].at(-1) ?? '')
+	const usual = row === undefined ? 0 : ctx.fleet.table.serviceMs[row]!
+	return Math.max(route.targetMs * PATIENCE_SHARE, usual * PATIENCE_TIMES)
+}
+
 /** Whether a refusal speaks for all ranks of a lock-step group. */
 function isGroupRefusal(
 	ctx: GatewayContext,
--- a/packages/gateway/src/serverCall.ts
+++ b/packages/gateway/src/serverCall.ts
@@ -5,7 +5,7 @@
 import type { Socket } from 'node:net'
 
 /** A connection that takes longer than this to come up counts as dead, ms. */
-const CONNECT_MS = 300
+const CONNECT_MS = 200
 
 /** What is sent. */
 export interface ServerRequest {
--- a/scripts/test.ts
+++ b/scripts/test.ts
@@ -88,9 +88,9 @@
 }
 
 const filter = process.argv[2] ?? ''
-const files = globSync('packages', /\.test\.ts$/).filter(file =>
-	file.includes(filter),
-)
+const files = ['packages', 'platform']
+	.flatMap(folder => globSync(folder, /\.test\.ts$/))
+	.filter(file => file.includes(filter))
 const results = await runAll(files)
 const known = readKnownRed()
 const failed = results.flatMap(result => result.failed)
