--- a/packages/gateway/src/peers.ts
+++ b/packages/gateway/src/peers.ts
@@ -74,6 +74,8 @@
 	/** When each peer, by name, was last heard, ms. */
 	readonly heardAt: Map<string, number>
 	readonly pulling: Set<string>
+	/** Addresses that links are kept to. */
+	readonly kept: Set<string>
 	toldAt: number
 	told: string
 }
@@ -87,6 +89,7 @@
 		links: new Map(),
 		heardAt: new Map(),
 		pulling: new Set(),
+		kept: new Set(),
 		toldAt: 0,
 		told: '',
 	}
@@ -111,16 +114,13 @@
 	methods: Methods,
 	address: string,
 ): void {
-	if (address === ctx.settings.control || connecting.has(address)) return
-	if (connecting.size >= MAX_LINKS) return
-	connecting.add(address)
+	if (address === ctx.settings.control || peers.kept.has(address)) return
+	if (peers.kept.size >= MAX_LINKS) return
+	peers.kept.add(address)
 	peers.links.set(address, undefined)
 	void keepLink(ctx, peers, methods, address)
 }
 
-/** Addresses that this process keeps links to. */
-const connecting = new Set<string>()
-
 async function keepLink(
 	ctx: GatewayContext,
 	peers: Peers,
@@ -195,6 +195,9 @@
 	const held = new Map(Object.entries(state.held))
 	notePeerLoad(ctx.fleet, state.name, held, now)
 	const version = ctx.routes?.config.version ?? -1
+	// A peer that is behind may not be reached from here but by its own link.
+	const isBehind = state.config < version || state.list < ctx.list.revision
+	if (isBehind && link.opened === 'there') tell(link, stateOf(ctx, peers))
 	const behind = state.config > version || state.list > ctx.list.revision
 	if (!behind || peers.pulling.has(state.name)) return
 	peers.pulling.add(state.name)
--- /dev/null
+++ b/packages/gateway/test/gateway.test.ts
@@ -0,0 +1,427 @@
+/** Requests through a gateway to backend servers that follow a script. */
+
+import { connect } from 'node:net'
+import { createEventLog } from '@juniperhook/runtime'
+import { test } from 'uvu'
+import * as assert from 'uvu/assert'
+import { startGateway } from '../src/index.ts'
+import type { Deed } from './standIns.ts'
+import {
+	CONFIG,
+	callGateway,
+	createCatalog,
+	STREAM_EVENTS,
+	startBackends,
+	WIRE,
+} from './standIns.ts'
+
+const FIRST_PORT = 21_340
+const backends = await startBackends(3)
+const log = { ...createEventLog('test'), write: () => {}, flush: () => {} }
+let ports = FIRST_PORT
+
+async function openGateway(catalog = createCatalog(CONFIG, backends.listed)) {
+	const at = ports
+	ports += 4
+	const address = (offset: number) => `127.0.0.1:${at + offset}`
+	const ctx = await startGateway(
+		{
+			name: `entry-${at}`,
+			ip: '127.0.0.1',
+			dataCentre: 'north',
+			callers: address(0),
+			readiness: address(1),
+			control: address(2),
+			metrics: address(3),
+			seeds: [`127.0.0.1:${FIRST_PORT + 2}`],
+			stopMs: 2_000,
+			retries: { ratio: 0.2, slack: 1_000, windowMs: 10_000 },
+		},
+		WIRE,
+		catalog,
+		log,
+	)
+	await until(() => catalog.down || ctx.routes !== undefined || !CONFIG)
+	return { ctx, catalog, callers: address(0), readiness: address(1) }
+}
+
+async function until(condition: () => boolean): Promise<void> {
+	for (let look = 0; look < 400 && !condition(); look++)
+		await new Promise(resolve => setTimeout(resolve, 10))
+}
+
+const gateway = await openGateway()
+let nextId = 1
+
+function reset(script: readonly Deed[] = []): void {
+	backends.script = [...script]
+	backends.arrivals.length = 0
+	backends.runs.length = 0
+	backends.abandoned = 0
+	const { table } = gateway.ctx.fleet
+	table.failures.fill(0)
+	table.ejectedUntil.fill(0)
+	table.failureRate.fill(0)
+	gateway.ctx.list.displaced.clear()
+}
+
+const WHOLE_STREAM = Array.from(
+	{ length: STREAM_EVENTS },
+	(_, at) => `id: ${at + 1}\ndata: event ${at + 1}\n\n`,
+).join('')
+
+const CASES: {
+	name: string
+	path: string
+	headers?: Record<string, string>
+	method?: string
+	body?: string
+	script: readonly Deed[]
+	status: number
+	/** Arrivals at backend servers. */
+	arrivals: number
+	/** Part of the body. */
+	has?: string
+	retryAfter?: boolean
+	whole?: boolean
+}[] = [
+	{
+		name: 'an answer is passed on whole',
+		path: '/r/x',
+		script: ['serve'],
+		status: 200,
+		arrivals: 1,
+		has: 'answer to',
+	},
+	{
+		name: 'repeatable: refused by one, served by another',
+		path: '/r/x',
+		script: ['refuse', 'serve'],
+		status: 200,
+		arrivals: 2,
+	},
+	{
+		name: 'repeatable: lost, served by another',
+		path: '/r/x',
+		script: ['reset', 'serve'],
+		status: 200,
+		arrivals: 2,
+	},
+	{
+		name: 'repeatable: cut in the body, served by another',
+		path: '/r/x',
+		script: ['cut', 'serve'],
+		status: 200,
+		arrivals: 2,
+		has: 'answer to',
+	},
+	{
+		name: 'repeatable: failed twice, the failure is passed on',
+		path: '/r/x',
+		script: ['fail', 'fail', 'serve'],
+		status: 500,
+		arrivals: 2,
+		has: 'failed',
+	},
+	{
+		name: 'repeatable: the answer to another request never reaches a caller',
+		path: '/r/x',
+		script: ['otherId', 'otherId'],
+		status: 502,
+		arrivals: 2,
+	},
+	{
+		name: 'repeatable: one that hangs is left for another in time',
+		path: '/r/x',
+		script: ['hang', 'serve'],
+		status: 200,
+		arrivals: 2,
+	},
+	{
+		name: 'once: refused with proof, sent to another',
+		path: '/o/x',
+		method: 'POST',
+		body: 'book',
+		script: ['refuse', 'serve'],
+		status: 200,
+		arrivals: 2,
+	},
+	{
+		name: 'once: lost, never sent again, no promise made',
+		path: '/o/x',
+		method: 'POST',
+		body: 'book',
+		script: ['reset', 'serve'],
+		status: 502,
+		arrivals: 1,
+	},
+	{
+		name: 'once: cut in the body, never sent again',
+		path: '/o/x',
+		method: 'POST',
+		body: 'book',
+		script: ['cut', 'serve'],
+		status: 502,
+		arrivals: 1,
+	},
+	{
+		name: 'once: no answer by the route time, no promise made',
+		path: '/o/x',
+		method: 'POST',
+		body: 'book',
+		script: ['hang'],
+		status: 504,
+		arrivals: 1,
+	},
+	{
+		name: 'once: refused by all, told when to come back',
+		path: '/o/x',
+		method: 'POST',
+		body: 'book',
+		script: ['refuse', 'refuse', 'refuse', 'refuse', 'refuse', 'refuse'],
+		status: 503,
+		arrivals: 4,
+		retryAfter: true,
+	},
+	{
+		name: 'a success without its seal is no success',
+		path: '/o/x',
+		method: 'POST',
+		script: ['unsealed'],
+		status: 502,
+		arrivals: 1,
+	},
+	{
+		name: 'a stream is passed on whole',
+		path: '/s/x',
+		method: 'POST',
+		script: ['stream'],
+		status: 200,
+		arrivals: 1,
+		has: WHOLE_STREAM,
+	},
+	{
+		name: 'a broken stream goes on at another server, each event once',
+		path: '/s/x',
+		method: 'POST',
+		script: ['brokenStream', 'stream'],
+		status: 200,
+		arrivals: 2,
+		has: WHOLE_STREAM,
+	},
+	{
+		name: 'a stream that may not be resumed is never shown as complete',
+		path: '/f/x',
+		method: 'POST',
+		script: ['brokenStream', 'stream'],
+		status: 200,
+		arrivals: 1,
+		whole: false,
+	},
+	{
+		name: 'no route',
+		path: '/zzz/x',
+		script: [],
+		status: 404,
+		arrivals: 0,
+	},
+	{
+		name: 'unknown key',
+		path: '/r/x',
+		headers: { authorization: 'Key nobody' },
+		script: [],
+		status: 401,
+		arrivals: 0,
+	},
+	{
+		name: 'an open route needs no key',
+		path: '/p/x',
+		headers: { authorization: '' },
+		script: ['serve'],
+		status: 200,
+		arrivals: 1,
+	},
+	{
+		name: 'a body over the limit',
+		path: '/o/x',
+		method: 'POST',
+		body: 'x'.repeat(1_001),
+		script: [],
+		status: 413,
+		arrivals: 0,
+	},
+	{
+		name: 'headers over the limit',
+		path: '/r/x',
+		headers: { 'x-long': 'y'.repeat(2_001) },
+		script: [],
+		status: 431,
+		arrivals: 0,
+	},
+	{
+		name: 'a deadline that is no number',
+		path: '/r/x',
+		headers: { [WIRE.deadlineMs]: 'soon' },
+		script: [],
+		status: 400,
+		arrivals: 0,
+	},
+	{
+		name: 'a service without servers: refused, told when to come back',
+		path: '/n/x',
+		script: [],
+		status: 503,
+		arrivals: 0,
+		retryAfter: true,
+	},
+]
+
+for (const item of CASES)
+	test(`gateway: ${item.name}`, async () => {
+		reset(item.script)
+		const id = `id-${nextId++}`
+		const headers = { [WIRE.requestId]: id, ...item.headers }
+		const got = await callGateway(
+			gateway.callers,
+			item.path,
+			headers,
+			item.method,
+			item.body,
+		)
+		assert.is(got.status, item.status, got.body)
+		assert.is(got.whole, item.whole ?? true)
+		assert.is(backends.arrivals.length, item.arrivals)
+		if (item.has) assert.ok(got.body.includes(item.has), got.body)
+		if (item.retryAfter) assert.ok(Number(got.headers['retry-after']) > 0)
+	})
+
+test('gateway: what a server is sent', async () => {
+	reset()
+	await callGateway(gateway.callers, '/r/x?q=%20', {
+		[WIRE.requestId]: 'sent',
+		[WIRE.team]: 'forged',
+		[WIRE.deadlineMs]: '400',
+		'x-own': 'kept',
+		connection: 'keep-alive, x-hop',
+		'x-hop': 'dropped',
+	})
+	const { headers, url } = backends.arrivals[0]!
+	assert.is(url, '/r/x?q=%20')
+	assert.is(headers[WIRE.team], 'rangers')
+	assert.is(headers[WIRE.requestId], 'sent')
+	assert.is(headers['x-own'], 'kept')
+	assert.is(headers['x-hop'], undefined)
+	assert.is(headers.authorization, undefined)
+	assert.ok(backends.listed.some(one => one.id === headers[WIRE.expectServer]))
+	const left = Number(headers[WIRE.deadlineMs])
+	assert.ok(left > 0 && left <= 400, String(left))
+})
+
+test('gateway: a caller that leaves frees its server', async () => {
+	reset(['hang'])
+	const [host, port] = gateway.callers.split(':')
+	const socket = connect({ host, port: Number(port) })
+	socket.write(
+		'POST /o/x HTTP/1.1\r\nhost: huts.example\r\nauthorization: Key key-1\r\n' +
+			'x-id: leaver\r\ncontent-length: 2\r\n\r\nhi',
+	)
+	await until(() => backends.runs.length === 1)
+	socket.destroy()
+	await until(() => backends.abandoned === 1)
+	assert.is(backends.abandoned, 1)
+	await until(() => gateway.ctx.fleet.held.size === 0)
+	assert.is(gateway.ctx.fleet.held.size, 0)
+})
+
+const FRAMINGS: { name: string; head: string; body: string }[] = [
+	{
+		name: 'both length and chunks',
+		head: 'content-length: 4\r\ntransfer-encoding: chunked\r\n',
+		body: '0\r\n\r\n',
+	},
+	{
+		name: 'two lengths',
+		head: 'content-length: 4\r\ncontent-length: 5\r\n',
+		body: 'abcd',
+	},
+	{
+		name: 'a bad chunk',
+		head: 'transfer-encoding: chunked\r\n',
+		body: 'zz\r\nab\r\n',
+	},
+]
+
+for (const { name, head, body } of FRAMINGS)
+	test(`gateway: ${name}: 400, nothing reaches a server`, async () => {
+		reset()
+		const [host, port] = gateway.callers.split(':')
+		const socket = connect({ host, port: Number(port) })
+		let text = ''
+		socket.on('data', data => {
+			text += data.toString()
+		})
+		socket.write(
+			`POST /o/x HTTP/1.1\r\nhost: huts.example\r\nauthorization: Key key-1\r\nx-id: bad\r\n${head}\r\n${body}`,
+		)
+		await new Promise(resolve => socket.once('close', resolve))
+		assert.match(text, /^HTTP\/1\.1 400 /)
+		assert.is(backends.runs.length, 0)
+	})
+
+test('gateway: a server that leaves gets nothing new', async () => {
+	reset()
+	const catalog = createCatalog(CONFIG, backends.listed.slice(0, 2))
+	const other = await openGateway(catalog)
+	const [first] = backends.listed
+	const leaving = { ...first!, leaving: true }
+	catalog.tell({
+		servers: [{ id: first!.id, revision: 2, server: leaving }],
+	})
+	await until(() => other.ctx.fleet.servers.length === 1)
+	for (let count = 0; count < 8; count++)
+		await callGateway(other.callers, '/r/x', { [WIRE.requestId]: `l${count}` })
+	const expected = backends.arrivals.map(req => req.headers[WIRE.expectServer])
+	assert.not(expected.includes(first!.id))
+	assert.is(expected.length, 8)
+})
+
+test('gateway: without a configuration it is not ready and says 503', async () => {
+	const catalog = createCatalog(undefined, [])
+	catalog.down = true
+	// No peer to learn from: the seed is a port where nobody listens.
+	const saved = ports
+	ports += 400
+	const lone = await openGateway(catalog)
+	ports = saved + 4
+	lone.ctx.routes = undefined
+	const got = await callGateway(lone.callers, '/r/x', { [WIRE.requestId]: 'n' })
+	assert.is(got.status, 503)
+	assert.ok(Number(got.headers['retry-after']) > 0)
+	const ready = await callGateway(lone.readiness, '/')
+	assert.is(ready.status, 503)
+})
+
+test('gateway: what the source turns away comes from peers', async () => {
+	const catalog = createCatalog(undefined, [])
+	catalog.down = true
+	const cut = await openGateway(catalog)
+	await until(() => cut.ctx.routes !== undefined)
+	assert.is(cut.ctx.routes?.config.version, CONFIG.version)
+	assert.is(cut.ctx.fleet.servers.length, backends.listed.length)
+	const newer = { ...CONFIG, version: 9 }
+	gateway.catalog.tell({
+		config: { config: newer, text: JSON.stringify(newer) },
+	})
+	await until(() => cut.ctx.routes?.config.version === 9)
+	assert.is(cut.ctx.routes?.config.version, 9)
+	gateway.catalog.tell({
+		config: { config: CONFIG, text: JSON.stringify(CONFIG) },
+	})
+	await new Promise(resolve => setTimeout(resolve, 200))
+	assert.is(gateway.ctx.routes?.config.version, 9, 'never back')
+})
+
+test.after(() => {
+	setImmediate(() => process.exit())
+})
+test.run()
--- /dev/null
+++ b/packages/gateway/test/standIns.ts
@@ -0,0 +1,322 @@
+/** Backend servers and a catalog for tests of the gateway, on loopback. */
+
+import type { IncomingMessage, Server, ServerResponse } from 'node:http'
+import { createServer, request } from 'node:http'
+import type { AddressInfo } from 'node:net'
+import type {
+	ListedServer,
+	TrafficConfig,
+	TrafficRoute,
+} from '@juniperhook/core'
+import type { CatalogSnapshot, CatalogSource, WireNames } from '../src/index.ts'
+
+/** Header names of the stand-ins; no platform's own. */
+export const WIRE: WireNames = {
+	requestId: 'x-id',
+	deadlineMs: 'x-deadline',
+	keyScheme: 'Key',
+	team: 'x-team',
+	expectServer: 'x-expect',
+	notRun: 'x-not-run',
+	atFault: 'x-fault',
+	seal: 'x-seal',
+	load: 'x-load',
+	lastEventId: 'last-event-id',
+	priority: 'x-priority',
+	tokens: 'x-tokens',
+	promptParts: 'x-prompt',
+}
+
+/** What a backend server does with one arrival. */
+export type Deed =
+	| 'serve'
+	/** A 503 that says that it was not run. */
+	| 'refuse'
+	/** A 421: another server is here. */
+	| 'misdirected'
+	/** Runs it and answers 500. */
+	| 'fail'
+	/** Closes the connection without a byte. */
+	| 'reset'
+	/** Closes it in the middle of the body. */
+	| 'cut'
+	/** Never answers. */
+	| 'hang'
+	/** Answers with another request's id. */
+	| 'otherId'
+	/** A success without its seal. */
+	| 'unsealed'
+	/** A stream of five events from the id after the last one. */
+	| 'stream'
+	/** Such a stream that breaks off in the middle of the third event. */
+	| 'brokenStream'
+
+/** Events of a whole stream. */
+export const STREAM_EVENTS = 5
+const BROKEN_AFTER = 2
+
+/** Backend servers that follow one script together. */
+export interface Backends {
+	readonly servers: Server[]
+	readonly listed: ListedServer[]
+	/** Deeds for the next arrivals; then `serve`. */
+	script: Deed[]
+	/** Arrivals so far. */
+	readonly arrivals: IncomingMessage[]
+	/** Ids of requests that were run, in order. */
+	readonly runs: string[]
+	/** Requests whose connection closed before their answer was whole. */
+	abandoned: number
+}
+
+/** Starts `count` backend servers. */
+export async function startBackends(count: number): Promise<Backends> {
+	const backends: Backends = {
+		servers: [],
+		listed: [],
+		script: [],
+		arrivals: [],
+		runs: [],
+		abandoned: 0,
+	}
+	for (let at = 0; at < count; at++) {
+		const server = createServer((req, res) => act(backends, req, res))
+		await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve))
+		const { port } = server.address() as AddressInfo
+		backends.servers.push(server)
+		backends.listed.push({
+			id: `s${at}`,
+			service: 'plain',
+			address: `127.0.0.1:${port}`,
+			dataCentre: 'north',
+			slots: 4,
+			leaving: false,
+			coldMs: 0,
+		})
+	}
+	return backends
+}
+
+function act(backends: Backends, req: IncomingMessage, res: ServerResponse) {
+	backends.arrivals.push(req)
+	const deed = backends.script.shift() ?? 'serve'
+	const id = String(req.headers[WIRE.requestId])
+	const sealed = { [WIRE.requestId]: id, [WIRE.seal]: 'sealed' }
+	res.on('close', () => {
+		if (!res.writableFinished) backends.abandoned++
+	})
+	if (deed !== 'refuse' && deed !== 'misdirected') backends.runs.push(id)
+	req.resume()
+	switch (deed) {
+		case 'serve':
+			res.writeHead(200, sealed).end(`answer to ${id}`)
+			return
+		case 'refuse':
+			res.writeHead(503, { [WIRE.notRun]: '1' }).end()
+			return
+		case 'misdirected':
+			res.writeHead(421).end()
+			return
+		case 'fail':
+			res.writeHead(500, sealed).end('failed')
+			return
+		case 'reset':
+			req.socket.destroy()
+			return
+		case 'cut':
+			res.writeHead(200, { ...sealed, 'content-length': 99 }).write('half')
+			setTimeout(() => req.socket.destroy(), 5)
+			return
+		case 'hang':
+			return
+		case 'otherId':
+			res.writeHead(200, { ...sealed, [WIRE.requestId]: 'other' }).end('theirs')
+			return
+		case 'unsealed':
+			res.writeHead(200, { [WIRE.requestId]: id }).end('unsealed')
+			return
+		case 'stream':
+		case 'brokenStream':
+			stream(req, res, sealed, deed === 'brokenStream')
+			return
+		default:
+			deed satisfies never
+	}
+}
+
+function stream(
+	req: IncomingMessage,
+	res: ServerResponse,
+	sealed: Record<string, string>,
+	broken: boolean,
+): void {
+	res.writeHead(200, { ...sealed, 'content-type': 'text/event-stream' })
+	const from = Number(req.headers[WIRE.lastEventId] ?? 0) + 1
+	const last = broken ? from + BROKEN_AFTER - 1 : STREAM_EVENTS
+	for (let id = from; id <= last; id++)
+		res.write(`id: ${id}\ndata: event ${id}\n\n`)
+	if (!broken) {
+		res.end()
+		return
+	}
+	res.write(`id: ${last + 1}\nda`)
+	setTimeout(() => req.socket.destroy(), 5)
+}
+
+const ROUTE: TrafficRoute = {
+	name: 'repeatable',
+	host: 'huts.example',
+	pathPrefix: '/r/',
+	shares: [{ service: 'plain', weight: 1 }],
+	kind: 'repeatable',
+	timeoutMs: 600,
+	targetMs: 200,
+	priority: 5,
+	maxAttempts: 2,
+	anonymous: false,
+	resumable: false,
+	maxPauseMs: 0,
+}
+
+/** Routes `/r/` repeatable, `/o/` once, `/s/` stream, `/p/` open to all. */
+export const CONFIG: TrafficConfig = {
+	version: 4,
+	routes: [
+		ROUTE,
+		{ ...ROUTE, name: 'once', pathPrefix: '/o/', kind: 'once' },
+		{
+			...ROUTE,
+			name: 'stream',
+			pathPrefix: '/s/',
+			kind: 'stream',
+			resumable: true,
+		},
+		{ ...ROUTE, name: 'frail', pathPrefix: '/f/', kind: 'stream' },
+		{ ...ROUTE, name: 'open', pathPrefix: '/p/', anonymous: true },
+		{
+			...ROUTE,
+			name: 'lost',
+			pathPrefix: '/n/',
+			shares: [{ service: 'nobody', weight: 1 }],
+		},
+	],
+	services: [
+		{ name: 'plain', healthPath: '/', maxConnections: 99, engine: undefined },
+	],
+	teams: [{ name: 'rangers', keys: ['key-1'], priority: 1 }],
+	limits: {
+		maxHeaderBytes: 2_000,
+		maxBodyBytes: 1_000,
+		headerTimeoutMs: 3_000,
+		idleTimeoutMs: 5_000,
+	},
+}
+
+/** A catalog whose answers a test sets; watches end when something is told. */
+export interface StandInCatalog extends CatalogSource {
+	snapshot: CatalogSnapshot
+	/** Answers every call with a failure while set. */
+	down: boolean
+	/** Tells of changes. */
+	tell(changes: Partial<CatalogSnapshot>): void
+}
+
+/** Makes a catalog of `config` and servers. */
+export function createCatalog(
+	config: TrafficConfig | undefined,
+	listed: readonly ListedServer[],
+): StandInCatalog {
+	const published = (held: TrafficConfig) => ({
+		config: held,
+		text: JSON.stringify(held),
+	})
+	let wake = () => {}
+	let changes: Partial<CatalogSnapshot> | undefined
+	const none = { config: undefined, servers: [], faults: [] }
+	const catalog: StandInCatalog = {
+		down: false,
+		snapshot: {
+			revision: 1,
+			config: config && published(config),
+			servers: listed.map(server => ({ id: server.id, revision: 1, server })),
+			faults: [],
+		},
+		tell(told) {
+			const revision = catalog.snapshot.revision + 1
+			catalog.snapshot = { ...catalog.snapshot, ...told, revision }
+			changes = told
+			wake()
+		},
+		async read() {
+			if (catalog.down) return { ok: false, lostHistory: false, reason: 'down' }
+			return { ok: true, value: catalog.snapshot }
+		},
+		async watch(revision, waitMs) {
+			if (!changes)
+				await new Promise<void>(resolve => {
+					wake = resolve
+					setTimeout(resolve, Math.min(waitMs, 50))
+				})
+			if (catalog.down) return { ok: false, lostHistory: false, reason: 'down' }
+			const told = changes
+			changes = undefined
+			const now = told ? catalog.snapshot.revision : revision
+			return { ok: true, value: { ...none, ...told, revision: now } }
+		},
+		decode: text => published(JSON.parse(text) as TrafficConfig),
+	}
+	return catalog
+}
+
+/** What a caller got. */
+export interface Got {
+	readonly status: number
+	readonly headers: IncomingMessage['headers']
+	readonly body: string
+	/** Whether the answer ended as its framing says. */
+	readonly whole: boolean
+}
+
+/** Calls a gateway; a connection that ends without an answer gives status 0. */
+export function callGateway(
+	address: string,
+	path: string,
+	headers: Record<string, string> = {},
+	method = 'GET',
+	body = '',
+): Promise<Got> {
+	const [host, port] = address.split(':')
+	return new Promise(resolve => {
+		const none = { status: 0, headers: {}, body: '', whole: false }
+		const req = request({
+			host,
+			port,
+			path,
+			method,
+			agent: false,
+			headers: {
+				host: 'huts.example',
+				authorization: 'Key key-1',
+				...headers,
+			},
+		})
+		req.on('error', () => resolve(none))
+		req.on('response', res => {
+			let text = ''
+			res.setEncoding('utf8')
+			res.on('data', part => {
+				text += part
+			})
+			res.on('error', () => {})
+			res.on('close', () =>
+				resolve({
+					status: res.statusCode ?? 0,
+					headers: res.headers,
+					body: text,
+					whole: res.complete,
+				}),
+			)
+		})
+		req.end(body)
+	})
+}
