--- a/packages/gateway/test/gateway.test.ts
+++ b/packages/gateway/test/gateway.test.ts
@@ -20,7 +20,10 @@
 const log = { ...createEventLog('test'), write: () => {}, flush: () => {} }
 let ports = FIRST_PORT
 
-async function openGateway(catalog = createCatalog(CONFIG, backends.listed)) {
+async function openGateway(
+	catalog = createCatalog(CONFIG, backends.listed),
+	seeds: readonly string[] = [],
+) {
 	const at = ports
 	ports += 4
 	const address = (offset: number) => `127.0.0.1:${at + offset}`
@@ -33,7 +36,7 @@
 			readiness: address(1),
 			control: address(2),
 			metrics: address(3),
-			seeds: [`127.0.0.1:${FIRST_PORT + 2}`],
+			seeds,
 			stopMs: 2_000,
 			retries: { ratio: 0.2, slack: 1_000, windowMs: 10_000 },
 		},
@@ -41,8 +44,14 @@
 		catalog,
 		log,
 	)
-	await until(() => catalog.down || ctx.routes !== undefined || !CONFIG)
-	return { ctx, catalog, callers: address(0), readiness: address(1) }
+	await until(() => catalog.down || ctx.routes !== undefined)
+	return {
+		ctx,
+		catalog,
+		callers: address(0),
+		readiness: address(1),
+		control: address(2),
+	}
 }
 
 async function until(condition: () => boolean): Promise<void> {
@@ -388,12 +397,7 @@
 test('gateway: without a configuration it is not ready and says 503', async () => {
 	const catalog = createCatalog(undefined, [])
 	catalog.down = true
-	// No peer to learn from: the seed is a port where nobody listens.
-	const saved = ports
-	ports += 400
 	const lone = await openGateway(catalog)
-	ports = saved + 4
-	lone.ctx.routes = undefined
 	const got = await callGateway(lone.callers, '/r/x', { [WIRE.requestId]: 'n' })
 	assert.is(got.status, 503)
 	assert.ok(Number(got.headers['retry-after']) > 0)
@@ -404,7 +408,7 @@
 test('gateway: what the source turns away comes from peers', async () => {
 	const catalog = createCatalog(undefined, [])
 	catalog.down = true
-	const cut = await openGateway(catalog)
+	const cut = await openGateway(catalog, [gateway.control])
 	await until(() => cut.ctx.routes !== undefined)
 	assert.is(cut.ctx.routes?.config.version, CONFIG.version)
 	assert.is(cut.ctx.fleet.servers.length, backends.listed.length)
