--- /dev/null
+++ b/packages/groups/test/standInGroup.ts
@@ -0,0 +1,226 @@
+/**
+ * A lock-step group of engines for tests: passes, maps, orders that are lost or
+ * carried out late, and counts that follow a skewed demand.
+ */
+
+import type { EngineOrder, OrderAnswer, RankReport } from '@juniperhook/core'
+import { createRandom, dealExperts } from '@juniperhook/core'
+import type { EnginePort, PublishedGroup } from '../src/index.ts'
+
+/** Size of the stand-in. */
+export const RANKS = 4
+const SETS = 2
+const EXPERTS = 16
+const PASS_MS = 5
+const CHOICES_A_PASS = 4_000
+/** Late orders are carried out after up to this time, ms. */
+const MAX_LATE_MS = 700
+
+interface Engine {
+	map: number
+	placements: number[][]
+	prepared: { version: number; placements: number[][] } | undefined
+	highest: number
+	armed: { version: number; step: number } | undefined
+	fence: number
+	counts: number[]
+}
+
+/** The group's state. */
+export interface StandInGroup {
+	readonly port: EnginePort
+	readonly group: PublishedGroup
+	readonly engines: Engine[]
+	step: number
+	epoch: number
+	held: number | undefined
+	/** Part of the orders that get no answer; half of them are carried out late. */
+	lossRate: number
+	/** Addresses that nothing reaches. */
+	readonly cutOff: Set<string>
+	/** Passes that began with two maps; must stay empty. */
+	readonly mixed: string[]
+	/** Lets all engines forget, as when the group forms anew. */
+	reform(): void
+	stop(): void
+}
+
+/** Address of a rank's engine; each has an IP number of its own. */
+export function addressOf(rank: number): string {
+	return `127.0.0.${20 + rank}:9000`
+}
+
+/** Starts a group whose passes run by themselves. */
+export function startGroup(seed: number): StandInGroup {
+	const random = createRandom(seed)
+	const layout = {
+		sets: SETS,
+		experts: EXPERTS,
+		places: 6,
+		maxNew: 2,
+		expertMb: 1,
+		expertShare: 0.85,
+		reformMs: 10,
+	}
+	const dealt = dealExperts(RANKS, layout)
+	const createEngine = (rank: number): Engine => ({
+		map: 0,
+		placements: Array.from({ length: SETS }, () => [...dealt[rank]!]),
+		prepared: undefined,
+		highest: 0,
+		armed: undefined,
+		fence: 0,
+		counts: Array.from({ length: SETS * EXPERTS }, () => 0),
+	})
+	const rankOf = (address: string) =>
+		group.group.members.findIndex(member => member.engine === address)
+	const reach = (address: string) => {
+		if (group.cutOff.has(address)) return undefined
+		return group.engines[rankOf(address)]
+	}
+	const group: StandInGroup = {
+		engines: Array.from({ length: RANKS }, (_, rank) => createEngine(rank)),
+		step: 0,
+		epoch: 1,
+		held: undefined,
+		lossRate: 0,
+		cutOff: new Set(),
+		mixed: [],
+		group: {
+			members: Array.from({ length: RANKS }, (_, rank) => ({
+				rank,
+				engine: addressOf(rank),
+			})),
+			layout,
+			linkMbps: 180_000,
+			slots: 8,
+			maxPauseMs: PASS_MS,
+		},
+		port: {
+			async report(address) {
+				const engine = reach(address)
+				return engine && reportOf(group, engine, rankOf(address))
+			},
+			async counts(address) {
+				const engine = reach(address)
+				return engine && { epoch: group.epoch, counts: [...engine.counts] }
+			},
+			async placement(address) {
+				const engine = reach(address)
+				if (!engine) return undefined
+				const { map, placements } = engine
+				return { epoch: group.epoch, map, experts: placements }
+			},
+			async order(address, order) {
+				const engine = reach(address)
+				if (!engine) return 'silent'
+				if (random() >= group.lossRate) return take(group, engine, order)
+				if (random() < 0.5)
+					setTimeout(() => take(group, engine, order), random() * MAX_LATE_MS)
+				return 'silent'
+			},
+		},
+		reform() {
+			group.epoch++
+			group.held = undefined
+			for (const rank of group.engines.keys())
+				group.engines[rank] = createEngine(rank)
+		},
+		stop: () => clearInterval(timer),
+	}
+	const timer = setInterval(() => pass(group, random), PASS_MS)
+	return group
+}
+
+function pass(group: StandInGroup, random: () => number): void {
+	if (group.held === group.step + 1) return
+	group.step++
+	for (const engine of group.engines) {
+		if (engine.armed?.step === group.step) {
+			engine.map = engine.armed.version
+			engine.placements = engine.prepared!.placements
+			engine.armed = undefined
+		}
+		for (let at = 0; at < engine.counts.length; at++) {
+			const liked = at % EXPERTS === 0 || at % EXPERTS === 4 ? 6 : 1
+			engine.counts[at]! += Math.round((liked * random() * CHOICES_A_PASS) / 20)
+		}
+	}
+	const maps = new Set(group.engines.map(engine => engine.map))
+	if (maps.size > 1) group.mixed.push(`pass ${group.step}: ${[...maps]}`)
+}
+
+function take(
+	group: StandInGroup,
+	engine: Engine,
+	order: EngineOrder,
+): OrderAnswer {
+	if (order.epoch !== group.epoch) return 'conflict'
+	if (order.type === 'probe') return 'done'
+	if (order.fence < engine.fence) return 'fenced'
+	const answer = carryOut(group, engine, order)
+	if (answer === 'done') engine.fence = Math.max(engine.fence, order.fence)
+	return answer
+}
+
+function carryOut(
+	group: StandInGroup,
+	engine: Engine,
+	order: Exclude<EngineOrder, { type: 'probe' }>,
+): OrderAnswer {
+	switch (order.type) {
+		case 'prepare': {
+			if (engine.armed || order.version <= engine.highest) return 'conflict'
+			const rank = group.engines.indexOf(engine)
+			const placements = order.map.map(set => [...set[rank]!])
+			engine.prepared = { version: order.version, placements }
+			engine.highest = order.version
+			return 'done'
+		}
+		case 'arm': {
+			const { armed, prepared } = engine
+			if (armed?.version === order.version) return 'done'
+			const fits = prepared?.version === order.version && !armed
+			if (!fits || order.step <= group.step) return 'conflict'
+			engine.armed = { version: order.version, step: order.step }
+			return 'done'
+		}
+		case 'disarm':
+			if (engine.map === order.version) return 'conflict'
+			if (engine.armed?.version === order.version) engine.armed = undefined
+			return 'done'
+		case 'hold':
+			if (group.held === order.step) return 'done'
+			if (group.held !== undefined || order.step <= group.step)
+				return 'conflict'
+			group.held = order.step
+			return 'done'
+		case 'go':
+			if (group.held === order.step) group.held = undefined
+			return 'done'
+		default:
+			return order satisfies never
+	}
+}
+
+function reportOf(
+	group: StandInGroup,
+	engine: Engine,
+	rank: number,
+): RankReport {
+	return {
+		group: 'g',
+		rank,
+		size: RANKS,
+		epoch: group.epoch,
+		open: true,
+		step: group.step,
+		map: engine.map,
+		prepared: engine.prepared?.version,
+		armed: engine.armed,
+		held: rank === 0 ? group.held : undefined,
+		running: 4,
+		waiting: 0,
+		pace: 1,
+	}
+}
