--- a/packages/gateway/src/context.ts
+++ b/packages/gateway/src/context.ts
@@ -36,7 +36,8 @@
 
 /** A running gateway's state. */
 export interface GatewayContext {
-	readonly settings: GatewaySettings
+	/** Changed when the settings file does. */
+	settings: GatewaySettings
 	readonly wire: WireNames
 	readonly log: EventLog
 	readonly metrics: GatewayMetrics
--- a/packages/gateway/src/peers.ts
+++ b/packages/gateway/src/peers.ts
@@ -99,10 +99,9 @@
 		pull: (params: unknown) => answerPull(ctx, params),
 	}
 	await serveRpc(ctx.settings.control, methods)
-	for (const seed of ctx.settings.seeds) addPeer(ctx, peers, methods, seed)
 	setInterval(() => {
-		for (const address of peers.links.keys())
-			addPeer(ctx, peers, methods, address)
+		const known = [...ctx.settings.seeds, ...peers.links.keys()]
+		for (const address of known) addPeer(ctx, peers, methods, address)
 		tellPeers(ctx, peers)
 		forgetSilent(ctx, peers)
 	}, TELL_MS)
