--- a/packages/gateway/src/catalog.ts
+++ b/packages/gateway/src/catalog.ts
@@ -27,6 +27,11 @@
  * nothing until then, and the platform counts a VM as in touch after 3 s.
  */
 const WATCH_MS = 2_500
+/**
+ * After news, before the next watch, ms: changes often come many at a time, and
+ * each call has its price. It adds to the time until a change is in force.
+ */
+const GATHER_MS = 100
 /** Between calls to a source that failed, ms; it grows up to the second. */
 const MIN_PAUSE_MS = 100
 const MAX_PAUSE_MS = 800
@@ -77,7 +82,9 @@
 		pause = MIN_PAUSE_MS
 		noteBack(ctx, follower, now)
 		takeSnapshot(ctx, result.value, whole, follower, now)
+		const isNews = !whole && result.value.revision !== revision
 		revision = result.value.revision
+		if (isNews) await sleep(GATHER_MS)
 	}
 }
 
--- a/packages/gateway/src/serverCall.ts
+++ b/packages/gateway/src/serverCall.ts
@@ -37,6 +37,8 @@
 export interface ServerAnswer {
 	readonly status: number
 	readonly message: IncomingMessage
+	/** Whether the body came to its end; to be asked once it is closed. */
+	isWhole(): boolean
 	/** Cuts the connection, so that the server stops its work. */
 	cut(): void
 }
@@ -108,9 +110,18 @@
 	const early = !req.writableFinished
 	if (early) message.once('end', () => req.destroy())
 	message.on('error', () => {})
+	// Node takes an answer without a length for whole when it is reset.
+	let isReset = false
+	const noteReset = () => {
+		isReset = true
+	}
+	const { socket } = message
+	socket.once('error', noteReset)
+	message.once('close', () => socket.removeListener('error', noteReset))
 	return {
 		status: message.statusCode ?? 0,
 		message,
+		isWhole: () => message.complete && !isReset,
 		cut: () => req.destroy(),
 	}
 }
@@ -131,7 +142,7 @@
 		const parts: Buffer[] = []
 		message.on('data', (part: Buffer) => parts.push(part))
 		message.on('close', () => {
-			if (message.complete)
+			if (answer.isWhole())
 				resolve({ kind: 'whole', body: Buffer.concat(parts) })
 			else resolve({ kind: 'broken', reason: 'the answer broke off' })
 		})
--- a/packages/gateway/src/streamRelay.ts
+++ b/packages/gateway/src/streamRelay.ts
@@ -46,7 +46,7 @@
 			for (const event of splitEvents(splitter, data)) if (sound) pass(event)
 		})
 		message.on('close', () => {
-			const whole = message.complete && sound && splitter.held.length === 0
+			const whole = answer.isWhole() && sound && splitter.held.length === 0
 			result.release(whole || job.signal.aborted)
 			if (job.signal.aborted) {
 				resolve({ kind: 'done' })
--- a/packages/gateway/test/gateway.test.ts
+++ b/packages/gateway/test/gateway.test.ts
@@ -192,6 +192,23 @@
 		arrivals: 4,
 		retryAfter: true,
 	},
+	{
+		name: 'a body without a length ends with its connection',
+		path: '/o/x',
+		method: 'POST',
+		script: ['unframed'],
+		status: 200,
+		arrivals: 1,
+		has: 'answer to',
+	},
+	{
+		name: 'a body without a length that is reset is not whole',
+		path: '/o/x',
+		method: 'POST',
+		script: ['unframedReset'],
+		status: 502,
+		arrivals: 1,
+	},
 	{
 		name: 'a success without its seal is no success',
 		path: '/o/x',
--- a/packages/gateway/test/standIns.ts
+++ b/packages/gateway/test/standIns.ts
@@ -40,6 +40,10 @@
 	| 'reset'
 	/** Closes it in the middle of the body. */
 	| 'cut'
+	/** Resets the connection in the middle of a body without a length. */
+	| 'unframedReset'
+	/** A body without a length, whole when the connection ends. */
+	| 'unframed'
 	/** Never answers. */
 	| 'hang'
 	/** Answers with another request's id. */
@@ -127,6 +131,14 @@
 			res.writeHead(200, { ...sealed, 'content-length': 99 }).write('half')
 			setTimeout(() => req.socket.destroy(), 5)
 			return
+		case 'unframedReset':
+			writeUnframed(req, id, 'half')
+			setTimeout(() => req.socket.resetAndDestroy(), 20)
+			return
+		case 'unframed':
+			writeUnframed(req, id, `answer to ${id}`)
+			req.socket.end()
+			return
 		case 'hang':
 			return
 		case 'otherId':
@@ -144,6 +156,16 @@
 	}
 }
 
+function writeUnframed(req: IncomingMessage, id: string, body: string): void {
+	const head = [
+		'HTTP/1.1 200 OK',
+		`${WIRE.requestId}: ${id}`,
+		`${WIRE.seal}: sealed`,
+		'connection: close',
+	]
+	req.socket.write(`${head.join('\r\n')}\r\n\r\n${body}`)
+}
+
 function stream(
 	req: IncomingMessage,
 	res: ServerResponse,
--- a/packages/groups/src/agent.ts
+++ b/packages/groups/src/agent.ts
@@ -6,7 +6,7 @@
 
 import { randomBytes } from 'node:crypto'
 import type { RankReport } from '@juniperhook/core'
-import { createRandom, splitAddress } from '@juniperhook/core'
+import { ANCHOR_RANK, createRandom, splitAddress } from '@juniperhook/core'
 import type { EventLog, RpcLink } from '@juniperhook/runtime'
 import { call, connectRpc, readNow, serveRpc } from '@juniperhook/runtime'
 import type { Coordinator } from './coordinator.ts'
@@ -30,12 +30,14 @@
 const CANDIDATE_LOOK_MS = 80
 /** Between looks of agents that only serve, ms. */
 const LOOK_MS = 500
+/** An earlier candidate that is silent for this long is taken for dead, ms. */
+const SILENT_MS = 1_500
 /**
- * An earlier candidate that is silent for this long is taken for dead, ms. Taking
- * over is safe at any time; a coordinator that stops while it holds the group
- * makes every stream wait, and callers give a stream up after 2 s.
+ * The same while the group is held. Taking over is safe at any time; a
+ * coordinator that stops while it holds the group makes every stream wait, and
+ * callers give a stream up after 2 s.
  */
-const SILENT_MS = 350
+const SILENT_HELD_MS = 350
 /** Between readings of the published group, ms. */
 const READ_MS = 2_000
 const HELLO_MS = 150
@@ -149,11 +151,22 @@
 	for (const earlier of CANDIDATES.slice(0, CANDIDATES.indexOf(rank))) {
 		await greet(agent, earlier)
 		const heardAt = agent.heardAt.get(earlier)
-		if (heardAt !== undefined && readNow() - heardAt < SILENT_MS) return earlier
+		if (heardAt === undefined) continue
+		const silentMs = readNow() - heardAt
+		if (silentMs < SILENT_HELD_MS) return earlier
+		if (silentMs < SILENT_MS && !(await isHeld(agent))) return earlier
 	}
 	return undefined
 }
 
+/** Whether the group is held, by its anchor's own word. */
+async function isHeld(agent: Agent): Promise<boolean> {
+	const anchor = agent.group?.members.find(item => item.rank === ANCHOR_RANK)
+	if (!anchor) return false
+	const report = await agent.port.report(anchor.engine)
+	return report?.held !== undefined
+}
+
 async function greet(agent: Agent, rank: number): Promise<void> {
 	const member = agent.group?.members.find(item => item.rank === rank)
 	if (!member) return
--- a/packages/groups/src/coordinator.ts
+++ b/packages/groups/src/coordinator.ts
@@ -8,6 +8,7 @@
 	GroupRound,
 	Random,
 	RankReport,
+	SetPlan,
 	WantedOrder,
 } from '@juniperhook/core'
 import {
@@ -249,7 +250,7 @@
 	if (report.armed !== undefined) return
 	const map = await readMap(co, report)
 	if (!map || co.demand.seen < MIN_SEEN) return
-	const better = planMap(co, map)
+	const better = await planMap(co, map)
 	if (better) await runRound(co, report, better)
 }
 
@@ -298,7 +299,10 @@
 }
 
 /** A better map, if passes need it and its gain outweighs the copying. */
-function planMap(co: Coordinator, map: GroupMap): GroupMap | undefined {
+async function planMap(
+	co: Coordinator,
+	map: GroupMap,
+): Promise<GroupMap | undefined> {
 	const { group, demand } = co
 	if (!group) return undefined
 	const { layout } = group
@@ -312,9 +316,12 @@
 	const allowed = allowedFactor(co, group, before)
 	if (before <= allowed) return undefined
 	const target = 1 + (allowed - 1) * TARGET_SHARE
-	const plans = map.map((placement, set) =>
-		planSet(placement, shares[set]!, layout, paces, target),
-	)
+	const plans: SetPlan[] = []
+	for (const [set, placement] of map.entries()) {
+		plans.push(planSet(placement, shares[set]!, layout, paces, target))
+		// A set of a large group takes tens of ms: others are answered between.
+		await new Promise(resolve => setImmediate(resolve))
+	}
 	const after = passFactor(
 		plans.map(plan => plan.after),
 		layout.expertShare,
