--- a/packages/core/src/core/comeBack.ts
+++ b/packages/core/src/core/comeBack.ts
@@ -2,10 +2,13 @@
 
 import type { Random } from '../internal.ts'
 
-/** A group that broke needs about this long until it serves again, ms. */
-const CLOSED_MS = 1_400
+/**
+ * A group that broke needs about this long until it serves again, ms: the
+ * crashes of engines that were played lasted from 2 to 5 s.
+ */
+const CLOSED_MS = 2_600
 /** A full service has room for another request after about this time, ms. */
-const FULL_MS = 700
+const FULL_MS = 1_500
 /** Callers come back spread over this part of the time. */
 const SPREAD = 0.3
 /** Callers heed a time up to a third of what they have left. */
--- a/packages/gateway/src/peers.ts
+++ b/packages/gateway/src/peers.ts
@@ -23,7 +23,7 @@
 import type { CatalogSource } from './ports.ts'
 
 /** Between states told to peers while something changes, ms. */
-const TELL_MS = 100
+const TELL_MS = 150
 /** A state is told at least this often, ms. */
 const HEARTBEAT_MS = 500
 /** A peer that has been silent for this long holds nothing any more, ms. */
--- a/packages/gateway/src/serverCall.ts
+++ b/packages/gateway/src/serverCall.ts
@@ -116,8 +116,16 @@
 		isReset = true
 	}
 	const { socket } = message
+	// A reset may also be read as a plain end; then the peer has no name left.
+	const noteEnd = () => {
+		if (socket.remoteAddress === undefined) isReset = true
+	}
 	socket.once('error', noteReset)
-	message.once('close', () => socket.removeListener('error', noteReset))
+	socket.prependOnceListener('end', noteEnd)
+	message.once('close', () => {
+		socket.removeListener('error', noteReset)
+		socket.removeListener('end', noteEnd)
+	})
 	return {
 		status: message.statusCode ?? 0,
 		message,
--- a/packages/groups/src/coordinator.ts
+++ b/packages/groups/src/coordinator.ts
@@ -48,6 +48,8 @@
 const COUNTS_MS = 200
 /** Ranks whose counts are read; the others' requests are like theirs. */
 const MAX_COUNTED = 16
+/** Between looks at the anchor while no round is under way, ms. */
+const IDLE_LOOK_MS = 80
 /** Between steps of a round that waits for a report, ms. */
 const LOOK_MS = 20
 /** A rank that does not answer a probe for this long cannot be armed, ms. */
@@ -175,7 +177,7 @@
 		}
 		const report = await readAnchor(co)
 		if (report && isWhole(co, report)) await improve(co, report)
-		await pause(LOOK_MS)
+		await pause(IDLE_LOOK_MS)
 	}
 	for (const client of co.clients.values()) closeRankClient(client)
 	co.clients.clear()
