--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -29,6 +29,10 @@
 /** Sends that a server is proved not to have run, besides those that count. */
 const MAX_REFUSED_SENDS = 3
 
+/** The request's own end comes first, with the right answer, ms. */
+const AFTER_GIVEN_UP_MS = 500
+/** How a call fails when no process listens at the address. */
+const REFUSED = 'ECONNREFUSED'
 /** A repeatable request is tried elsewhere after this part of its target. */
 const PATIENCE_SHARE = 0.5
 /** Or after so many times what its server usually takes, if that is longer. */
@@ -133,7 +137,7 @@
 		id: request.id,
 		idHeader: wire.requestId,
 		agent: request.repeatable ? ctx.pool.kept : ctx.pool.single,
-		headMs: Math.min(untilGivenUp, patienceFor(ctx, job)),
+		headMs: Math.min(untilGivenUp + AFTER_GIVEN_UP_MS, patienceFor(ctx, job)),
 		signal: job.signal,
 	})
 	const note = (result: TryResult) => {
@@ -145,6 +149,8 @@
 		const reached = result.kind === 'lost'
 		if (!job.signal.aborted) note({ kind: reached ? 'failed' : 'unreached' })
 		if (result.kind === 'notSent') noteNotRun(job, mayHaveRunBefore)
+		// A rank without a process: its group stands still and will refuse.
+		if (result.reason === REFUSED && isGrouped(ctx, job)) closeService(ctx, job)
 		logAttempt(ctx, job, serverId, result.kind, result.reason)
 		return result.kind === 'notSent'
 			? { kind: 'notRun', reason: result.reason }
@@ -197,8 +203,13 @@
 	job: Job,
 	status: number,
 ): boolean {
+	return status === UNAVAILABLE && isGrouped(ctx, job)
+}
+
+/** Whether the service's servers are ranks of lock-step groups. */
+function isGrouped(ctx: GatewayContext, job: Job): boolean {
 	const { engine } = ctx.routes?.services.get(job.service) ?? {}
-	return status === UNAVAILABLE && engine?.experts !== undefined
+	return engine?.experts !== undefined
 }
 
 function closeService(ctx: GatewayContext, { service }: Job): void {
