--- a/bench/main.ts
+++ b/bench/main.ts
@@ -9,6 +9,7 @@
 	model: () => import('./model.ts'),
 	overload: () => import('./overload.ts'),
 	rebalance: () => import('./rebalance.ts'),
+	schedule: () => import('./schedule.ts'),
 }
 
 const name = process.argv[2] ?? ''
--- /dev/null
+++ b/bench/schedule.ts
@@ -0,0 +1,284 @@
+/**
+ * Policies for the expert map of a lock-step group whose demand shifts every few
+ * seconds, side by side on the same arrivals in virtual time.
+ */
+
+import { writeFileSync } from 'node:fs'
+import type { GroupMap, SetPlan } from '@juniperhook/core'
+import {
+	allowedFactor,
+	isWorthwhile,
+	passFactor,
+	planSet,
+	skewOfSet,
+	targetFactor,
+} from '@juniperhook/core'
+import type { ExpertDay, ExpertGroup } from '@juniperhook/fakes'
+import {
+	createExpertGroup,
+	demandOf,
+	playPass,
+	startCopies,
+} from '@juniperhook/fakes'
+import type { Demand } from '@juniperhook/groups'
+import {
+	createDemand,
+	decayDemand,
+	shareOfSet,
+	takeCounts,
+} from '@juniperhook/groups'
+import { isQuick, print, printTable } from './output.ts'
+
+/** Figures as the users' configuration tells them. */
+const DAY: ExpertDay = {
+	ranks: 16,
+	layout: {
+		sets: 4,
+		experts: 64,
+		places: 5,
+		maxNew: 2,
+		expertMb: 880,
+		expertShare: 0.85,
+		reformMs: 600,
+	},
+	slots: 8,
+	stepsPerPass: 5,
+	stepMs: 5.85,
+	perRequestMs: 0.53,
+	linkMbps: 180_000,
+	arrivalsPerSecond: 60,
+	events: 28,
+	subjects: 9,
+	shiftShare: 0.76,
+	shiftEveryMs: 3_500,
+	lengthMs: 34_000,
+	seed: 20261202,
+}
+const DAYS: { name: string; change: Partial<ExpertDay> }[] = [
+	{ name: 'quiet', change: {} },
+	{ name: 'peak', change: { arrivalsPerSecond: 72 } },
+	{
+		name: '72 ranks',
+		change: {
+			ranks: 72,
+			slots: 7,
+			arrivalsPerSecond: 188,
+			layout: { ...DAY.layout, sets: 12, experts: 144, places: 3, maxNew: 1 },
+		},
+	},
+]
+
+/** Between readings of counts, ms; the agents' own figure. */
+const COUNTS_MS = 200
+/** From the end of copying to a map in use, ms. */
+const ARM_MS = 150
+/** Choices of a pass, to turn demand into counts. */
+const CHOICES = 100_000
+const MAX_PAUSE_MS = 120
+
+type Policy =
+	| 'never'
+	/** Towards balance whenever there is anything to gain. */
+	| 'always'
+	/** All experts placed anew for the demand of the moment. */
+	| 'full'
+	/** When the most loaded rank passes 1.5 times the mean. */
+	| 'threshold'
+	/** What the agents do. */
+	| 'present'
+	/** Balance for the demand of this very pass, at once and free. */
+	| 'bound'
+
+const POLICIES: Policy[] = [
+	'never',
+	'always',
+	'full',
+	'threshold',
+	'present',
+	'bound',
+]
+const THRESHOLD = 1.5
+
+interface Played {
+	readonly day: string
+	readonly policy: Policy
+	readonly mean: number
+	readonly p50: number
+	readonly p99: number
+	/** Part of passes longer than the longest pause in time. */
+	readonly late: number
+	readonly copies: number
+	readonly changes: number
+}
+
+function play(name: string, day: ExpertDay, policy: Policy): Played {
+	const group = createExpertGroup(day)
+	const { sets, experts } = day.layout
+	const demand = createDemand(sets, experts)
+	const counts = new Array<number>(sets * experts).fill(0)
+	let countedAt = 0
+	let coming: { map: GroupMap; at: number } | undefined
+	while (group.nowMs < day.lengthMs) {
+		if (policy === 'bound') group.map = planAll(group, demandOf(group), 1)
+		const now = demandOf(group)
+		const passMs = playPass(group)
+		for (const [at, share] of now.entries())
+			counts[at]! += Math.round(share * CHOICES)
+		if (coming && group.nowMs >= coming.at) {
+			group.map = coming.map
+			group.changes++
+			coming = undefined
+		}
+		if (group.nowMs - countedAt < COUNTS_MS) continue
+		countedAt = group.nowMs
+		decayDemand(demand, group.nowMs)
+		takeCounts(demand, 0, { epoch: 1, counts: [...counts] })
+		if (coming || demand.seen === 0) continue
+		const map = decide(group, demand, policy, passMs)
+		if (!map) continue
+		const copyMs = startCopies(group, map)
+		coming = { map, at: group.nowMs + copyMs + ARM_MS }
+	}
+	return summarize(name, policy, group)
+}
+
+function decide(
+	group: ExpertGroup,
+	demand: Demand,
+	policy: Policy,
+	passMs: number,
+): GroupMap | undefined {
+	const { layout } = group.day
+	const shares = group.map.map((_, set) => shareOfSet(demand, set))
+	const flat = new Float64Array(layout.sets * layout.experts)
+	for (const [set, share] of shares.entries())
+		flat.set(share, set * layout.experts)
+	const skews = group.map.map((placement, set) =>
+		skewOfSet(placement, shares[set]!, layout),
+	)
+	const factor = passFactor(skews, layout.expertShare)
+	switch (policy) {
+		case 'never':
+		case 'bound':
+			return undefined
+		case 'always':
+			return factor > 1.03 ? planAll(group, flat, 1) : undefined
+		case 'full':
+			return planAll(group, flat, 1, true)
+		case 'threshold':
+			return Math.max(...skews) > THRESHOLD
+				? planAll(group, flat, 1)
+				: undefined
+		case 'present': {
+			const held = group.streams.length / group.day.ranks
+			const limits = { maxPauseMs: MAX_PAUSE_MS, slots: group.day.slots }
+			const allowed = allowedFactor({ factor, passMs, held }, limits)
+			if (factor <= allowed) return undefined
+			const map = planAll(group, flat, targetFactor(allowed))
+			const after = map.map((placement, set) =>
+				skewOfSet(placement, shares[set]!, layout),
+			)
+			const then = passFactor(after, layout.expertShare)
+			return isWorthwhile(factor, then) ? map : undefined
+		}
+		default:
+			return policy satisfies never
+	}
+}
+
+/** Plans all sets; `anew` from the map that a group forms with. */
+function planAll(
+	group: ExpertGroup,
+	shares: Float64Array,
+	target: number,
+	anew = false,
+): GroupMap {
+	const { layout, ranks } = group.day
+	const free = { ...layout, maxNew: layout.places }
+	return group.map.map((placement, set) => {
+		const share = shares.subarray(
+			set * layout.experts,
+			(set + 1) * layout.experts,
+		)
+		const from = anew ? dealt(ranks, layout.experts) : placement
+		const plan: SetPlan = planSet(from, share, anew ? free : layout, [], target)
+		return plan.placement
+	})
+}
+
+function dealt(ranks: number, experts: number): number[][] {
+	const byRank: number[][] = Array.from({ length: ranks }, () => [])
+	for (let expert = 0; expert < experts; expert++)
+		byRank[expert % ranks]!.push(expert)
+	return byRank
+}
+
+function summarize(day: string, policy: Policy, group: ExpertGroup): Played {
+	const passes = [...group.passes].sort((a, b) => a - b)
+	const at = (share: number) => passes[Math.floor(share * (passes.length - 1))]!
+	// By time, not by number: long passes are what streams stand in.
+	const total = passes.reduce((sum, pass) => sum + pass, 0)
+	const late = passes.filter(pass => pass > MAX_PAUSE_MS)
+	return {
+		day,
+		policy,
+		mean: total / passes.length,
+		p50: at(0.5),
+		p99: at(0.99),
+		late: late.reduce((sum, pass) => sum + pass, 0) / total,
+		copies: group.copies,
+		changes: group.changes,
+	}
+}
+
+/** Runs the bench. */
+export async function run(): Promise<void> {
+	const days = isQuick() ? DAYS.slice(0, 1) : DAYS
+	const rows: Played[] = []
+	for (const { name, change } of days)
+		for (const policy of POLICIES)
+			rows.push(play(name, { ...DAY, ...change }, policy))
+	printTable(
+		['day', 'policy', 'mean ms', 'p50', 'p99', 'late', 'copies', 'changes'],
+		rows.map(row => [
+			row.day,
+			row.policy,
+			row.mean.toFixed(1),
+			row.p50.toFixed(1),
+			row.p99.toFixed(1),
+			`${(row.late * 100).toFixed(1)}%`,
+			String(row.copies),
+			String(row.changes),
+		]),
+	)
+	if (isQuick()) return
+	writeFileSync('docs/schedule.svg', draw(rows))
+	print('plot: docs/schedule.svg')
+}
+
+const WIDTH = 720
+const ROW = 20
+const MARGIN = 150
+
+/** Bars of mean pass time, with the copies beside them. */
+function draw(rows: readonly Played[]): string {
+	const most = Math.max(...rows.map(row => row.mean))
+	const bars = rows.map((row, at) => {
+		const y = 30 + at * ROW
+		const width = ((WIDTH - MARGIN - 120) * row.mean) / most
+		const colour = row.policy === 'present' ? '#1b6ca8' : '#999'
+		return [
+			`<text x="${MARGIN - 6}" y="${y + 12}" text-anchor="end">${row.day}, ${row.policy}</text>`,
+			`<rect x="${MARGIN}" y="${y}" width="${width.toFixed(0)}" height="${ROW - 5}" fill="${colour}"/>`,
+			`<text x="${MARGIN + width + 5}" y="${y + 12}">${row.mean.toFixed(1)} ms, ${row.copies} copies</text>`,
+		].join('')
+	})
+	const height = 50 + rows.length * ROW
+	return [
+		`<svg xmlns="http://www.w3.org/2000/svg" width="${WIDTH}" height="${height}" font-family="sans-serif" font-size="12">`,
+		`<rect width="${WIDTH}" height="${height}" fill="white"/>`,
+		`<text x="10" y="18">Mean pass time by policy</text>`,
+		...bars,
+		'</svg>\n',
+	].join('\n')
+}
--- /dev/null
+++ b/packages/core/src/core/mapNeed.ts
@@ -0,0 +1,60 @@
+/**
+ * When a lock-step group needs another expert map, and how good a one: not for
+ * balance's sake, but so that pauses stay in time and slots stay free.
+ */
+
+/** A plan must make passes shorter by this part. */
+const MIN_GAIN = 0.05
+/** Part of the longest pause in time that a pass may take. */
+const PAUSE_SHARE = 0.65
+/** Part of an engine's slots that requests may hold. */
+const SLOTS_SHARE = 0.8
+/** Imbalance that is always or never accepted, over a balanced pass. */
+const MIN_FACTOR = 1.12
+const MAX_FACTOR = 2
+/** A plan aims at this part of the imbalance that is allowed. */
+const TARGET_SHARE = 0.4
+/** Requests held that count as none. */
+const FEW_HELD = 0.1
+
+/** How a group fares. */
+export interface GroupBusy {
+	/** Time of a pass over that of a balanced one. */
+	readonly factor: number
+	readonly passMs: number
+	/** Requests that a rank holds, in the mean. */
+	readonly held: number
+}
+
+/** What must not be passed. */
+export interface GroupLimits {
+	/** Longest pause between events that is in time, ms; 0 if unstated. */
+	readonly maxPauseMs: number
+	/** Requests that an engine runs at once. */
+	readonly slots: number
+}
+
+/**
+ * How much longer than balanced a pass may be. Requests stay longer when passes
+ * do, so what a balanced group would hold follows from what this one holds.
+ */
+export function allowedFactor(busy: GroupBusy, limits: GroupLimits): number {
+	const balancedMs = busy.passMs / busy.factor
+	const balancedHeld = Math.max(FEW_HELD, busy.held / busy.factor)
+	const byPause =
+		limits.maxPauseMs > 0
+			? (PAUSE_SHARE * limits.maxPauseMs) / balancedMs
+			: MAX_FACTOR
+	const bySlots = (SLOTS_SHARE * limits.slots) / balancedHeld
+	return Math.max(MIN_FACTOR, Math.min(byPause, bySlots, MAX_FACTOR))
+}
+
+/** What a plan aims at when a pass may take `allowed` times a balanced one. */
+export function targetFactor(allowed: number): number {
+	return 1 + (allowed - 1) * TARGET_SHARE
+}
+
+/** Whether a plan shortens passes by enough to be carried out. */
+export function isWorthwhile(before: number, after: number): boolean {
+	return 1 - after / before >= MIN_GAIN
+}
--- a/packages/fakes/src/index.ts
+++ b/packages/fakes/src/index.ts
@@ -1,5 +1,6 @@
 /** Stand-ins for what juniperhook meets: the platform, engines, services. */
 
+export * from './expertGroup.ts'
 export * from './fleet.ts'
 export * from './group.ts'
 export * from './groupModel.ts'
--- a/packages/groups/src/coordinator.ts
+++ b/packages/groups/src/coordinator.ts
@@ -13,11 +13,13 @@
 } from '@juniperhook/core'
 import {
 	ANCHOR_RANK,
+	allowedFactor,
 	createRound,
 	dealExperts,
 	fenceOfVersion,
 	giveUpProbing,
 	isOver,
+	isWorthwhile,
 	listWanted,
 	passFactor,
 	planSet,
@@ -25,6 +27,7 @@
 	skewOfSet,
 	takeAnchorReport,
 	takeOrderAnswer,
+	targetFactor,
 } from '@juniperhook/core'
 import type { EventLog } from '@juniperhook/runtime'
 import { readNow } from '@juniperhook/runtime'
@@ -64,17 +67,6 @@
 const PREPARE_LIMIT_MS = 4_000
 /** Choices that must have been seen before the first plan. */
 const MIN_SEEN = 20_000
-/** A plan must make passes shorter by this part. */
-const MIN_GAIN = 0.05
-/** Part of the longest pause in time that a pass may take. */
-const PAUSE_SHARE = 0.65
-/** Part of an engine's slots that requests may hold. */
-const SLOTS_SHARE = 0.8
-/** Imbalance that is always or never accepted, over a balanced pass. */
-const MIN_FACTOR = 1.12
-const MAX_FACTOR = 2
-/** A plan aims at this part of the imbalance that is allowed. */
-const TARGET_SHARE = 0.4
 /** Weight of a new reading of what ranks hold. */
 const HELD_WEIGHT = 0.3
 /** Fences are a counter and this many random low bits, so that none is doubled. */
@@ -315,9 +307,10 @@
 		skewOfSet(placement, shares[set]!, layout, paces),
 	)
 	const before = passFactor(skews, layout.expertShare)
-	const allowed = allowedFactor(co, group, before)
+	const busy = { factor: before, passMs: co.passMs, held: co.held }
+	const allowed = allowedFactor(busy, group)
 	if (before <= allowed) return undefined
-	const target = 1 + (allowed - 1) * TARGET_SHARE
+	const target = targetFactor(allowed)
 	const plans: SetPlan[] = []
 	for (const [set, placement] of map.entries()) {
 		plans.push(planSet(placement, shares[set]!, layout, paces, target))
@@ -328,7 +321,7 @@
 		plans.map(plan => plan.after),
 		layout.expertShare,
 	)
-	if (1 - after / before < MIN_GAIN) return undefined
+	if (!isWorthwhile(before, after)) return undefined
 	co.log.write('map planned', {
 		before: round3(before),
 		after: round3(after),
@@ -343,25 +336,6 @@
 	return plans.map(plan => plan.placement)
 }
 
-/**
- * How much longer than balanced a pass may be: pauses stay in time, and since
- * requests stay longer when passes do, slots stay free.
- */
-function allowedFactor(
-	co: Coordinator,
-	group: PublishedGroup,
-	factor: number,
-): number {
-	const balancedMs = co.passMs / factor
-	const balancedHeld = co.held / factor
-	const byPause =
-		group.maxPauseMs > 0
-			? (PAUSE_SHARE * group.maxPauseMs) / balancedMs
-			: MAX_FACTOR
-	const bySlots = (SLOTS_SHARE * group.slots) / Math.max(0.1, balancedHeld)
-	return Math.max(MIN_FACTOR, Math.min(byPause, bySlots, MAX_FACTOR))
-}
-
 function round3(value: number): number {
 	return Number(value.toFixed(3))
 }
