--- a/packages/core/src/core/dispatch.ts
+++ b/packages/core/src/core/dispatch.ts
@@ -40,6 +40,11 @@
 const FAILURE_LOAD = 3
 /** Load that a server seems to have for being twice as slow as the fastest. */
 const SLOW_LOAD = 0.25
+/**
+ * Load that a rank seems to have for being twice as slow as usual: its requests
+ * lengthen every pass of its group, not its own alone.
+ */
+const PACE_LOAD = 0.5
 /** A server counts as at most this many times slower. */
 const MAX_SLOW = 6
 /** Failures in a row that one connection which never came up stands for. */
@@ -151,7 +156,8 @@
 		const slots = table.slots[row]!
 		if (held >= slots + query.queueRoom) continue
 		const far = query.near.has(row) ? 0 : FAR_LOAD
-		const load = held / slots + far + penalties.get(row)!
+		const slow = PACE_LOAD * (table.pace[row]! - 1)
+		const load = held / slots + far + slow + penalties.get(row)!
 		if (load >= bestLoad) continue
 		best = row
 		bestLoad = load
--- a/packages/core/src/core/routing.ts
+++ b/packages/core/src/core/routing.ts
@@ -34,6 +34,8 @@
 	readonly failureRate: Float64Array
 	/** When the smoothed columns were last touched, ms. */
 	readonly ratedAt: Float64Array
+	/** How slow the server says it is; 1 is its usual speed. */
+	readonly pace: Float64Array
 }
 
 /** Failures in a row after which a server is left alone for a while. */
@@ -66,6 +68,7 @@
 		ejectedUntil: new Float64Array(size),
 		failureRate: new Float64Array(size),
 		ratedAt: new Float64Array(size),
+		pace: new Float64Array(size).fill(1),
 	}
 }
 
@@ -87,6 +90,7 @@
 	to.ejectedUntil[row] = from.ejectedUntil[old]!
 	to.failureRate[row] = from.failureRate[old]!
 	to.ratedAt[row] = from.ratedAt[old]!
+	to.pace[row] = from.pace[old]!
 }
 
 /** A load report from an agent. */
--- a/packages/core/test/directRouting.test.ts
+++ b/packages/core/test/directRouting.test.ts
@@ -218,6 +218,22 @@
 		}
 	})
 
+test('choice of a server: a slow rank gets less', () => {
+	const table = createServerTable(['a', 'b', 'c'])
+	table.open.fill(1)
+	table.slots.fill(8)
+	table.pace[1] = 4
+	const random = createRandom(1)
+	const sent = [0, 0, 0]
+	for (let count = 0; count < 16; count++) {
+		const choice = chooseRow(table, QUERY, 0, random)
+		if (choice.kind !== 'row') break
+		table.sentSince[choice.row]!++
+		sent[choice.row]!++
+	}
+	assert.equal(sent, [8, 0, 8])
+})
+
 test('choice of a server: full, none, and all failing alike', () => {
 	const table = createServerTable(['a', 'b', 'c'])
 	const random = createRandom(1)
--- a/packages/gateway/src/fleet.ts
+++ b/packages/gateway/src/fleet.ts
@@ -27,6 +27,10 @@
 	readonly held: Map<string, number>
 	/** Requests that each peer has at each server id. */
 	readonly heldByPeer: Map<string, ReadonlyMap<string, number>>
+	/** How slow servers are, by address, as told directly. */
+	readonly toldPaces: Map<string, number>
+	/** When that was told, ms. */
+	pacesAt: number
 	/** Requests that wait, by service. */
 	readonly queues: Map<string, FairQueue<Waiter>>
 }
@@ -40,6 +44,8 @@
 		near: new Set(),
 		held: new Map(),
 		heldByPeer: new Map(),
+		toldPaces: new Map(),
+		pacesAt: 0,
 		queues: new Map(),
 	}
 }
@@ -94,6 +100,15 @@
 	fleet.table.reportedAt[row] = now
 }
 
+/** Takes how slow servers are, by address; all others have their usual speed. */
+export function applyPaces(
+	fleet: Fleet,
+	paces: ReadonlyMap<string, number>,
+): void {
+	for (const [row, { address }] of fleet.servers.entries())
+		fleet.table.pace[row] = Math.max(1, paces.get(address) ?? 1)
+}
+
 /** Takes what a peer holds at each server. */
 export function notePeerLoad(
 	fleet: Fleet,
--- a/packages/gateway/src/peers.ts
+++ b/packages/gateway/src/peers.ts
@@ -19,7 +19,7 @@
 import * as v from 'valibot'
 import { adoptConfig, takeRecords } from './catalog.ts'
 import type { GatewayContext } from './context.ts'
-import { dropPeerLoad, notePeerLoad } from './fleet.ts'
+import { applyPaces, dropPeerLoad, notePeerLoad } from './fleet.ts'
 import type { CatalogSource } from './ports.ts'
 
 /** Between states told to peers while something changes, ms. */
@@ -30,6 +30,8 @@
 const SILENT_MS = 2_000
 /** A peer counts as an entry for this long after its last word, ms. */
 const REMEMBERED_MS = 10_000
+/** Slow servers are told each second while there are any; then forgotten, ms. */
+const PACES_MS = 2_500
 /** Entries that one entry keeps links to; more hear of changes in turn. */
 const MAX_LINKS = 12
 const RECONNECT_MS = 300
@@ -43,7 +45,10 @@
 	list: v.number(),
 	held: v.record(v.string(), v.number()),
 	peers: v.array(v.string()),
+	/** Servers that are slow, by address, as the teller was told directly. */
+	slow: v.optional(v.record(v.string(), v.number()), {}),
 })
+const PacesSchema = v.object({ paces: v.record(v.string(), v.number()) })
 type State = v.InferOutput<typeof StateSchema>
 
 const ServerSchema = v.object({
@@ -97,6 +102,7 @@
 		state: (params: unknown, link: RpcLink) =>
 			void takeState(ctx, peers, source, params, link),
 		pull: (params: unknown) => answerPull(ctx, params),
+		paces: (params: unknown) => takePaces(ctx, params),
 	}
 	await serveRpc(ctx.settings.control, methods)
 	setInterval(() => {
@@ -157,9 +163,31 @@
 		list: ctx.list.revision,
 		held: Object.fromEntries(ctx.fleet.held),
 		peers: [...peers.links.keys()],
+		slow: Object.fromEntries(ctx.fleet.toldPaces),
 	}
 }
 
+/** A group's coordinator tells how slow its ranks are. */
+function takePaces(ctx: GatewayContext, params: unknown): void {
+	const { paces } = v.parse(PacesSchema, params)
+	const { fleet } = ctx
+	fleet.pacesAt = readNow()
+	fleet.toldPaces.clear()
+	for (const [address, pace] of Object.entries(paces))
+		fleet.toldPaces.set(address, pace)
+	ctx.log.write('paces told', { slow: Object.keys(paces) })
+	applyPaces(fleet, fleet.toldPaces)
+}
+
+/** What has not been told again is no longer believed. */
+function forgetPaces(ctx: GatewayContext, now: number): void {
+	const { fleet } = ctx
+	if (fleet.pacesAt === 0 || now - fleet.pacesAt < PACES_MS) return
+	fleet.pacesAt = 0
+	fleet.toldPaces.clear()
+	applyPaces(fleet, fleet.toldPaces)
+}
+
 function tellPeers(ctx: GatewayContext, peers: Peers): void {
 	const state = stateOf(ctx, peers)
 	const text = JSON.stringify(state)
@@ -193,6 +221,11 @@
 			peers.links.set(address, undefined)
 	const held = new Map(Object.entries(state.held))
 	notePeerLoad(ctx.fleet, state.name, held, now)
+	const slow = Object.entries(state.slow)
+	if (slow.length > 0 && ctx.fleet.toldPaces.size === 0) {
+		ctx.fleet.pacesAt = now
+		applyPaces(ctx.fleet, new Map(slow))
+	}
 	const version = ctx.routes?.config.version ?? -1
 	// A peer that is behind may not be reached from here but by its own link.
 	const isBehind = state.config < version || state.list < ctx.list.revision
@@ -252,6 +285,7 @@
 
 function forgetSilent(ctx: GatewayContext, peers: Peers): void {
 	const now = readNow()
+	forgetPaces(ctx, now)
 	for (const [name, heardAt] of peers.heardAt) {
 		if (now - heardAt > SILENT_MS) dropPeerLoad(ctx.fleet, name, now)
 		if (now - heardAt > REMEMBERED_MS) peers.heardAt.delete(name)
--- a/packages/groups/src/agent.ts
+++ b/packages/groups/src/agent.ts
@@ -17,6 +17,8 @@
 	runCoordinator,
 	stopCoordinator,
 } from './coordinator.ts'
+import type { PaceTeller } from './paceTeller.ts'
+import { createPaceTeller, tellPaces } from './paceTeller.ts'
 import type { EnginePort, GroupSource, PublishedGroup } from './ports.ts'
 import type { AgentHello } from './rankService.ts'
 import { createRankMethods } from './rankService.ts'
@@ -51,6 +53,8 @@
 	/** `IP:port` of the engine beside it. */
 	readonly engine: string
 	readonly service: string
+	/** Control addresses of some entries; may be stale. */
+	readonly entries: readonly string[]
 }
 
 /** A running agent. */
@@ -59,6 +63,7 @@
 	readonly port: EnginePort
 	readonly source: GroupSource
 	readonly log: EventLog
+	readonly teller: PaceTeller
 	report: RankReport | undefined
 	group: PublishedGroup | undefined
 	readAt: number
@@ -82,6 +87,9 @@
 		port,
 		source,
 		log,
+		teller: createPaceTeller(settings.entries, (entry, reason) =>
+			log.write('entry not reached', { entry, reason }),
+		),
 		report: undefined,
 		group: undefined,
 		readAt: Number.NEGATIVE_INFINITY,
@@ -197,6 +205,7 @@
 	const random = createRandom(randomBytes(4).readUInt32LE())
 	const { agentPort } = settings
 	const co = createCoordinator(port, log, random, report.rank, agentPort)
+	co.onPaces = paces => tellPaces(agent.teller, paces)
 	fitGroup(co, group)
 	// The agents of earlier candidates are silent: engines are called directly.
 	for (const rank of CANDIDATES.slice(0, CANDIDATES.indexOf(report.rank)))
--- a/packages/groups/src/coordinator.ts
+++ b/packages/groups/src/coordinator.ts
@@ -90,6 +90,8 @@
 	held: number
 	/** How slow each rank is; 1 is its usual speed. */
 	readonly paces: Map<number, number>
+	/** Told after each reading, by engine address. */
+	onPaces: (paces: ReadonlyMap<string, number>) => void
 	/** When the anchor's engine stopped answering, ms; 0 while it answers. */
 	lostAt: number
 	/** Map in use, if known, and the epoch and version it belongs to. */
@@ -123,6 +125,7 @@
 		demand: createDemand(0, 0),
 		held: 0,
 		paces: new Map(),
+		onPaces: () => {},
 		lostAt: 0,
 		map: undefined,
 		mapEpoch: -1,
@@ -197,6 +200,10 @@
 			co.paces.set(client.member.rank, sample.pace)
 		}),
 	)
+	const paces = counted.map(
+		({ member }) => [member.engine, co.paces.get(member.rank) ?? 1] as const,
+	)
+	co.onPaces(new Map(paces))
 	if (busy.length === 0) return
 	const mean = busy.reduce((sum, held) => sum + held, 0) / busy.length
 	co.held += (mean - co.held) * HELD_WEIGHT
--- a/packages/groups/test/agents.test.ts
+++ b/packages/groups/test/agents.test.ts
@@ -22,7 +22,14 @@
 	const engine = addressOf(rank)
 	const [ip = ''] = engine.split(':')
 	void startAgent(
-		{ name: `side-${rank}`, ip, agentPort: AGENT_PORT, engine, service: 's' },
+		{
+			name: `side-${rank}`,
+			ip,
+			agentPort: AGENT_PORT,
+			engine,
+			service: 's',
+			entries: [],
+		},
 		group.port,
 		{ read: async () => group.group },
 		log,
