--- a/packages/core/src/core/groupRound.ts
+++ b/packages/core/src/core/groupRound.ts
@@ -116,6 +116,22 @@
 	/** Given up; nothing of it can take effect any more. */
 	| 'failed'
 
+/** The order that a phase gives, if any. */
+const ORDER_OF: Record<RoundPhase, EngineOrder['type'] | undefined> = {
+	fencing: 'disarm',
+	inspecting: undefined,
+	waiting: undefined,
+	preparing: 'prepare',
+	holding: 'hold',
+	probing: 'probe',
+	arming: 'arm',
+	disarming: 'disarm',
+	releasing: 'go',
+	settling: undefined,
+	done: undefined,
+	failed: undefined,
+}
+
 /** One change in the making. */
 export interface GroupRound {
 	readonly fence: number
@@ -245,7 +261,7 @@
 	{ rank, order }: WantedOrder,
 	answer: OrderAnswer,
 ): void {
-	if (isOver(round) || order.type !== typeOf(round.phase)) return
+	if (isOver(round) || order.type !== ORDER_OF[round.phase]) return
 	if ('step' in order && order.step !== round.step) return
 	const expected =
 		round.phase === 'fencing' ? unusedVersion(round.fence) : round.version
@@ -267,32 +283,6 @@
 	}
 }
 
-function typeOf(phase: RoundPhase): EngineOrder['type'] | undefined {
-	switch (phase) {
-		case 'fencing':
-		case 'disarming':
-			return 'disarm'
-		case 'preparing':
-			return 'prepare'
-		case 'holding':
-			return 'hold'
-		case 'probing':
-			return 'probe'
-		case 'arming':
-			return 'arm'
-		case 'releasing':
-			return 'go'
-		case 'inspecting':
-		case 'waiting':
-		case 'settling':
-		case 'done':
-		case 'failed':
-			return undefined
-		default:
-			return phase satisfies never
-	}
-}
-
 function confirm(round: GroupRound, rank: number): void {
 	switch (round.phase) {
 		case 'fencing':
--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -1,21 +1,21 @@
 /** One attempt: a server with room, a call to it, and what its head proves. */
 
 import type { ErrorKind, TryResult } from '@juniperhook/core'
-import {
-	createRetryWindow,
-	noteClosed,
-	noteOpen,
-	noteTry,
-	takeRetry,
-} from '@juniperhook/core'
+import { createRetryWindow, noteTry, takeRetry } from '@juniperhook/core'
 import { readNow } from '@juniperhook/runtime'
 import type { CallerRequest } from './callerRequest.ts'
 import { dropDisplaced } from './catalog.ts'
+import {
+	closeService,
+	isGrouped,
+	isGroupRefusal,
+	openService,
+} from './closedService.ts'
 import type { GatewayContext } from './context.ts'
 import { noteHeld, noteToldLoad } from './fleet.ts'
-import { listEndToEndHeaders } from './reply.ts'
 import type { ServerAnswer } from './serverCall.ts'
 import { callServer } from './serverCall.ts'
+import { buildServerHeaders } from './serverHeaders.ts'
 import { awaitServer, serveWaiting } from './waiting.ts'
 
 /** A request waits for a server for this part of its target time. */
@@ -27,7 +27,6 @@
 
 /** The address belongs to another server now. */
 const MISDIRECTED = 421
-const UNAVAILABLE = 503
 /** Sends that a server is proved not to have run, besides those that count. */
 const MAX_REFUSED_SENDS = 3
 
@@ -136,7 +135,7 @@
 		address: server.address,
 		method: request.method,
 		path: request.path,
-		headers: buildHeaders(ctx, job, serverId, Math.floor(left)),
+		headers: buildServerHeaders(ctx, job, serverId, Math.floor(left)),
 		body: request.body,
 		id: request.id,
 		idHeader: wire.requestId,
@@ -154,7 +153,8 @@
 		if (!job.signal.aborted) note({ kind: reached ? 'failed' : 'unreached' })
 		if (result.kind === 'notSent') noteNotRun(job, mayHaveRunBefore)
 		// A rank without a process: its group stands still and will refuse.
-		if (result.reason === REFUSED && isGrouped(ctx, job)) closeService(ctx, job)
+		if (result.reason === REFUSED && isGrouped(ctx, job.service))
+			closeService(ctx, job.service)
 		logAttempt(ctx, job, serverId, result.kind, result.reason)
 		return result.kind === 'notSent'
 			? { kind: 'notRun', reason: result.reason }
@@ -170,7 +170,8 @@
 		free()
 		// A full server is told by its load; it has not failed.
 		const fault = readHeader(headers[wire.atFault]) ?? ''
-		if (isGroupRefusal(ctx, job, answer.status)) closeService(ctx, job)
+		if (isGroupRefusal(ctx, job.service, answer.status))
+			closeService(ctx, job.service)
 		logAttempt(ctx, job, serverId, 'notRun', `${answer.status} ${fault}`)
 		return { kind: 'notRun', reason: `status ${answer.status}` }
 	}
@@ -201,34 +202,6 @@
 	return Math.max(route.targetMs * PATIENCE_SHARE, usual * PATIENCE_TIMES)
 }
 
-/** Whether a refusal speaks for all ranks of a lock-step group. */
-function isGroupRefusal(
-	ctx: GatewayContext,
-	job: Job,
-	status: number,
-): boolean {
-	return status === UNAVAILABLE && isGrouped(ctx, job)
-}
-
-/** Whether the service's servers are ranks of lock-step groups. */
-function isGrouped(ctx: GatewayContext, job: Job): boolean {
-	const { engine } = ctx.routes?.services.get(job.service) ?? {}
-	return engine?.experts !== undefined
-}
-
-function closeService(ctx: GatewayContext, { service }: Job): void {
-	if (!ctx.closures.has(service)) ctx.log.write('service closed', { service })
-	noteClosed(ctx.closures, service, readNow())
-}
-
-function openService(ctx: GatewayContext, service: string): void {
-	const since = ctx.closures.get(service)?.since
-	if (since === undefined || !noteOpen(ctx.closures, service)) return
-	const closedMs = Math.round(readNow() - since)
-	ctx.log.write('service open', { service, closedMs })
-	serveWaiting(ctx)
-}
-
 function noteNotRun(job: Job, mayHaveRunBefore: boolean): void {
 	job.mayHaveRun = mayHaveRunBefore
 	job.refusedSends++
@@ -259,36 +232,6 @@
 	return window
 }
 
-function buildHeaders(
-	ctx: GatewayContext,
-	job: Job,
-	serverId: string,
-	leftMs: number,
-): string[] {
-	const { wire } = ctx
-	const { request } = job
-	const own = new Set([
-		'authorization',
-		'expect',
-		wire.team,
-		wire.deadlineMs,
-		wire.expectServer,
-		wire.lastEventId,
-		wire.priority,
-	])
-	const headers = listEndToEndHeaders(request.rawHeaders, own)
-	headers.push(wire.deadlineMs, String(leftMs))
-	headers.push(wire.expectServer, serverId)
-	headers.push(wire.priority, String(Math.min(9, request.priority)))
-	if (request.team) headers.push(wire.team, request.team.name)
-	if (job.lastEventId !== undefined)
-		headers.push(wire.lastEventId, job.lastEventId)
-	if (request.body.length > 0 || request.method === 'POST')
-		headers.push('Content-Length', String(request.body.length))
-	headers.push('Connection', request.repeatable ? 'keep-alive' : 'close')
-	return headers
-}
-
 function readHeader(value: string | string[] | undefined): string | undefined {
 	return Array.isArray(value) ? value[0] : value
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -4,7 +4,6 @@
 import type { Server } from 'node:http'
 import { createServer, STATUS_CODES } from 'node:http'
 import type { Duplex } from 'node:stream'
-import type { ErrorKind } from '@juniperhook/core'
 import {
 	createRandom,
 	createServerList,
@@ -12,7 +11,7 @@
 	splitAddress,
 } from '@juniperhook/core'
 import type { EventLog } from '@juniperhook/runtime'
-import { readNow } from '@juniperhook/runtime'
+import { kindOfClientError, messageOf, readNow } from '@juniperhook/runtime'
 import { followCatalog, tickCatalog } from './catalog.ts'
 import type { GatewayContext, GatewaySettings } from './context.ts'
 import { createFleet } from './fleet.ts'
@@ -68,7 +67,12 @@
 	await listenOn(createReadiness(ctx), settings.readiness)
 	if (settings.metrics) await listenOn(createMetrics(ctx), settings.metrics)
 	await startPeers(ctx, source)
-	void followCatalog(ctx, source)
+	void followCatalog(ctx, source).catch(err => {
+		// Without news of the source an entry is better started anew.
+		log.write('internal fault', { detail: messageOf(err) })
+		log.flush()
+		process.exit(1)
+	})
 	setInterval(() => tick(ctx, callers), TICK_MS)
 	process.once('SIGTERM', () => void stopGateway(ctx, callers))
 	log.write('entry started', { name: settings.name, address: settings.callers })
@@ -129,21 +133,6 @@
 	socket.end(`${head.join('\r\n')}\r\n\r\n${body}`)
 }
 
-/** The kind of a request that Node's parser gave up on. */
-function kindOfClientError(code: string | undefined): ErrorKind | undefined {
-	switch (code) {
-		case 'HPE_HEADER_OVERFLOW':
-			return 'headersTooLarge'
-		case 'ERR_HTTP_REQUEST_TIMEOUT':
-			return 'requestTimeout'
-		case 'ECONNRESET':
-		case 'EPIPE':
-			return undefined
-		default:
-			return 'badRequest'
-	}
-}
-
 function createReadiness(ctx: GatewayContext): Server {
 	return createServer((_req, res) => {
 		const ready = ctx.routes !== undefined && !ctx.stopping
--- a/packages/gateway/src/peers.ts
+++ b/packages/gateway/src/peers.ts
@@ -100,7 +100,9 @@
 	}
 	const methods: Methods = {
 		state: (params: unknown, link: RpcLink) =>
-			void takeState(ctx, peers, source, params, link),
+			takeState(ctx, peers, source, params, link).catch(err =>
+				ctx.log.write('peer state refused', { reason: messageOf(err) }),
+			),
 		pull: (params: unknown) => answerPull(ctx, params),
 		paces: (params: unknown) => takePaces(ctx, params),
 	}
--- a/packages/groups/src/agent.ts
+++ b/packages/groups/src/agent.ts
@@ -8,15 +8,16 @@
 import type { RankReport } from '@juniperhook/core'
 import { ANCHOR_RANK, createRandom, splitAddress } from '@juniperhook/core'
 import type { EventLog, RpcLink } from '@juniperhook/runtime'
-import { call, connectRpc, readNow, serveRpc } from '@juniperhook/runtime'
-import type { Coordinator } from './coordinator.ts'
 import {
-	bypassAgent,
-	createCoordinator,
-	fitGroup,
-	runCoordinator,
-	stopCoordinator,
-} from './coordinator.ts'
+	call,
+	connectRpc,
+	messageOf,
+	readNow,
+	serveRpc,
+} from '@juniperhook/runtime'
+import { runCoordinator, stopCoordinator } from './coordinator.ts'
+import type { Coordinator } from './coordinatorState.ts'
+import { bypassAgent, createCoordinator, fitGroup } from './coordinatorState.ts'
 import type { PaceTeller } from './paceTeller.ts'
 import { createPaceTeller, tellPaces } from './paceTeller.ts'
 import type { EnginePort, GroupSource, PublishedGroup } from './ports.ts'
@@ -212,7 +213,10 @@
 		bypassAgent(co, rank)
 	agent.coordinator = co
 	log.write('coordinates', { group: report.group, rank: report.rank })
-	void runCoordinator(co)
+	void runCoordinator(co).catch(err => {
+		log.write('internal fault', { detail: messageOf(err) })
+		stepDown(agent, 'internal fault')
+	})
 }
 
 function stepDown(agent: Agent, reason: string): void {
--- /dev/null
+++ b/packages/groups/src/coordinatorState.ts
@@ -0,0 +1,145 @@
+/** What a coordinator knows of its group, and its way to the ranks. */
+
+import type { GroupMap, Random, RankReport } from '@juniperhook/core'
+import { ANCHOR_RANK, fenceOfVersion } from '@juniperhook/core'
+import type { EventLog } from '@juniperhook/runtime'
+import { readNow } from '@juniperhook/runtime'
+import type { Demand } from './demand.ts'
+import { createDemand } from './demand.ts'
+import type { EnginePort, PublishedGroup } from './ports.ts'
+import type { RankClient } from './rankClient.ts'
+import {
+	closeRankClient,
+	noteSilent,
+	openRankClient,
+	reportRank,
+} from './rankClient.ts'
+
+/** Fences are a counter and this many random low bits, so that none is doubled. */
+export const FENCE_BITS = 12
+
+/** A coordinator's state. */
+export interface Coordinator {
+	readonly port: EnginePort
+	readonly log: EventLog
+	readonly random: Random
+	readonly homeRank: number
+	readonly agentPort: number
+	readonly clients: Map<number, RankClient>
+	group: PublishedGroup | undefined
+	demand: Demand
+	/** Requests that a rank holds, smoothed. */
+	held: number
+	/** How slow each rank is; 1 is its usual speed. */
+	readonly paces: Map<number, number>
+	/** Told after each reading, by engine address. */
+	onPaces: (paces: ReadonlyMap<string, number>) => void
+	/** When the anchor's engine stopped answering, ms; 0 while it answers. */
+	lostAt: number
+	/** Map in use, if known, and the epoch and version it belongs to. */
+	map: GroupMap | undefined
+	mapEpoch: number
+	mapVersion: number
+	/** Highest counter part of a fence that is known. */
+	counter: number
+	undo: boolean
+	passMs: number
+	lastReport: { report: RankReport; at: number } | undefined
+	stopped: boolean
+}
+
+/** Makes a coordinator that has not begun. */
+export function createCoordinator(
+	port: EnginePort,
+	log: EventLog,
+	random: Random,
+	homeRank: number,
+	agentPort: number,
+): Coordinator {
+	return {
+		port,
+		log,
+		random,
+		homeRank,
+		agentPort,
+		clients: new Map(),
+		group: undefined,
+		demand: createDemand(0, 0),
+		held: 0,
+		paces: new Map(),
+		onPaces: () => {},
+		lostAt: 0,
+		map: undefined,
+		mapEpoch: -1,
+		mapVersion: -1,
+		counter: 0,
+		undo: false,
+		passMs: 50,
+		lastReport: undefined,
+		stopped: false,
+	}
+}
+
+/** Fits the coordinator to a group as published. */
+export function fitGroup(co: Coordinator, group: PublishedGroup): void {
+	const { layout } = group
+	const { sets, experts } = co.demand
+	if (sets !== layout.sets || experts !== layout.experts)
+		co.demand = createDemand(layout.sets, layout.experts)
+	co.group = group
+	// A rank that is not listed may only have lapsed: it keeps its client.
+	for (const member of group.members) {
+		const known = co.clients.get(member.rank)
+		if (known?.member.engine === member.engine) continue
+		if (known) closeRankClient(known)
+		const home = member.rank === co.homeRank
+		const client = openRankClient(co.port, member, co.agentPort, home)
+		co.clients.set(member.rank, client)
+	}
+}
+
+/** Calls a rank's engine without its agent for a while. */
+export function bypassAgent(co: Coordinator, rank: number): void {
+	const client = co.clients.get(rank)
+	if (client) noteSilent(client)
+}
+
+/** A fresh report of the anchor; passes are timed on the way. */
+export async function readAnchor(
+	co: Coordinator,
+): Promise<RankReport | undefined> {
+	const client = co.clients.get(ANCHOR_RANK)
+	if (!client) return undefined
+	const report = await reportRank(client)
+	const at = readNow()
+	noteReached(co, report !== undefined, at)
+	if (!report) return undefined
+	const last = co.lastReport
+	const passes = last ? report.step - last.report.step : 0
+	if (last && passes > 0 && last.report.epoch === report.epoch) {
+		const took = (at - last.at) / passes
+		co.passMs += (Math.min(took, 500) - co.passMs) / 4
+	}
+	if (!last || passes !== 0) co.lastReport = { report, at }
+	const versions = [report.map, report.prepared, report.armed?.version]
+	for (const version of versions)
+		co.counter = Math.max(
+			co.counter,
+			Math.floor(fenceOfVersion(version ?? 0) / 2 ** FENCE_BITS),
+		)
+	return report
+}
+
+/** Logs when the anchor's engine is lost or answers again. */
+function noteReached(co: Coordinator, reached: boolean, now: number): void {
+	if (reached && co.lostAt > 0)
+		co.log.write('anchor back', { awayMs: Math.round(now - co.lostAt) })
+	if (!reached && co.lostAt === 0) co.log.write('anchor lost')
+	if (reached) co.lostAt = 0
+	else co.lostAt ||= now
+}
+
+/** Waits. */
+export function pause(ms: number): Promise<void> {
+	return new Promise(resolve => setTimeout(resolve, ms))
+}
--- a/packages/groups/src/index.ts
+++ b/packages/groups/src/index.ts
@@ -2,6 +2,7 @@
 
 export * from './agent.ts'
 export * from './coordinator.ts'
+export * from './coordinatorState.ts'
 export * from './demand.ts'
 export * from './ports.ts'
 export * from './rankService.ts'
--- /dev/null
+++ b/packages/groups/src/roundRunner.ts
@@ -0,0 +1,183 @@
+/** Takes one change of the map from order to order. */
+
+import type {
+	GroupMap,
+	GroupRound,
+	RankReport,
+	WantedOrder,
+} from '@juniperhook/core'
+import {
+	ANCHOR_RANK,
+	createRound,
+	giveUpProbing,
+	isOver,
+	listWanted,
+	REFUSED_TO_ARM,
+	takeAnchorReport,
+	takeOrderAnswer,
+} from '@juniperhook/core'
+import { readNow } from '@juniperhook/runtime'
+import type { Coordinator } from './coordinatorState.ts'
+import { FENCE_BITS, pause, readAnchor } from './coordinatorState.ts'
+import { setMap } from './mapWork.ts'
+import type { RankClient } from './rankClient.ts'
+import { hasAgent, orderRank, orderRankBy } from './rankClient.ts'
+
+/** Between steps of a round that waits for a report, ms. */
+const LOOK_MS = 20
+/** A rank that does not answer a probe for this long cannot be armed, ms. */
+const PROBE_MS = 60
+/**
+ * Time from the hold until all ranks are armed, ms; passes meanwhile run. It
+ * covers a hold by way of a VM that has stopped and the probe that follows, so
+ * that streams do not pause for it.
+ */
+const LEAD_MS = 120
+/** A round that cannot be prepared is given up after this time, ms. */
+const PREPARE_LIMIT_MS = 4_000
+/** An order that takes longer is logged, ms. */
+const SLOW_ORDER_MS = 60
+/** After a failed round, ms. */
+const FAILED_PAUSE_MS = 200
+
+function nextFence(co: Coordinator): number {
+	co.counter++
+	const low = Math.floor(co.random() * 2 ** FENCE_BITS)
+	return co.counter * 2 ** FENCE_BITS + low
+}
+
+/** Takes a round to its end, or until this coordinator is stopped. */
+export async function runRound(
+	co: Coordinator,
+	report: RankReport,
+	map: GroupMap | undefined,
+): Promise<void> {
+	const fence = nextFence(co)
+	const round = createRound(fence, report.epoch, report.size, map, co.undo)
+	const startedAt = readNow()
+	co.log.write('round begun', {
+		fence,
+		epoch: round.epoch,
+		step: report.step,
+		held: report.held,
+	})
+	const asked = new Set<string>()
+	let shown = round.phase
+	let phaseAt = startedAt
+	while (!isOver(round) && !co.stopped) {
+		for (const wanted of listWanted(round)) void give(co, round, wanted, asked)
+		await pause(isUrgent(round) ? LOOK_MS / 8 : LOOK_MS / 2)
+		if (needsReport(round)) {
+			const { phase } = round
+			const fresh = await readAnchor(co)
+			const lead = Math.max(1, Math.ceil(LEAD_MS / co.passMs))
+			if (fresh && round.phase === phase) takeAnchorReport(round, fresh, lead)
+		}
+		if (round.phase !== shown) phaseAt = readNow()
+		shown = round.phase
+		if (readNow() - phaseAt > PROBE_MS) giveUpProbing(round)
+		const tooLong = readNow() - startedAt > PREPARE_LIMIT_MS
+		if (tooLong && isHarmless(round)) break
+	}
+	await endRound(co, round, startedAt)
+}
+
+function needsReport(round: GroupRound): boolean {
+	switch (round.phase) {
+		case 'inspecting':
+		case 'waiting':
+		case 'settling':
+			return true
+		case 'holding':
+			return round.step === 0
+		case 'fencing':
+		case 'preparing':
+		case 'probing':
+		case 'arming':
+		case 'disarming':
+		case 'releasing':
+		case 'done':
+		case 'failed':
+			return false
+		default:
+			return round.phase satisfies never
+	}
+}
+
+/** Whether the group is held. */
+function isUrgent({ phase }: GroupRound): boolean {
+	return phase === 'probing' || phase === 'arming' || phase === 'releasing'
+}
+
+/** Whether a round may be left where it is: nothing is held or armed by it. */
+function isHarmless({ phase }: GroupRound): boolean {
+	return phase === 'fencing' || phase === 'preparing' || phase === 'waiting'
+}
+
+/** Gives an order unless the same one is under way. */
+async function give(
+	co: Coordinator,
+	round: GroupRound,
+	wanted: WantedOrder,
+	asked: Set<string>,
+): Promise<void> {
+	const { rank, order } = wanted
+	const key = `${rank} ${order.type} ${'step' in order ? order.step : ''}`
+	const client = co.clients.get(rank)
+	if (!client || asked.has(key)) return
+	asked.add(key)
+	const askedAt = readNow()
+	const holder = order.type === 'hold' ? findHolder(co) : undefined
+	const answer = holder
+		? await orderRankBy(client, holder, order)
+		: await orderRank(client, order)
+	asked.delete(key)
+	const { phase } = round
+	takeOrderAnswer(round, wanted, answer)
+	const tookMs = Math.round(readNow() - askedAt)
+	if (answer !== 'done' || (tookMs > SLOW_ORDER_MS && order.type !== 'prepare'))
+		co.log.write('order slow or refused', {
+			rank,
+			order: order.type,
+			answer,
+			tookMs,
+			fence: round.fence,
+			phase,
+		})
+}
+
+/**
+ * The rank whose agent asks for the hold. Should its VM stop right then, both
+ * the anchor and this coordinator can still be reached to let the group go.
+ */
+function findHolder(co: Coordinator): RankClient | undefined {
+	for (let rank = co.clients.size - 1; rank > ANCHOR_RANK; rank--) {
+		const client = co.clients.get(rank)
+		if (client && !client.home && hasAgent(client)) return client
+	}
+	return undefined
+}
+
+async function endRound(
+	co: Coordinator,
+	round: GroupRound,
+	startedAt: number,
+): Promise<void> {
+	co.log.write('round over', {
+		fence: round.fence,
+		phase: round.phase,
+		reason: round.reason,
+		inherited: round.inherited,
+		step: round.step,
+		tookMs: Math.round(readNow() - startedAt),
+	})
+	co.undo = round.reason === REFUSED_TO_ARM
+	if (round.phase !== 'done') {
+		// Another coordinator may have a higher counter than any report shows.
+		co.counter += 1 + Math.floor(co.random() * 8)
+		await pause(FAILED_PAUSE_MS * (0.5 + co.random()))
+		return
+	}
+	const ours = round.map && !round.inherited && round.version > 0
+	if (ours) setMap(co, round.map!, { epoch: round.epoch, map: round.version })
+}
--- a/packages/runtime/src/io/listener.ts
+++ b/packages/runtime/src/io/listener.ts
@@ -6,6 +6,7 @@
 import type { ErrorKind } from '@juniperhook/core'
 import { ERRORS, splitAddress } from '@juniperhook/core'
 import { type EventHandler, fromNodeHandler, H3, toNodeHandler } from 'h3'
+import { kindOfClientError } from '../utils/clientError.ts'
 import type { Metrics } from './metrics.ts'
 
 /** Largest headers taken, in bytes. */
@@ -59,21 +60,6 @@
 	})
 }
 
-/** The kind of a request that Node's parser gave up on. */
-function kindOfClientError(code: string | undefined): ErrorKind | undefined {
-	switch (code) {
-		case 'HPE_HEADER_OVERFLOW':
-			return 'headersTooLarge'
-		case 'ERR_HTTP_REQUEST_TIMEOUT':
-			return 'requestTimeout'
-		case 'ECONNRESET':
-		case 'EPIPE':
-			return undefined
-		default:
-			return 'badRequest'
-	}
-}
-
 function answerBadRequest(socket: Duplex, kind: ErrorKind): void {
 	const { status, text, type } = ERRORS[kind]
 	const body = JSON.stringify({
