--- a/packages/groups/src/rankClient.ts
+++ b/packages/groups/src/rankClient.ts
@@ -7,6 +7,7 @@
 import { splitAddress } from '@juniperhook/core'
 import type { RpcLink } from '@juniperhook/runtime'
 import { call, connectRpc, readNow, sleep } from '@juniperhook/runtime'
+import { toOrderMessage } from './orderMessage.ts'
 import type {
 	EnginePort,
 	GroupMember,
@@ -111,7 +112,8 @@
 	const { port, member } = client
 	if (isAlone(client)) return await giveOrder(port, member.engine, order)
 	const timeoutMs = order.type === 'prepare' ? PREPARE_MS : ORDER_MS
-	const answer = await ask(client, 'order', order, timeoutMs)
+	const message = toOrderMessage(order)
+	const answer = await ask(client, 'order', message, timeoutMs)
 	return answer ?? 'silent'
 }
 
--- a/packages/groups/src/rankService.ts
+++ b/packages/groups/src/rankService.ts
@@ -6,6 +6,8 @@
 import type { EngineOrder, OrderAnswer, RankReport } from '@juniperhook/core'
 import type { Methods } from '@juniperhook/runtime'
 import { readNow } from '@juniperhook/runtime'
+import type { OrderMessage } from './orderMessage.ts'
+import { fromOrderMessage } from './orderMessage.ts'
 import type { EnginePort, RankPlacement, RankSample } from './ports.ts'
 
 /** Between looks at an engine that copies experts, ms. */
@@ -105,7 +107,8 @@
 		report: () => orNull(port.report(engine)),
 		sample: () => orNull(takeSample(port, engine, lastReport())),
 		placement: () => orNull(port.placement(engine)),
-		order: (order: EngineOrder) => giveOrder(port, engine, order),
+		order: (message: OrderMessage) =>
+			giveOrder(port, engine, fromOrderMessage(message)),
 		orderElsewhere: ({ engine: other, order }: OrderElsewhere) =>
 			giveOrder(port, other, order),
 	}
