--- a/packages/core/src/core/dispatch.ts
+++ b/packages/core/src/core/dispatch.ts
@@ -15,6 +15,8 @@
 	readonly tried: ReadonlySet<number>
 	/** Requests that a server may hold beyond its slots. */
 	readonly queueRoom: number
+	/** Requests that a server may hold whatever its slots. */
+	readonly most: number
 	/** This entry's data centre is where these rows are. */
 	readonly near: ReadonlySet<number>
 }
@@ -154,7 +156,7 @@
 		const row = candidates[(first + at) % candidates.length]!
 		const held = heldBy(table, row)
 		const slots = table.slots[row]!
-		if (held >= slots + query.queueRoom) continue
+		if (held >= Math.min(slots + query.queueRoom, query.most)) continue
 		const far = query.near.has(row) ? 0 : FAR_LOAD
 		const slow = PACE_LOAD * (table.pace[row]! - 1)
 		const load = held / slots + far + slow + penalties.get(row)!
--- a/packages/core/src/core/mapNeed.ts
+++ b/packages/core/src/core/mapNeed.ts
@@ -14,6 +14,10 @@
 const MAX_FACTOR = 2
 /** A plan aims at this part of the imbalance that is allowed. */
 const TARGET_SHARE = 0.4
+/** Part of the longest pause in time beyond which fewer requests are let in. */
+const FULL_PAUSE_SHARE = 0.85
+/** Part of an engine's slots that requests may always hold. */
+const MIN_HELD_SHARE = 0.5
 /** Requests held that count as none. */
 const FEW_HELD = 0.1
 
@@ -49,6 +53,34 @@
 	return Math.max(MIN_FACTOR, Math.min(byPause, bySlots, MAX_FACTOR))
 }
 
+/** How a pass grows with the requests of its ranks. */
+export interface PassCost {
+	/** A token step without requests, ms. */
+	readonly stepMs: number
+	/** What each request adds to it, ms. */
+	readonly perRequestMs: number
+}
+
+/**
+ * Requests that a rank may hold while passes are too long for streams to be in
+ * time; undefined while they are not. Without it a group whose passes are long
+ * fills up, since requests stay longer, and passes grow with what it holds.
+ */
+export function allowedHeld(
+	busy: GroupBusy,
+	limits: GroupLimits,
+	{ stepMs, perRequestMs }: PassCost,
+): number | undefined {
+	const mostMs = FULL_PAUSE_SHARE * limits.maxPauseMs
+	if (mostMs <= 0 || perRequestMs <= 0 || busy.passMs <= mostMs)
+		return undefined
+	const stepNow = stepMs + busy.held * perRequestMs
+	const stepThen = stepNow * (mostMs / busy.passMs)
+	const held = Math.floor((stepThen - stepMs) / perRequestMs)
+	const least = Math.ceil(limits.slots * MIN_HELD_SHARE)
+	return Math.min(limits.slots, Math.max(least, held))
+}
+
 /** What a plan aims at when a pass may take `allowed` times a balanced one. */
 export function targetFactor(allowed: number): number {
 	return 1 + (allowed - 1) * TARGET_SHARE
--- a/packages/core/test/directRouting.test.ts
+++ b/packages/core/test/directRouting.test.ts
@@ -4,6 +4,7 @@
 import * as assert from 'uvu/assert'
 import type { ListedServer, TrafficConfig, TryResult } from '../src/index.ts'
 import {
+	allowedHeld,
 	chooseComeBack,
 	chooseRow,
 	createRandom,
@@ -201,6 +202,7 @@
 	rows: [0, 1, 2],
 	tried: new Set<number>(),
 	queueRoom: 0,
+	most: Number.POSITIVE_INFINITY,
 	near: new Set([0, 1, 2]),
 }
 
@@ -249,6 +251,46 @@
 	assert.is(chooseRow(table, QUERY, 1, random).kind, 'row')
 })
 
+const HELDS: {
+	name: string
+	passMs: number
+	held: number
+	allowed: number | undefined
+}[] = [
+	{ name: 'passes in time', passMs: 100, held: 8, allowed: undefined },
+	{ name: 'a little too long', passMs: 110, held: 8, allowed: 6 },
+	{
+		name: 'far too long: half of the slots at least',
+		passMs: 400,
+		held: 8,
+		allowed: 4,
+	},
+	{
+		name: 'long with few: the slots at most',
+		passMs: 103,
+		held: 30,
+		allowed: 8,
+	},
+]
+
+for (const { name, passMs, held, allowed } of HELDS)
+	test(`requests let in, ${name}`, () => {
+		const busy = { factor: 1, passMs, held }
+		const limits = { maxPauseMs: 120, slots: 8 }
+		const cost = { stepMs: 5.85, perRequestMs: 0.53 }
+		assert.is(allowedHeld(busy, limits, cost), allowed)
+	})
+
+test('a choice keeps to what a server may hold', () => {
+	const table = createServerTable(['a', 'b', 'c'])
+	table.open.fill(1)
+	table.slots.fill(8)
+	table.sentSince.fill(5)
+	const random = createRandom(1)
+	assert.is(chooseRow(table, { ...QUERY, most: 5 }, 0, random).kind, 'full')
+	assert.is(chooseRow(table, { ...QUERY, most: 6 }, 0, random).kind, 'row')
+})
+
 test('a closed service takes one try at a time', () => {
 	const closures = new Map()
 	noteClosed(closures, 's', 0)
--- a/packages/gateway/src/fleet.ts
+++ b/packages/gateway/src/fleet.ts
@@ -29,6 +29,10 @@
 	readonly heldByPeer: Map<string, ReadonlyMap<string, number>>
 	/** How slow servers are, by address, as told directly. */
 	readonly toldPaces: Map<string, number>
+	/** Requests that each rank of a service may hold, as told directly. */
+	readonly toldLimits: Map<string, number>
+	/** Limits in force, by service: told directly or by a peer. */
+	limits: ReadonlyMap<string, number>
 	/** When that was told, ms. */
 	pacesAt: number
 	/** Requests that wait, by service. */
@@ -45,6 +49,8 @@
 		held: new Map(),
 		heldByPeer: new Map(),
 		toldPaces: new Map(),
+		toldLimits: new Map(),
+		limits: new Map(),
 		pacesAt: 0,
 		queues: new Map(),
 	}
@@ -100,11 +106,16 @@
 	fleet.table.reportedAt[row] = now
 }
 
-/** Takes how slow servers are, by address; all others have their usual speed. */
+/**
+ * Takes how slow servers are, by address, and what ranks may hold, by service;
+ * all others have their usual speed and hold what fits.
+ */
 export function applyPaces(
 	fleet: Fleet,
 	paces: ReadonlyMap<string, number>,
+	limits: ReadonlyMap<string, number>,
 ): void {
+	fleet.limits = limits
 	for (const [row, { address }] of fleet.servers.entries())
 		fleet.table.pace[row] = Math.max(1, paces.get(address) ?? 1)
 }
--- a/packages/gateway/src/peers.ts
+++ b/packages/gateway/src/peers.ts
@@ -47,8 +47,13 @@
 	peers: v.array(v.string()),
 	/** Servers that are slow, by address, as the teller was told directly. */
 	slow: v.optional(v.record(v.string(), v.number()), {}),
+	/** Requests that each rank of a service may hold, told likewise. */
+	limits: v.optional(v.record(v.string(), v.number()), {}),
+})
+const PacesSchema = v.object({
+	paces: v.record(v.string(), v.number()),
+	limits: v.optional(v.record(v.string(), v.number()), {}),
 })
-const PacesSchema = v.object({ paces: v.record(v.string(), v.number()) })
 type State = v.InferOutput<typeof StateSchema>
 
 const ServerSchema = v.object({
@@ -166,19 +171,37 @@
 		held: Object.fromEntries(ctx.fleet.held),
 		peers: [...peers.links.keys()],
 		slow: Object.fromEntries(ctx.fleet.toldPaces),
+		limits: Object.fromEntries(ctx.fleet.toldLimits),
 	}
 }
 
 /** A group's coordinator tells how slow its ranks are. */
 function takePaces(ctx: GatewayContext, params: unknown): void {
-	const { paces } = v.parse(PacesSchema, params)
+	const { paces, limits } = v.parse(PacesSchema, params)
 	const { fleet } = ctx
 	fleet.pacesAt = readNow()
 	fleet.toldPaces.clear()
 	for (const [address, pace] of Object.entries(paces))
 		fleet.toldPaces.set(address, pace)
-	ctx.log.write('paces told', { slow: Object.keys(paces) })
-	applyPaces(fleet, fleet.toldPaces)
+	fleet.toldLimits.clear()
+	for (const [service, limit] of Object.entries(limits))
+		fleet.toldLimits.set(service, limit)
+	ctx.log.write('paces told', {
+		slow: Object.keys(paces),
+		limits: JSON.stringify(limits),
+	})
+	applyPaces(fleet, fleet.toldPaces, new Map(fleet.toldLimits))
+}
+
+/** Takes what a peer was told, unless this entry is told itself. */
+function takePeersPaces(ctx: GatewayContext, state: State, now: number): void {
+	const { fleet } = ctx
+	const slow = Object.entries(state.slow)
+	const limits = Object.entries(state.limits)
+	if (fleet.toldPaces.size + fleet.toldLimits.size > 0) return
+	if (slow.length + limits.length === 0) return
+	fleet.pacesAt = now
+	applyPaces(fleet, new Map(slow), new Map(limits))
 }
 
 /** What has not been told again is no longer believed. */
@@ -187,7 +210,8 @@
 	if (fleet.pacesAt === 0 || now - fleet.pacesAt < PACES_MS) return
 	fleet.pacesAt = 0
 	fleet.toldPaces.clear()
-	applyPaces(fleet, fleet.toldPaces)
+	fleet.toldLimits.clear()
+	applyPaces(fleet, fleet.toldPaces, fleet.toldLimits)
 }
 
 function tellPeers(ctx: GatewayContext, peers: Peers): void {
@@ -223,11 +247,7 @@
 			peers.links.set(address, undefined)
 	const held = new Map(Object.entries(state.held))
 	notePeerLoad(ctx.fleet, state.name, held, now)
-	const slow = Object.entries(state.slow)
-	if (slow.length > 0 && ctx.fleet.toldPaces.size === 0) {
-		ctx.fleet.pacesAt = now
-		applyPaces(ctx.fleet, new Map(slow))
-	}
+	takePeersPaces(ctx, state, now)
 	const version = ctx.routes?.config.version ?? -1
 	// A peer that is behind may not be reached from here but by its own link.
 	const isBehind = state.config < version || state.list < ctx.list.revision
--- a/packages/gateway/src/waiting.ts
+++ b/packages/gateway/src/waiting.ts
@@ -106,6 +106,7 @@
 		rows: fleet.rowsOf.get(service) ?? [],
 		tried,
 		queueRoom: isEngine ? ENGINE_QUEUE_ROOM : PLAIN_QUEUE_ROOM,
+		most: fleet.limits.get(service) ?? Number.POSITIVE_INFINITY,
 		near: fleet.near,
 	}
 	const now = readNow()
--- a/packages/groups/src/coordinator.ts
+++ b/packages/groups/src/coordinator.ts
@@ -4,6 +4,7 @@
  */
 
 import type { RankReport } from '@juniperhook/core'
+import { allowedHeld } from '@juniperhook/core'
 import { readNow } from '@juniperhook/runtime'
 import type { Coordinator } from './coordinatorState.ts'
 import { pause, readAnchor } from './coordinatorState.ts'
@@ -64,12 +65,19 @@
 	const paces = counted.map(
 		({ member }) => [member.engine, co.paces.get(member.rank) ?? 1] as const,
 	)
-	co.onPaces(new Map(paces))
+	co.onPaces(new Map(paces), letIn(co))
 	if (busy.length === 0) return
 	const mean = busy.reduce((sum, held) => sum + held, 0) / busy.length
 	co.held += (mean - co.held) * HELD_WEIGHT
 }
 
+/** Requests that a rank may hold; undefined for as many as fit. */
+function letIn(co: Coordinator): number | undefined {
+	const { group, passMs, held } = co
+	if (!group) return undefined
+	return allowedHeld({ factor: 1, passMs, held }, group, group.cost)
+}
+
 /** Settles what an older round left, or makes the map better if that pays. */
 async function improve(co: Coordinator, report: RankReport): Promise<void> {
 	if (report.held !== undefined) {
--- a/packages/groups/src/coordinatorState.ts
+++ b/packages/groups/src/coordinatorState.ts
@@ -32,8 +32,11 @@
 	held: number
 	/** How slow each rank is; 1 is its usual speed. */
 	readonly paces: Map<number, number>
-	/** Told after each reading, by engine address. */
-	onPaces: (paces: ReadonlyMap<string, number>) => void
+	/** Told after each reading: paces by engine address, and what is let in. */
+	onPaces: (
+		paces: ReadonlyMap<string, number>,
+		allowedHeld: number | undefined,
+	) => void
 	/** When the anchor's engine stopped answering, ms; 0 while it answers. */
 	lostAt: number
 	/** Map in use, if known, and the epoch and version it belongs to. */
--- a/packages/groups/src/paceTeller.ts
+++ b/packages/groups/src/paceTeller.ts
@@ -1,4 +1,4 @@
-/** Tells entries which ranks are slow, so that they send them less. */
+/** Tells entries which ranks are slow and how much a group may hold. */
 
 import type { RpcLink } from '@juniperhook/runtime'
 import { connectRpc, messageOf, notify, readNow } from '@juniperhook/runtime'
@@ -9,6 +9,9 @@
 const TELL_MS = 1_000
 const CONNECT_MS = 300
 
+/** What is told of a group that fares well. */
+const ORDINARY = JSON.stringify({ paces: {}, limits: {} })
+
 /** Links to entries and what they were told. */
 export interface PaceTeller {
 	/** Control addresses of some entries. */
@@ -25,23 +28,33 @@
 	entries: readonly string[],
 	onUnreached: PaceTeller['onUnreached'],
 ): PaceTeller {
-	return { entries, links: new Map(), told: '{}', toldAt: 0, onUnreached }
+	return { entries, links: new Map(), told: ORDINARY, toldAt: 0, onUnreached }
 }
 
-/** Tells the paces of slow ranks, by engine address, if there is news. */
-export function tellPaces(
-	teller: PaceTeller,
-	paces: ReadonlyMap<string, number>,
-): void {
-	const slow = [...paces].filter(([, pace]) => pace > SLOW_PACE)
-	const text = JSON.stringify(Object.fromEntries(slow))
+/** How a group fares, for entries. */
+export interface GroupNews {
+	readonly service: string
+	/** By engine address. */
+	readonly paces: ReadonlyMap<string, number>
+	/** Requests that a rank may hold; undefined for as many as fit. */
+	readonly allowedHeld: number | undefined
+}
+
+/** Tells entries how a group fares, if that is out of the ordinary or news. */
+export function tellPaces(teller: PaceTeller, news: GroupNews): void {
+	const slow = [...news.paces].filter(([, pace]) => pace > SLOW_PACE)
+	const { service, allowedHeld } = news
+	const paces = Object.fromEntries(slow)
+	const limits = allowedHeld === undefined ? {} : { [service]: allowedHeld }
+	const text = JSON.stringify({ paces, limits })
 	const now = readNow()
-	const isDue = slow.length > 0 && now - teller.toldAt > TELL_MS
-	if (text === teller.told && !isDue) return
+	const isUnusual = slow.length > 0 || allowedHeld !== undefined
+	if (text === teller.told && !(isUnusual && now - teller.toldAt > TELL_MS))
+		return
 	teller.told = text
 	teller.toldAt = now
 	for (const entry of teller.entries)
-		void tell(teller, entry, { paces: Object.fromEntries(slow) })
+		void tell(teller, entry, { paces, limits })
 }
 
 async function tell(
--- a/packages/groups/src/ports.ts
+++ b/packages/groups/src/ports.ts
@@ -4,6 +4,7 @@
 	EngineOrder,
 	ExpertLayout,
 	OrderAnswer,
+	PassCost,
 	RankReport,
 } from '@juniperhook/core'
 
@@ -51,6 +52,8 @@
 	readonly members: readonly GroupMember[]
 	readonly layout: ExpertLayout
 	readonly linkMbps: number
+	/** How a pass grows with the requests of its ranks. */
+	readonly cost: PassCost
 	/** Requests that an engine runs at once. */
 	readonly slots: number
 	/** Longest pause between events that is in time, ms; 0 if unstated. */
--- a/packages/groups/test/standInGroup.ts
+++ b/packages/groups/test/standInGroup.ts
@@ -93,6 +93,7 @@
 			})),
 			layout,
 			linkMbps: 180_000,
+			cost: { stepMs: 1, perRequestMs: 0.1 },
 			slots: 8,
 			maxPauseMs: PASS_MS,
 		},
