--- a/packages/fakes/src/groupModel.ts
+++ b/packages/fakes/src/groupModel.ts
@@ -184,11 +184,8 @@
 	rank.begunGeneration = generation
 	if (barrier) rank.mapSince = step
 	if (rank.protocol.mapId === mapId) return
+	if (!holdsWeights(rank, rank.protocol.mapId)) model.violations++
 	const slots = rank.staged.get(rank.protocol.mapId)
-	const ready = slots?.every((own, layer) =>
-		own.every(expert => rank.loaded.has(weightOf(layer)(expert))),
-	)
-	if (!slots || !ready) model.violations++
 	rank.slots = slots ?? rank.slots
 	rank.mapSince = step
 	model.switches++
@@ -197,6 +194,15 @@
 		for (const weight of own.map(weightOf(layer))) rank.loaded.add(weight)
 }
 
+/** Whether a rank holds all weights of a map; another one's may be dropped. */
+export function holdsWeights(rank: RankModel, mapId: string): boolean {
+	const slots = rank.staged.get(mapId)
+	if (!slots) return false
+	return slots.every((own, layer) =>
+		own.every(expert => rank.loaded.has(weightOf(layer)(expert))),
+	)
+}
+
 function assertOneMap(model: GroupModel): void {
 	const ids = new Set(model.ranks.map(rank => rank.protocol.mapId))
 	if (ids.size === 1) return
--- a/packages/fakes/src/orders.ts
+++ b/packages/fakes/src/orders.ts
@@ -4,7 +4,7 @@
 import { takeRankRequest } from '@juniperhook/core'
 import { request } from 'undici'
 import type { GroupModel, RankModel } from './groupModel.ts'
-import { weightOf } from './groupModel.ts'
+import { holdsWeights, weightOf } from './groupModel.ts'
 
 /** An order to one rank's engine. */
 export type EngineOrder =
@@ -59,7 +59,7 @@
 	state: RankModel,
 	req: RankRequest,
 ): RankReply | undefined {
-	if (req.type !== 'prepare' || state.staged.has(req.change.mapId))
+	if (req.type !== 'prepare' || holdsWeights(state, req.change.mapId))
 		return undefined
 	const { fence } = req
 	const highest = state.protocol.fence
@@ -83,8 +83,8 @@
 			return true
 		case 'gate': {
 			const { step } = order
-			const staged = state.staged.has(order.mapId)
-			if (step <= protocol.step || !staged) return false
+			const holds = holdsWeights(state, order.mapId)
+			if (step <= protocol.step || !holds) return false
 			const { generation, mapId } = protocol
 			protocol.promised = { fence: 0, generation, step, mapId }
 			return true
--- /dev/null
+++ b/packages/fakes/test/groupModel.test.ts
@@ -0,0 +1,54 @@
+/** The stand-in engines of a group promise only maps whose weights they hold. */
+
+import { createRandom } from '@juniperhook/core'
+import { test } from 'uvu'
+import * as assert from 'uvu/assert'
+import type { EngineOrder, GroupOptions } from '../src/index.ts'
+import {
+	advanceModel,
+	createBlocks,
+	createGroupModel,
+	createPopularity,
+	takeOrder,
+} from '../src/index.ts'
+
+const OPTIONS: GroupOptions = {
+	layers: 1,
+	experts: 4,
+	baseMs: 1,
+	tokenMs: 0,
+	expertMs: 0,
+	topK: 1,
+	bytesPerExpert: 1,
+	store: '',
+	checksFences: true,
+}
+
+function changeTo(mapId: string, fence: number, step: number) {
+	return { fence, generation: 1, step, mapId }
+}
+
+test('a map staged before another one came into force is not promised', async () => {
+	const blocks = createBlocks(1, 1, 4)
+	const popularity = createPopularity(1, 4, 1, createRandom(7))
+	const model = createGroupModel(OPTIONS, popularity, blocks)
+	const give = (order: EngineOrder) => takeOrder(model, 0, order)
+	const prepare = (mapId: string, fence: number, step: number) => {
+		const change = changeTo(mapId, fence, step)
+		return give({ order: 'rank', req: { type: 'prepare', fence, change } })
+	}
+	await give({ order: 'stage', mapId: 'b', slots: [[0, 1]] })
+	await give({ order: 'stage', mapId: 'c', slots: [[2, 3]] })
+	await give({ order: 'rank', req: { type: 'learn', fence: 1 } })
+	assert.ok((await prepare('b', 1, 1)).accepted)
+	const change = changeTo('b', 1, 1)
+	await give({ order: 'rank', req: { type: 'commit', fence: 1, change } })
+	assert.ok(advanceModel(model, [1]))
+	assert.is(model.violations, 0)
+	await give({ order: 'rank', req: { type: 'learn', fence: 2 } })
+	assert.not((await prepare('c', 2, 2)).accepted)
+	await give({ order: 'stage', mapId: 'c', slots: [[2, 3]] })
+	assert.ok((await prepare('c', 2, 2)).accepted)
+})
+
+test.run()
