Plan four times faster; ask every rank how slow it is

One of 72 ranks was 2.6 times as slow (srv_slow), and only the first 16 were ever asked. Plans took 300 to 620 ms, as long as the rounds. Ruled out: the map (skew 1.06 to 1.15 after each round), admission (4.2 requests a rank of 7). Change: the other ranks are asked in turn how busy they are, each once a second; a plan keeps each expert's holders instead of looking through all ranks for them (42 to 12 ms a set of 144 experts on 72 ranks, the same plans).

--- a/packages/core/src/core/groupPlan.ts
+++ b/packages/core/src/core/groupPlan.ts
@@ -8,8 +8,6 @@
 
 /** No expert in a place. */
 const FREE = -1
-/** Exponent that makes a sum of loads look at the most loaded ranks. */
-const POWER = 8
 /** A step of the search must lower the sum by this share. */
 const MIN_PROGRESS = 0.002
 /** Least loaded ranks that are looked at in a step. */
@@ -45,18 +43,30 @@
 	/** 1 where the rank has the expert now. */
 	readonly has: Uint8Array
 	readonly copies: Int16Array
+	/** Ranks that have each expert now. */
+	readonly holders: number[][]
 	/** New experts on each rank. */
 	readonly fresh: Int16Array
 	/** Time that each rank takes; the mean is 1 when none is slow. */
 	readonly loads: Float64Array
 	/** Time that a rank takes for an even share of the demand. */
 	readonly slowness: Float64Array
+	/** What the changes that are being weighed add to each rank's load. */
+	readonly added: Float64Array
+	/** Ranks with an entry in `added`; their number is `touched`. */
+	readonly touchedRanks: Int16Array
+	touched: number
 }
 
-/** One place that gets another expert. */
+/**
+ * A change of one place, or an exchange between two. Numbers in one object that
+ * is used again, since a plan weighs a hundred thousand of them.
+ */
 interface Change {
-	readonly at: number
-	readonly expert: number
+	at: number
+	expert: number
+	/** Place that gets what `at` had; -1 for a change of one place. */
+	backAt: number
 }
 
 /**
@@ -76,9 +86,9 @@
 	const most = search.ranks * STEPS_PER_RANK
 	for (let step = 0; step < most; step++) {
 		if (maxOf(search.loads) <= target) break
-		const changes = findBest(search)
-		if (!changes) break
-		for (const change of changes) apply(search, change)
+		const change = findBest(search)
+		if (!change) break
+		applyChange(search, change)
 	}
 	return {
 		placement: readPlacement(search),
@@ -136,9 +146,14 @@
 		had: new Uint8Array(ranks * experts),
 		has: new Uint8Array(ranks * experts),
 		copies: new Int16Array(experts),
+		holders: Array.from({ length: experts }, () => []),
 		fresh: new Int16Array(ranks),
 		loads: new Float64Array(ranks),
 		slowness: new Float64Array(ranks).map((_, at) => ranks * (paces[at] ?? 1)),
+		added: new Float64Array(ranks),
+		// A change touches its rank and all holders of two experts at most.
+		touchedRanks: new Int16Array(2 * ranks + 4),
+		touched: 0,
 	}
 	for (const [rank, own] of placement.entries())
 		for (const [slot, expert] of own.entries()) {
@@ -146,6 +161,7 @@
 			search.had[rank * experts + expert] = 1
 			search.has[rank * experts + expert] = 1
 			search.copies[expert]!++
+			search.holders[expert]!.push(rank)
 		}
 	refreshLoads(search)
 	return search
@@ -163,19 +179,22 @@
 	}
 }
 
-function findBest(search: Search): Change[] | undefined {
+/** The change that takes most off the loaded ranks for each expert copied. */
+function findBest(search: Search): Change | undefined {
 	const order = [...search.loads.keys()].sort(
 		(a, b) => search.loads[a]! - search.loads[b]!,
 	)
 	const hot = order.at(-1)!
 	const targets = order.slice(0, MAX_TARGETS).filter(rank => rank !== hot)
-	let best: Change[] | undefined
+	const best: Change = { at: -1, expert: FREE, backAt: -1 }
 	let bestWorth = sumOfPowers(search) * MIN_PROGRESS
-	const weigh = (changes: Change[]) => {
-		const worth =
-			gainOf(search, changes) / Math.max(1, copiesOf(search, changes))
+	const weigh = (at: number, expert: number, backAt = -1) => {
+		const copies = copiesOf(search, at, expert, backAt)
+		const worth = gainOf(search, at, expert, backAt) / Math.max(1, copies)
 		if (worth <= bestWorth) return
-		best = changes
+		best.at = at
+		best.expert = expert
+		best.backAt = backAt
 		bestWorth = worth
 	}
 	const { places } = search
@@ -185,15 +204,17 @@
 		for (const rank of targets) weighTarget(search, from, rank, weigh)
 		if (search.copies[expert]! >= 2) weighDrop(search, from, targets, weigh)
 	}
-	return best
+	return best.at < 0 ? undefined : best
 }
 
+type Weigh = (at: number, expert: number, backAt?: number) => void
+
 /** Gives the expert at `from` a copy on `rank`, or exchanges it. */
 function weighTarget(
 	search: Search,
 	from: number,
 	rank: number,
-	weigh: (changes: Change[]) => void,
+	weigh: Weigh,
 ): void {
 	const { places, slots, copies } = search
 	const expert = slots[from]!
@@ -204,14 +225,10 @@
 		const other = slots[at]!
 		const replaced = other !== FREE && isNew(search, rank, other)
 		if (!room && !replaced) continue
-		if (other === FREE || copies[other]! >= 2) weigh([{ at, expert }])
+		if (other === FREE || copies[other]! >= 2) weigh(at, expert)
 		if (other === FREE || hasExpert(search, hot, other)) continue
 		const back = canTake(search, hot, other) || isNew(search, hot, expert)
-		if (!back) continue
-		weigh([
-			{ at, expert },
-			{ at: from, expert: other },
-		])
+		if (back) weigh(at, expert, from)
 	}
 }
 
@@ -220,30 +237,38 @@
 	search: Search,
 	from: number,
 	targets: readonly number[],
-	weigh: (changes: Change[]) => void,
+	weigh: Weigh,
 ): void {
 	const { places, slots } = search
 	const hot = Math.floor(from / places)
 	const dropped = slots[from]!
-	weigh([{ at: from, expert: FREE }])
+	weigh(from, FREE)
 	for (const rank of targets)
 		for (let at = rank * places; at < (rank + 1) * places; at++) {
 			const expert = slots[at]!
 			if (expert === FREE || hasExpert(search, hot, expert)) continue
 			if (!canTake(search, hot, expert) && !isNew(search, hot, dropped))
 				continue
-			weigh([{ at: from, expert }])
+			weigh(from, expert)
 		}
 }
 
-/** Experts that changes copy. */
-function copiesOf(search: Search, changes: readonly Change[]): number {
-	let copies = 0
-	for (const { at, expert } of changes) {
-		const rank = Math.floor(at / search.places)
-		if (expert !== FREE && isNew(search, rank, expert)) copies++
-	}
-	return copies
+/** Experts that a change copies. */
+function copiesOf(
+	search: Search,
+	at: number,
+	expert: number,
+	backAt: number,
+): number {
+	const there = copiesAt(search, at, expert)
+	return backAt < 0
+		? there
+		: there + copiesAt(search, backAt, search.slots[at]!)
+}
+
+function copiesAt(search: Search, at: number, expert: number): number {
+	const rank = Math.floor(at / search.places)
+	return expert !== FREE && isNew(search, rank, expert) ? 1 : 0
 }
 
 function hasExpert(search: Search, rank: number, expert: number): boolean {
@@ -258,41 +283,75 @@
 	return !isNew(search, rank, expert) || search.fresh[rank]! < search.maxNew
 }
 
-/** How much changes lower the sum of powers. */
-function gainOf(search: Search, changes: readonly Change[]): number {
-	const { loads, slots, places, share, copies, slowness } = search
-	touched.clear()
-	for (const { at, expert } of changes) {
-		const rank = Math.floor(at / places)
-		const old = slots[at]!
-		const oldCount = old === FREE ? 0 : copies[old]!
-		const newCount = expert === FREE ? 0 : copies[expert]!
-		const exchanged = changes.length === 2
+/** How much a change lowers the sum of powers. */
+function gainOf(
+	search: Search,
+	at: number,
+	expert: number,
+	backAt: number,
+): number {
+	const { loads, added, touchedRanks } = search
+	if (backAt < 0) {
+		addDrop(search, at)
+		addCopy(search, at, expert)
+	} else {
 		// In an exchange both experts keep their number of copies.
-		const oldNext = exchanged ? oldCount : oldCount - 1
-		const newNext = exchanged ? newCount : newCount + 1
-		if (old !== FREE) {
-			add(rank, (-share[old]! / oldCount) * slowness[rank]!)
-			if (!exchanged) spread(search, old, rank, oldCount, oldNext)
-		}
-		if (expert !== FREE) {
-			add(rank, (share[expert]! / newNext) * slowness[rank]!)
-			if (!exchanged) spread(search, expert, rank, newCount, newNext)
-		}
+		addSwap(search, at, expert)
+		addSwap(search, backAt, search.slots[at]!)
 	}
 	let gain = 0
-	for (const [rank, change] of touched) {
+	for (let index = 0; index < search.touched; index++) {
+		const rank = touchedRanks[index]!
 		const load = loads[rank]!
-		gain += load ** POWER - Math.max(0, load + change) ** POWER
+		gain += power(load) - power(Math.max(0, load + added[rank]!))
+		added[rank] = 0
 	}
+	search.touched = 0
 	return gain
 }
 
-/** Changes of load by rank, reused between calls. */
-const touched = new Map<number, number>()
+/** The rank of a place loses the expert there; its other holders take over. */
+function addDrop(search: Search, at: number): void {
+	const { places, slots, share, copies, slowness } = search
+	const expert = slots[at]!
+	if (expert === FREE) return
+	const rank = Math.floor(at / places)
+	const count = copies[expert]!
+	add(search, rank, (-share[expert]! / count) * slowness[rank]!)
+	spread(search, expert, rank, count, count - 1)
+}
+
+/** The rank of a place gets a copy; the expert's other holders have less. */
+function addCopy(search: Search, at: number, expert: number): void {
+	const { places, share, copies, slowness } = search
+	if (expert === FREE) return
+	const rank = Math.floor(at / places)
+	const count = copies[expert]!
+	add(search, rank, (share[expert]! / (count + 1)) * slowness[rank]!)
+	spread(search, expert, rank, count, count + 1)
+}
+
+/** The rank of a place has another expert instead of the one there. */
+function addSwap(search: Search, at: number, expert: number): void {
+	const { places, slots, share, copies, slowness } = search
+	const old = slots[at]!
+	const rank = Math.floor(at / places)
+	const change = share[expert]! / copies[expert]! - share[old]! / copies[old]!
+	add(search, rank, change * slowness[rank]!)
+}
 
-function add(rank: number, change: number): void {
-	touched.set(rank, (touched.get(rank) ?? 0) + change)
+/** The eighth power: a sum of these looks at the most loaded ranks. */
+function power(load: number): number {
+	const square = load * load
+	const fourth = square * square
+	return fourth * fourth
+}
+
+function add(search: Search, rank: number, change: number): void {
+	const { added, touchedRanks } = search
+	// A sum that came back to nought is listed twice, which does no harm.
+	if (added[rank] === 0) touchedRanks[search.touched++] = rank
+	added[rank]! += change
 }
 
 /** What holders other than `rank` gain or lose when copies change. */
@@ -304,34 +363,41 @@
 	after: number,
 ): void {
 	if (after <= 0 || before <= 0) return
-	const { ranks, share, slowness } = search
+	const { holders, share, slowness } = search
 	const change = share[expert]! * (1 / after - 1 / before)
-	for (let other = 0; other < ranks; other++)
-		if (other !== rank && hasExpert(search, other, expert))
-			add(other, change * slowness[other]!)
+	for (const other of holders[expert]!)
+		if (other !== rank) add(search, other, change * slowness[other]!)
 }
 
-function apply(search: Search, { at, expert }: Change): void {
-	const { slots, has, copies, fresh, places, share } = search
+function applyChange(search: Search, { at, expert, backAt }: Change): void {
+	const old = search.slots[at]!
+	place(search, at, expert)
+	if (backAt >= 0) place(search, backAt, old)
+	refreshLoads(search)
+}
+
+/** Puts an expert, or none, in a place. */
+function place(search: Search, at: number, expert: number): void {
+	const { slots, has, copies, holders, fresh, places, share } = search
 	const rank = Math.floor(at / places)
 	const old = slots[at]!
 	if (old !== FREE) {
 		has[rank * share.length + old] = 0
 		copies[old]!--
+		holders[old] = holders[old]!.filter(holder => holder !== rank)
 		if (isNew(search, rank, old)) fresh[rank]!--
 	}
 	slots[at] = expert
-	if (expert !== FREE) {
-		has[rank * share.length + expert] = 1
-		copies[expert]!++
-		if (isNew(search, rank, expert)) fresh[rank]!++
-	}
-	refreshLoads(search)
+	if (expert === FREE) return
+	has[rank * share.length + expert] = 1
+	copies[expert]!++
+	holders[expert]!.push(rank)
+	if (isNew(search, rank, expert)) fresh[rank]!++
 }
 
 function sumOfPowers(search: Search): number {
 	let sum = 0
-	for (const load of search.loads) sum += load ** POWER
+	for (const load of search.loads) sum += power(load)
 	return sum
 }
 
--- a/packages/groups/src/coordinator.ts
+++ b/packages/groups/src/coordinator.ts
@@ -10,13 +10,20 @@
 import { pause, readAnchor } from './coordinatorState.ts'
 import { decayDemand, takeChoices } from './demand.ts'
 import { planMap, readMap } from './mapWork.ts'
-import { closeRankClient, sampleRank } from './rankClient.ts'
+import type { RankBusy } from './ports.ts'
+import type { RankClient } from './rankClient.ts'
+import { busyOfRank, closeRankClient, sampleRank } from './rankClient.ts'
 import { runRound } from './roundRunner.ts'
 
 /** Between readings of counts, ms: a few passes. */
 const COUNTS_MS = 200
 /** Ranks whose counts are read; the others' requests are like theirs. */
 const MAX_COUNTED = 16
+/**
+ * Other ranks that are asked how busy they are at each reading, in turn: one
+ * slow rank slows its whole group, so each is asked about once a second.
+ */
+const ASKED_IN_TURN = 16
 /** Between looks at the anchor while no round is under way, ms. */
 const IDLE_LOOK_MS = 80
 /** Choices that must have been seen before the first plan. */
@@ -51,18 +58,27 @@
 
 async function readDemand(co: Coordinator): Promise<void> {
 	decayDemand(co.demand, readNow())
-	const counted = [...co.clients.values()].slice(0, MAX_COUNTED)
+	const clients = [...co.clients.values()]
+	const counted = clients.slice(0, MAX_COUNTED)
+	const others = takeTurn(co, clients.slice(MAX_COUNTED))
 	const busy: number[] = []
-	await Promise.all(
-		counted.map(async client => {
+	const note = ({ member }: RankClient, told: RankBusy) => {
+		busy.push(told.running + told.waiting)
+		co.paces.set(member.rank, told.pace)
+	}
+	await Promise.all([
+		...counted.map(async client => {
 			const sample = await sampleRank(client)
 			if (!sample) return
 			takeChoices(co.demand, sample.chosen)
-			busy.push(sample.running + sample.waiting)
-			co.paces.set(client.member.rank, sample.pace)
+			note(client, sample)
 		}),
-	)
-	const paces = counted.map(
+		...others.map(async client => {
+			const told = await busyOfRank(client)
+			if (told) note(client, told)
+		}),
+	])
+	const paces = clients.map(
 		({ member }) => [member.engine, co.paces.get(member.rank) ?? 1] as const,
 	)
 	co.onPaces(new Map(paces), letIn(co))
@@ -71,6 +87,20 @@
 	co.held += (mean - co.held) * HELD_WEIGHT
 }
 
+/** The clients that are asked this time. */
+function takeTurn(
+	co: Coordinator,
+	others: readonly RankClient[],
+): readonly RankClient[] {
+	if (others.length <= ASKED_IN_TURN) return others
+	const from = co.turn % others.length
+	co.turn = from + ASKED_IN_TURN
+	return [...others.slice(from), ...others.slice(0, from)].slice(
+		0,
+		ASKED_IN_TURN,
+	)
+}
+
 /** Requests that a rank may hold; undefined for as many as fit. */
 function letIn(co: Coordinator): number | undefined {
 	const { group, passMs, held } = co
--- a/packages/groups/src/coordinatorState.ts
+++ b/packages/groups/src/coordinatorState.ts
@@ -28,6 +28,8 @@
 	readonly clients: Map<number, RankClient>
 	group: PublishedGroup | undefined
 	demand: Demand
+	/** Where the next turn of asking ranks how busy they are begins. */
+	turn: number
 	/** Requests that a rank holds, smoothed. */
 	held: number
 	/** How slow each rank is; 1 is its usual speed. */
@@ -68,6 +70,7 @@
 		clients: new Map(),
 		group: undefined,
 		demand: createDemand(0, 0),
+		turn: 0,
 		held: 0,
 		paces: new Map(),
 		onPaces: () => {},
--- a/packages/groups/src/ports.ts
+++ b/packages/groups/src/ports.ts
@@ -15,17 +15,21 @@
 	readonly counts: readonly number[]
 }
 
-/** What a rank's requests chose since the last sample, and how busy it is. */
-export interface RankSample {
-	readonly epoch: number
-	/** Set by set, one number an expert; empty for a first sample. */
-	readonly chosen: readonly number[]
+/** How busy a rank is. */
+export interface RankBusy {
 	readonly running: number
 	readonly waiting: number
 	/** Over 1: the engine is slow. */
 	readonly pace: number
 }
 
+/** What a rank's requests chose since the last sample, and how busy it is. */
+export interface RankSample extends RankBusy {
+	readonly epoch: number
+	/** Set by set, one number an expert; empty for a first sample. */
+	readonly chosen: readonly number[]
+}
+
 /** The experts that a rank holds. */
 export interface RankPlacement {
 	readonly epoch: number
--- a/packages/groups/src/rankClient.ts
+++ b/packages/groups/src/rankClient.ts
@@ -14,6 +14,7 @@
 import type {
 	EnginePort,
 	GroupMember,
+	RankBusy,
 	RankPlacement,
 	RankSample,
 } from './ports.ts'
@@ -173,6 +174,13 @@
 	return message ? fromSampleMessage(message) : undefined
 }
 
+/** How busy a rank was when its agent last looked. */
+export async function busyOfRank(
+	client: RankClient,
+): Promise<RankBusy | undefined> {
+	return (await ask(client, 'busy', {}, READ_MS)) ?? undefined
+}
+
 /** The experts of a rank. */
 export async function placementOfRank(
 	client: RankClient,
--- a/packages/groups/src/rankService.ts
+++ b/packages/groups/src/rankService.ts
@@ -11,7 +11,7 @@
 import { createKnownMaps, noteMap } from './mapChanges.ts'
 import type { OrderMessage } from './orderMessage.ts'
 import { fromOrderMessage } from './orderMessage.ts'
-import type { EnginePort, RankPlacement } from './ports.ts'
+import type { EnginePort, RankBusy, RankPlacement } from './ports.ts'
 
 /** Between looks at an engine that copies experts, ms. */
 const COPY_LOOK_MS = 25
@@ -125,6 +125,7 @@
 	return {
 		hello,
 		report: () => orNull(port.report(engine)),
+		busy: () => toBusy(lastReport()),
 		sample: (_params: object, link: RpcLink) => orNull(sample(link)),
 		placement: () => orNull(port.placement(engine)),
 		order: takeOrder,
@@ -133,6 +134,12 @@
 	}
 }
 
+function toBusy(report: RankReport | undefined): RankBusy | null {
+	if (!report) return null
+	const { running, waiting, pace } = report
+	return { running, waiting, pace }
+}
+
 /** JSON has no undefined. */
 async function orNull<T>(value: Promise<T | undefined>): Promise<T | null> {
 	return (await value) ?? null
@@ -144,6 +151,7 @@
 /** What the methods answer. */
 export interface RankAnswers {
 	readonly report: RankReport | null
+	readonly busy: RankBusy | null
 	readonly sample: SampleMessage | null
 	readonly placement: RankPlacement | null
 	readonly order: RankAnswer
