--- a/packages/groups/test/standInGroup.ts
+++ b/packages/groups/test/standInGroup.ts
@@ -40,6 +40,8 @@
 	readonly cutOff: Set<string>
 	/** Passes that began with two maps; must stay empty. */
 	readonly mixed: string[]
+	/** How slow each engine is, by rank. */
+	readonly paces: number[]
 	/** Lets all engines forget, as when the group forms anew. */
 	reform(): void
 	stop(): void
@@ -51,7 +53,7 @@
 }
 
 /** Starts a group whose passes run by themselves. */
-export function startGroup(seed: number): StandInGroup {
+export function startGroup(seed: number, ranks = RANKS): StandInGroup {
 	const random = createRandom(seed)
 	const layout = {
 		sets: SETS,
@@ -62,7 +64,7 @@
 		expertShare: 0.85,
 		reformMs: 10,
 	}
-	const dealt = dealExperts(RANKS, layout)
+	const dealt = dealExperts(ranks, layout)
 	const createEngine = (rank: number): Engine => ({
 		map: 0,
 		placements: Array.from({ length: SETS }, () => [...dealt[rank]!]),
@@ -79,7 +81,8 @@
 		return group.engines[rankOf(address)]
 	}
 	const group: StandInGroup = {
-		engines: Array.from({ length: RANKS }, (_, rank) => createEngine(rank)),
+		engines: Array.from({ length: ranks }, (_, rank) => createEngine(rank)),
+		paces: new Array<number>(ranks).fill(1),
 		step: 0,
 		epoch: 1,
 		held: undefined,
@@ -87,7 +90,7 @@
 		cutOff: new Set(),
 		mixed: [],
 		group: {
-			members: Array.from({ length: RANKS }, (_, rank) => ({
+			members: Array.from({ length: ranks }, (_, rank) => ({
 				rank,
 				engine: addressOf(rank),
 			})),
@@ -212,7 +215,7 @@
 	return {
 		group: 'g',
 		rank,
-		size: RANKS,
+		size: group.engines.length,
 		epoch: group.epoch,
 		open: true,
 		step: group.step,
@@ -222,6 +225,6 @@
 		held: rank === 0 ? group.held : undefined,
 		running: 4,
 		waiting: 0,
-		pace: 1,
+		pace: group.paces[rank]!,
 	}
 }
