Add a fault soak of the real processes; read demand while rounds go on

Soak: entries and agents as processes, a store, backend servers and a lock-step group in the soak's own process, relays between them; faults drawn from a seed; promises judged from what callers and servers see.

Change: counts and paces are read each 200 ms by a loop of their own.

--- a/packages/groups/src/coordinator.ts
+++ b/packages/groups/src/coordinator.ts
@@ -21,9 +21,9 @@
 const MAX_COUNTED = 16
 /**
  * Other ranks that are asked how busy they are at each reading, in turn: one
- * slow rank slows its whole group, so each is asked about once a second.
+ * slow rank slows its whole group, so each is asked twice a second.
  */
-const ASKED_IN_TURN = 16
+const ASKED_IN_TURN = 28
 /** Between looks at the anchor while no round is under way, ms. */
 const IDLE_LOOK_MS = 80
 /** Choices that must have been seen before the first plan. */
@@ -33,18 +33,30 @@
 
 /** Coordinates until it is stopped. */
 export async function runCoordinator(co: Coordinator): Promise<void> {
-	let countedAt = 0
+	try {
+		await Promise.all([followDemand(co), improveMap(co)])
+	} finally {
+		co.stopped = true
+		for (const client of co.clients.values()) closeRankClient(client)
+		co.clients.clear()
+	}
+}
+
+/** Goes on during rounds: the plan that follows one needs fresh counts. */
+async function followDemand(co: Coordinator): Promise<void> {
+	while (!co.stopped) {
+		const startedAt = readNow()
+		await readDemand(co)
+		await pause(Math.max(0, startedAt + COUNTS_MS - readNow()))
+	}
+}
+
+async function improveMap(co: Coordinator): Promise<void> {
 	while (!co.stopped) {
-		if (readNow() - countedAt >= COUNTS_MS) {
-			countedAt = readNow()
-			await readDemand(co)
-		}
 		const report = await readAnchor(co)
 		if (report && isWhole(co, report)) await improve(co, report)
 		await pause(IDLE_LOOK_MS)
 	}
-	for (const client of co.clients.values()) closeRankClient(client)
-	co.clients.clear()
 }
 
 /** Tells a coordinator to end; a change in the making is left as it stands. */
--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -1,17 +1,17 @@
-/** Bundles the two daemons and the stand-ins; commands stay in own chunks. */
+/** Bundles the daemons of both modes and the stand-ins; commands stay in own chunks. */
 
 import { rmSync } from 'node:fs'
 import { build } from 'esbuild'
 import { SHARED } from './bundle.mjs'
 
-const PACKAGES = {
-	entry: ['bin.ts', 'commands.ts'],
-	agent: ['bin.ts', 'command.ts'],
-	fakes: ['main.ts'],
+const FOLDERS = {
+	'packages/entry': ['bin.ts', 'commands.ts'],
+	'packages/agent': ['bin.ts', 'command.ts'],
+	'packages/fakes': ['main.ts'],
+	platform: ['main.ts'],
 }
 
-for (const [name, files] of Object.entries(PACKAGES)) {
-	const folder = `packages/${name}`
+for (const [folder, files] of Object.entries(FOLDERS)) {
 	rmSync(`${folder}/dist`, { recursive: true, force: true })
 	await build({
 		...SHARED,
--- /dev/null
+++ b/soak/src/config.ts
@@ -0,0 +1,99 @@
+/** The configurations that a soak publishes, as the platform writes them. */
+
+/** Host of all routes. */
+export const HOST = 'soak.example'
+/** Longest time a request is held, ms. */
+export const TIMEOUT_MS = { once: 1_500, repeatable: 1_500, stream: 4_000 }
+/** Teams by key. */
+export const TEAM_OF_KEY: { readonly [key: string]: string } = {
+	'key-rangers': 'rangers',
+	'key-guests': 'guests',
+}
+/** A key that a later configuration takes away. */
+export const DOOMED_KEY = 'key-doomed'
+/** Second sends allowed: part of the requests, and besides, in a window. */
+export const RETRIES = { ratio: 0.2, slack: 40, windowMs: 10_000 }
+
+const PLAIN = 'plain-service'
+const MODEL = 'model-service'
+/** Services by kind of request. */
+export const SERVICE_OF = { once: PLAIN, repeatable: PLAIN, stream: MODEL }
+/** Path prefixes by kind of request. */
+export const PREFIX_OF = { once: '/o/', repeatable: '/r/', stream: '/s/' }
+
+/** Path of the route that a version adds. */
+export function addedPath(version: number): string {
+	return `/v${version}/`
+}
+
+/** A configuration's JSON text; version 1 is the first. */
+export function buildConfig(version: number, keepsDoomed: boolean): string {
+	const added = Array.from({ length: version }, (_, at) => at + 1)
+	const keys = keepsDoomed ? [DOOMED_KEY] : []
+	return JSON.stringify({
+		config_version: version,
+		routes: [
+			route(PREFIX_OF.once, 'non_idempotent', PLAIN, 1),
+			route(PREFIX_OF.repeatable, 'idempotent', PLAIN, 2),
+			{
+				...route(PREFIX_OF.stream, 'streaming', MODEL, 2),
+				timeout_ms: TIMEOUT_MS.stream,
+				stream_resume: true,
+				gap_aim_ms: 200,
+			},
+			...added.map(one => route(addedPath(one), 'idempotent', PLAIN, 2)),
+		],
+		services: [
+			{ name: PLAIN, max_connections: 200 },
+			{ name: MODEL, max_connections: 200, engine: ENGINE },
+		],
+		limits: {
+			max_header_bytes: 8_192,
+			max_body_bytes: 65_536,
+			header_timeout_ms: 5_000,
+			idle_timeout_ms: 10_000,
+		},
+		tenants: [
+			...Object.entries(TEAM_OF_KEY).map(([key, name]) => ({
+				name,
+				api_keys: [key],
+			})),
+			{ name: 'doomed', api_keys: keys },
+		],
+	})
+}
+
+/** Fits the stand-in group's layout. */
+const ENGINE = {
+	slots: 8,
+	stride: 1,
+	step_ms: 1,
+	per_seq_ms: 0.1,
+	link_mbps: 180_000,
+	sets: 2,
+	experts: 16,
+	places: 6,
+	spare: 2,
+	expert_mb: 1,
+	expert_share: 0.85,
+	form_ms: 10,
+}
+
+function route(
+	prefix: string,
+	kind: string,
+	service: string,
+	attempts: number,
+): object {
+	return {
+		name: `route ${prefix}`,
+		hostname: HOST,
+		path_prefix: prefix,
+		route_type: kind,
+		timeout_ms: TIMEOUT_MS.once,
+		target_latency_ms: 300,
+		priority: 1,
+		service,
+		max_attempts: attempts,
+	}
+}
--- /dev/null
+++ b/soak/src/main.ts
@@ -0,0 +1,71 @@
+/**
+ * `npm run soak -- --seeds N`: soaks with seeds one after the other; prints what
+ * each met and every promise that was broken.
+ */
+
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { parseArgs } from 'node:util'
+import { runSoak } from './soak.ts'
+import type { Record, SoakOptions } from './types.ts'
+
+const { values } = parseArgs({
+	options: {
+		seed: { type: 'string', default: String(Date.now() % 1_000_000) },
+		seeds: { type: 'string', default: '1' },
+		entries: { type: 'string', default: '3' },
+		ranks: { type: 'string', default: '4' },
+		plain: { type: 'string', default: '3' },
+		clients: { type: 'string', default: '16' },
+		seconds: { type: 'string', default: '15' },
+		faults: { type: 'string', default: '14' },
+		net: { type: 'string', default: '9' },
+		verbose: { type: 'boolean', default: false },
+	},
+})
+
+function optionsFor(seed: number): SoakOptions {
+	return {
+		seed,
+		entries: Number(values.entries),
+		ranks: Number(values.ranks),
+		plain: Number(values.plain),
+		clients: Number(values.clients),
+		faultMs: Number(values.seconds) * 1_000,
+		faults: Number(values.faults),
+		net: Number(values.net),
+		timed: true,
+		folder: join(tmpdir(), 'juniperhook-soak', `seed-${seed}`),
+	}
+}
+
+function print(options: SoakOptions, record: Record): void {
+	const { counts, broken } = record
+	const get = (what: string) => counts.get(what) ?? 0
+	const faults = [...counts].filter(([what]) => what.startsWith('fault: '))
+	const line = [
+		`seed ${options.seed}`,
+		`${faults.reduce((sum, [, times]) => sum + times, 0)} faults`,
+		`${record.asked.size} requests`,
+		`${get('answers with 200')} served`,
+		`${get('served after recovery')} of ${get('requests after recovery')} after recovery`,
+		`${broken.length} promises broken`,
+	]
+	process.stdout.write(`${line.join(', ')}\n`)
+	for (const one of broken.slice(0, 12)) process.stdout.write(`  ${one}\n`)
+	if (broken.length > 0) process.stdout.write(`  logs: ${options.folder}\n`)
+	if (!values.verbose && broken.length === 0) return
+	for (const [what, times] of [...counts].sort())
+		process.stdout.write(`    ${what}: ${times}\n`)
+}
+
+const first = Number(values.seed)
+let failed = 0
+for (let seed = first; seed < first + Number(values.seeds); seed++) {
+	const options = optionsFor(seed)
+	const record = await runSoak(options)
+	print(options, record)
+	if (record.broken.length > 0) failed++
+}
+process.stdout.write(`${values.seeds} seeds, ${failed} with broken promises\n`)
+process.exit(failed === 0 ? 0 : 1)
--- /dev/null
+++ b/soak/src/processes.ts
@@ -0,0 +1,172 @@
+/**
+ * The product's processes: each is started with a settings file, told by signals
+ * and started again when it ends, as a platform would.
+ */
+
+import type { ChildProcess } from 'node:child_process'
+import { spawn } from 'node:child_process'
+import { mkdirSync, openSync, writeFileSync } from 'node:fs'
+import { join } from 'node:path'
+import { fileURLToPath } from 'node:url'
+import {
+	agentIp,
+	agentStoreIp,
+	entryIp,
+	entryStoreIp,
+	PORTS,
+	relayIp,
+} from './addresses.ts'
+import { RETRIES } from './config.ts'
+import type { Record, SoakOptions } from './types.ts'
+import { breakPromise, count } from './types.ts'
+
+const BUNDLE = fileURLToPath(
+	new URL('../../platform/dist/main.js', import.meta.url),
+)
+const RESTART_MS = 150
+/** From SIGTERM to SIGKILL, ms. */
+export const GRACE_MS = 5_000
+const SEEDS = 2
+
+/** One process with all its lives. */
+export interface Managed {
+	readonly name: string
+	readonly role: 'entry' | 'agent'
+	/** Number of the entry, or rank of the agent. */
+	readonly index: number
+	readonly settingsPath: string
+	readonly logPath: string
+	child: ChildProcess | undefined
+	/** Starts so far. */
+	life: number
+	/** Whether the soak has told the present life to end. */
+	told: boolean
+	/** When the present life was told to stop by SIGTERM, ms. */
+	stoppingAt: number | undefined
+	/** When a life was last killed without warning, ms. */
+	killedAt: number
+	/** Whether it is to be started again when it ends. */
+	wanted: boolean
+}
+
+/** Makes a process's folder and settings; it is not started. */
+export function prepareProcess(
+	options: SoakOptions,
+	role: Managed['role'],
+	index: number,
+): Managed {
+	const name = `${role}-${index}`
+	mkdirSync(options.folder, { recursive: true })
+	const settingsPath = join(options.folder, `${name}.conf`)
+	const managed: Managed = {
+		name,
+		role,
+		index,
+		settingsPath,
+		logPath: join(options.folder, `${name}.log`),
+		child: undefined,
+		life: 0,
+		told: false,
+		stoppingAt: undefined,
+		killedAt: 0,
+		wanted: true,
+	}
+	writeSettings(options, managed, 0)
+	return managed
+}
+
+/** Writes a settings file; `edition` makes it differ from the last one. */
+export function writeSettings(
+	options: SoakOptions,
+	{ role, index, name, settingsPath }: Managed,
+	edition: number,
+): void {
+	const { net } = options
+	const ip = role === 'entry' ? entryIp(net, index) : agentIp(net, index)
+	const storeIp =
+		role === 'entry' ? entryStoreIp(net, index) : agentStoreIp(net, index)
+	const seeds = Array.from({ length: SEEDS }, (_, at) => entryIp(net, at))
+	const lines = [
+		`node_name=${name}`,
+		`machine_class=${role}`,
+		`ip=${ip}`,
+		`zone=zone-${index % 2}`,
+		`internal_port_range=${PORTS.agents},${PORTS.agents + 9}`,
+		`seed_nodes=${seeds.map(seed => `${seed}:${PORTS.control}`).join(',')}`,
+		`platform.address=${storeIp}:${PORTS.store}`,
+		`bounds.grace_s=${GRACE_MS / 1_000}`,
+		`bounds.retry_budget_ratio=${RETRIES.ratio}`,
+		`bounds.budget_slack=${RETRIES.slack}`,
+		`bounds.budget_window_s=${RETRIES.windowMs / 1_000}`,
+		`soak.edition=${edition}`,
+	]
+	if (role === 'entry')
+		lines.push(
+			`listen.front=${ip}:${PORTS.callers}`,
+			`listen.ready=${ip}:${PORTS.readiness}`,
+			`listen.control=${ip}:${PORTS.control}`,
+		)
+	else
+		lines.push(
+			`app=${relayIp(net, index)}:${PORTS.engine}`,
+			'service=model-service',
+		)
+	writeFileSync(settingsPath, `${lines.join('\n')}\n`)
+}
+
+/** Starts a process; it is started again whenever it ends while it is wanted. */
+export function startProcess(record: Record, managed: Managed): void {
+	const log = openSync(managed.logPath, 'a')
+	const child = spawn(process.execPath, [BUNDLE, managed.role], {
+		env: { JUNIPERHOOK_NODE_FILE: managed.settingsPath },
+		stdio: ['ignore', log, log],
+	})
+	managed.child = child
+	managed.life++
+	managed.told = false
+	managed.stoppingAt = undefined
+	child.on('exit', (code, signal) => {
+		managed.child = undefined
+		if (!managed.told)
+			breakPromise(
+				record,
+				'ENDED',
+				`${managed.name} ended by itself: ${code ?? signal}`,
+			)
+		if (managed.wanted)
+			setTimeout(() => {
+				if (managed.wanted) startProcess(record, managed)
+			}, RESTART_MS)
+	})
+}
+
+/** Kills a process without warning. */
+export function killProcess(record: Record, managed: Managed): void {
+	if (!managed.child) return
+	count(record, `kills of ${managed.role}`)
+	managed.told = true
+	managed.killedAt = performance.now()
+	managed.child.kill('SIGKILL')
+}
+
+/** Asks a process to stop; it is killed when its time is over. */
+export function stopProcess(record: Record, managed: Managed): void {
+	const { child } = managed
+	if (!child || managed.stoppingAt !== undefined) return
+	count(record, `stops of ${managed.role}`)
+	managed.told = true
+	managed.stoppingAt = performance.now()
+	child.kill('SIGTERM')
+	setTimeout(() => {
+		if (managed.child !== child) return
+		managed.killedAt = performance.now()
+		child.kill('SIGKILL')
+	}, GRACE_MS)
+}
+
+/** Ends a process for good. */
+export function endProcess(managed: Managed): void {
+	managed.wanted = false
+	managed.told = true
+	managed.child?.kill('SIGKILL')
+}
--- /dev/null
+++ b/soak/src/soak.ts
@@ -0,0 +1,39 @@
+/** One soak: a world under load and faults, then calm, then the verdict. */
+
+import { rmSync } from 'node:fs'
+import { runCaller } from './callers.ts'
+import { playFaults } from './faults.ts'
+import type { Record, SoakOptions } from './types.ts'
+import { sleep } from './types.ts'
+import { judgeWhole } from './verdict.ts'
+import { startWorld, stopWorld } from './world.ts'
+
+/** Until all processes serve, ms. */
+const START_MS = 2_500
+/** After the last fault, until recovery is due, ms. */
+const RECOVERY_MS = 7_000
+/** Calm in which recovery is judged, ms. */
+const JUDGED_MS = 3_000
+/** Requests that are under way at the end, ms. */
+const LAST_ANSWERS_MS = 2_500
+
+/** Runs a soak; its folder is kept when a promise was broken. */
+export async function runSoak(options: SoakOptions): Promise<Record> {
+	rmSync(options.folder, { recursive: true, force: true })
+	const world = await startWorld(options)
+	await sleep(START_MS)
+	const callers = Array.from({ length: options.clients }, (_, number) =>
+		runCaller(world, number),
+	)
+	await playFaults(world)
+	await sleep(RECOVERY_MS)
+	const calmSince = performance.now()
+	await sleep(JUDGED_MS)
+	world.over = true
+	await Promise.race([Promise.all(callers), sleep(LAST_ANSWERS_MS)])
+	judgeWhole(world, calmSince)
+	stopWorld(world)
+	if (world.record.broken.length === 0)
+		rmSync(options.folder, { recursive: true, force: true })
+	return world.record
+}
--- /dev/null
+++ b/soak/src/world.ts
@@ -0,0 +1,179 @@
+/** Everything a soak runs: store, relays, backend servers and processes. */
+
+import { createRandom } from '@juniperhook/core'
+import type { Relay } from '@juniperhook/fakes'
+import { startRelay, stopRelay } from '@juniperhook/fakes'
+import { startGroup } from '../../packages/groups/test/standInGroup.ts'
+import type { StandInStore } from '../../platform/test/standInStore.ts'
+import { startStore } from '../../platform/test/standInStore.ts'
+import {
+	agentIp,
+	agentStoreIp,
+	entryStoreIp,
+	PORTS,
+	relayIp,
+	serverIp,
+} from './addresses.ts'
+import { buildConfig, SERVICE_OF } from './config.ts'
+import type { Managed } from './processes.ts'
+import { endProcess, prepareProcess, startProcess } from './processes.ts'
+import type { BackendServer, Servers } from './servers.ts'
+import { behave, crashServer, listedAddress, startServer } from './servers.ts'
+import type { Troubles } from './trouble.ts'
+import { createTroubles } from './trouble.ts'
+import type { Record, SoakOptions } from './types.ts'
+import { createRecord } from './types.ts'
+
+const SLOTS = 8
+
+/** A version of the configuration, and when the store took it. */
+export interface PublishedVersion {
+	readonly version: number
+	readonly at: number
+	readonly keepsDoomed: boolean
+}
+
+/** A running soak. */
+export interface World {
+	readonly options: SoakOptions
+	readonly record: Record
+	readonly troubles: Troubles
+	readonly store: StandInStore
+	readonly servers: Servers
+	readonly entries: Managed[]
+	readonly agents: Managed[]
+	/** Relays to backend servers, and to agents beside them. */
+	readonly serverRelays: Relay[]
+	readonly agentRelays: Relay[]
+	/** Relays to the store, entries' first. */
+	readonly storeRelays: Relay[]
+	readonly published: PublishedVersion[]
+	/** When the store was told that a server leaves or is gone, by id. */
+	readonly leftAt: Map<string, number>
+	/** Set when the soak is over. */
+	over: boolean
+}
+
+/** Starts a world; processes are started and need a moment. */
+export async function startWorld(options: SoakOptions): Promise<World> {
+	const { net, seed } = options
+	const record = createRecord()
+	const store = await startStore()
+	const group = startGroup(seed, options.ranks)
+	const servers: Servers = {
+		all: [],
+		group,
+		record,
+		random: createRandom(seed + 1),
+		net,
+		groupOpen: true,
+		incarnations: 0,
+	}
+	const world: World = {
+		options,
+		record,
+		troubles: createTroubles(),
+		store,
+		servers,
+		entries: [],
+		agents: [],
+		serverRelays: [],
+		agentRelays: [],
+		storeRelays: [],
+		published: [],
+		leftAt: new Map(),
+		over: false,
+	}
+	publish(world, 1, true)
+	for (let at = 0; at < options.ranks + options.plain; at++)
+		await addServer(world, at)
+	const storePort = Number(store.address.split(':')[1])
+	for (let at = 0; at < options.entries; at++)
+		world.entries.push(prepareProcess(options, 'entry', at))
+	for (let at = 0; at < options.ranks; at++)
+		world.agents.push(prepareProcess(options, 'agent', at))
+	for (const { role, index } of [...world.entries, ...world.agents]) {
+		const ip = role === 'entry' ? entryStoreIp : agentStoreIp
+		world.storeRelays.push(
+			await startRelay(ip(net, index), '127.0.0.1', PORTS.store, storePort),
+		)
+	}
+	for (const managed of [...world.entries, ...world.agents])
+		startProcess(record, managed)
+	return world
+}
+
+async function addServer(world: World, index: number): Promise<void> {
+	const { options, servers } = world
+	const { net, ranks } = options
+	const rank = index < ranks ? index : undefined
+	const backend: BackendServer = {
+		index,
+		service: rank === undefined ? SERVICE_OF.once : SERVICE_OF.stream,
+		rank,
+		address: listedAddress(net, index),
+		server: undefined,
+		id: '',
+		leaving: false,
+		misdeeds: behave(),
+	}
+	servers.all.push(backend)
+	await startServer(servers, backend)
+	const relay = relayIp(net, index)
+	world.serverRelays.push(
+		await startRelay(relay, serverIp(net, index), PORTS.engine),
+	)
+	if (rank !== undefined)
+		world.agentRelays.push(
+			await startRelay(relay, agentIp(net, rank), PORTS.agents),
+		)
+	listServer(world, backend)
+}
+
+/** Writes a server's entry. */
+export function listServer(world: World, backend: BackendServer): void {
+	const { id, service, address, rank, leaving, index } = backend
+	const entry = {
+		service,
+		address,
+		zone: `zone-${index % 2}`,
+		slots: SLOTS,
+		phase: leaving ? 'draining' : 'ready',
+		...(rank !== undefined && {
+			group: { name: 'g', rank, epoch: world.servers.group.epoch },
+		}),
+	}
+	world.store.put(`servers/${id}`, JSON.stringify(entry))
+	if (leaving) world.leftAt.set(id, performance.now())
+}
+
+/** Takes a server's entry away. */
+export function unlistServer(world: World, id: string): void {
+	world.store.put(`servers/${id}`, undefined)
+	if (!world.leftAt.has(id)) world.leftAt.set(id, performance.now())
+}
+
+/** Publishes a version of the configuration. */
+export function publish(
+	world: World,
+	version: number,
+	keepsDoomed: boolean,
+): void {
+	world.store.put('op/config', buildConfig(version, keepsDoomed))
+	world.published.push({ version, at: performance.now(), keepsDoomed })
+}
+
+/** Ends everything that the soak started. */
+export function stopWorld(world: World): void {
+	for (const managed of [...world.entries, ...world.agents]) endProcess(managed)
+	for (const relay of allRelays(world)) stopRelay(relay)
+	for (const backend of world.servers.all) crashServer(backend)
+	world.servers.group.stop()
+	world.store.server.closeAllConnections()
+	world.store.server.close()
+}
+
+/** Every relay. */
+export function allRelays(world: World): Relay[] {
+	return [...world.serverRelays, ...world.agentRelays, ...world.storeRelays]
+}
