Let a group go again that a late double of the hold stopped

A hold without an answer was sent again; the group was let go after all had confirmed, and before pass 143 began the first hold was carried out. The round waited in settling, for ever, and with it every stream. Ruled out: an armed rank missing, a higher fence, a coordinator that ended (all engines knew fence 14267 only). Change: a round that settles and sees its hold again gives the release again, and one whose change another round took back ends instead of waiting.

--- a/packages/core/src/core/groupRound.ts
+++ b/packages/core/src/core/groupRound.ts
@@ -390,7 +390,7 @@
 			if (round.step === 0) round.step = report.step + 1 + lead
 			return
 		case 'settling':
-			if (report.map === round.version) enter(round, 'done')
+			settle(round, report)
 			return
 		case 'fencing':
 		case 'preparing':
@@ -416,6 +416,14 @@
 	enter(round, 'releasing')
 }
 
+function settle(round: GroupRound, report: RankReport): void {
+	if (report.map === round.version) enter(round, 'done')
+	// A double of the hold that came after the release: every rank is armed,
+	// and the release has to be given again, or the group stands still for good.
+	else if (report.held === round.step) enter(round, 'releasing')
+	else if (!report.armed) fail(round, 'another round took the change back')
+}
+
 function inspect(round: GroupRound, report: RankReport): void {
 	const { held, armed, prepared } = report
 	if (held !== undefined) {
--- a/packages/core/test/groupRound.test.ts
+++ b/packages/core/test/groupRound.test.ts
@@ -167,4 +167,29 @@
 		assert.is(listWanted(round)[0]?.order.type, first)
 	})
 
+/** A round of version 16 for pass 9 that has let the group go. */
+const SETTLINGS: { name: string; report: object; phase: string }[] = [
+	{ name: 'in use', report: { map: 16 }, phase: 'done' },
+	{
+		name: 'not begun yet',
+		report: { armed: { version: 16, step: 9 } },
+		phase: 'settling',
+	},
+	{
+		name: 'held once more by a late double of the hold',
+		report: { armed: { version: 16, step: 9 }, held: 9 },
+		phase: 'releasing',
+	},
+	{ name: 'taken back by another round', report: { step: 9 }, phase: 'failed' },
+]
+
+for (const { name, report, phase } of SETTLINGS)
+	test(`group round, settling: ${name}`, () => {
+		const round = createRound(8, 1, 2, [])
+		round.phase = 'settling'
+		round.step = 9
+		takeAnchorReport(round, { ...REPORT, ...report }, 1)
+		assert.is(round.phase, phase)
+	})
+
 test.run()
