Relay maps of large groups by way of agents; do not cut a link that is busy

Ruled out: the engines (prepares that arrived took 120 to 200 ms). Change: a map goes to about the square root of the ranks, whose agents pass it on; changes name only experts lost and got; a reading of demand may take 600 ms.

--- a/packages/core/src/core/groupPlan.ts
+++ b/packages/core/src/core/groupPlan.ts
@@ -409,9 +409,10 @@
 
 function readPlacement(search: Search): number[][] {
 	const { ranks, places, slots } = search
+	// In order, so that two maps with the same content are alike.
 	return Array.from({ length: ranks }, (_, rank) =>
-		[...slots.subarray(rank * places, (rank + 1) * places)].filter(
-			expert => expert !== FREE,
-		),
+		[...slots.subarray(rank * places, (rank + 1) * places)]
+			.filter(expert => expert !== FREE)
+			.sort((a, b) => a - b),
 	)
 }
--- a/packages/groups/src/mapChanges.ts
+++ b/packages/groups/src/mapChanges.ts
@@ -29,7 +29,10 @@
 	readonly sets: number
 	readonly ranks: number
 	readonly experts: number
-	/** Set, rank, number of experts and the experts of each rank that changes. */
+	/**
+	 * For each rank that changes: set, rank, how many experts it loses and gets,
+	 * and which.
+	 */
 	readonly packed: string
 	/** Checksum of the changed map: the two sides may differ on the base. */
 	readonly sum: number
@@ -64,9 +67,13 @@
 export function findChanges(base: MapBase, map: GroupMap): MapChanges {
 	const numbers: number[] = []
 	for (const [set, placement] of map.entries())
-		for (const [rank, experts] of placement.entries())
-			if (!isSame(base.map[set]![rank]!, experts))
-				numbers.push(set, rank, experts.length, ...experts)
+		for (const [rank, experts] of placement.entries()) {
+			const before = base.map[set]![rank]!
+			const lost = before.filter(expert => !experts.includes(expert))
+			const got = experts.filter(expert => !before.includes(expert))
+			if (lost.length + got.length > 0)
+				numbers.push(set, rank, lost.length, got.length, ...lost, ...got)
+		}
 	return {
 		base: base.version,
 		sets: map.length,
@@ -81,10 +88,6 @@
 	return crc32(JSON.stringify(map))
 }
 
-function isSame(one: readonly number[], other: readonly number[]): boolean {
-	return one.length === other.length && one.every((e, at) => e === other[at])
-}
-
 /**
  * The changed map; undefined when the base is not known, or not the same one on
  * both sides. Throws a RangeError when the changes are not whole.
@@ -99,12 +102,16 @@
 	const map = base.map(placement => [...placement])
 	const numbers = unpackNumbers(changes.packed)
 	for (let at = 0; at < numbers.length; ) {
-		const [set = -1, rank = -1, count = -1] = numbers.slice(at, at + 3)
-		const experts = numbers.slice(at + 3, at + 3 + count)
-		if (!map[set]?.[rank] || experts.length !== count)
+		const [set = -1, rank = -1, losing = -1, getting = -1] = numbers.slice(at)
+		at += 4
+		const before = map[set]?.[rank]
+		if (!before || at + losing + getting > numbers.length)
 			throw new RangeError('changes of a map are not whole')
-		map[set][rank] = experts
-		at += 3 + count
+		const lost = numbers.slice(at, at + losing)
+		const got = numbers.slice(at + losing, at + losing + getting)
+		const kept = before.filter(expert => !lost.includes(expert))
+		map[set]![rank] = [...kept, ...got].sort((a, b) => a - b)
+		at += losing + getting
 	}
 	return sumOf(map) === changes.sum ? map : undefined
 }
--- a/packages/groups/src/rankClient.ts
+++ b/packages/groups/src/rankClient.ts
@@ -29,6 +29,13 @@
 /** A prepare is answered once the experts are copied, ms. */
 const PREPARE_MS = 3_000
 const READ_MS = 250
+/**
+ * Readings of demand may queue behind a large map on a small link: only much
+ * later does their silence speak of the agent, ms.
+ */
+const DEMAND_MS = 600
+/** Beyond what other agents may take, for the agent that relays, ms. */
+const RELAY_GRACE_MS = 200
 /** An order by way of another VM is looked after if it takes longer, ms. */
 const ELSEWHERE_MS = 50
 /** Without an agent for this long, its engine is called from here, ms. */
@@ -42,6 +49,8 @@
 export interface RankClient {
 	readonly member: GroupMember
 	readonly port: EnginePort
+	/** `IP:port` of its agent. */
+	readonly agent: string
 	/** This process's own engine needs no link. */
 	readonly home: boolean
 	link: RpcLink | undefined
@@ -61,9 +70,11 @@
 	agentPort: number,
 	home: boolean,
 ): RankClient {
+	const { ip } = splitAddress(member.engine)
 	const client: RankClient = {
 		member,
 		port,
+		agent: `${ip}:${agentPort}`,
 		home,
 		link: undefined,
 		linklessSince: readNow(),
@@ -71,8 +82,7 @@
 		reader: createChoiceReader(),
 		closed: false,
 	}
-	const { ip } = splitAddress(member.engine)
-	if (!home) void keepLink(client, `${ip}:${agentPort}`)
+	if (!home) void keepLink(client, client.agent)
 	return client
 }
 
@@ -146,6 +156,28 @@
 	return report && isCarriedOut(report, order) ? 'done' : 'silent'
 }
 
+/**
+ * Gives an order to several ranks by way of the agent of `by`; `silent` for
+ * those of which nothing is known then.
+ */
+export async function orderRanksBy(
+	by: RankClient,
+	clients: readonly RankClient[],
+	order: EngineOrder,
+	base: MapBase | undefined,
+	waitMs: number,
+): Promise<OrderAnswer[]> {
+	const message = toOrderMessage(order, base)
+	const to = clients.map(client => client.agent)
+	const params = { order: message, to, waitMs }
+	const answers = await ask(by, 'relay', params, waitMs + RELAY_GRACE_MS)
+	return clients.map((_, at) => {
+		const answer = answers?.[at] ?? 'silent'
+		// The order is given again, whole, to an agent that lacks the base.
+		return answer === 'unknownBase' ? 'silent' : answer
+	})
+}
+
 /** Whether the agent of a rank can be asked. */
 export function hasAgent(client: RankClient): boolean {
 	return client.link !== undefined && readNow() >= client.directUntil
@@ -170,7 +202,7 @@
 	const { port, member } = client
 	if (client.home)
 		return await readSample(port, member.engine, client.reader, undefined)
-	const message = await ask(client, 'sample', {}, READ_MS)
+	const message = await ask(client, 'sample', {}, DEMAND_MS)
 	return message ? fromSampleMessage(message) : undefined
 }
 
@@ -178,7 +210,7 @@
 export async function busyOfRank(
 	client: RankClient,
 ): Promise<RankBusy | undefined> {
-	return (await ask(client, 'busy', {}, READ_MS)) ?? undefined
+	return (await ask(client, 'busy', {}, DEMAND_MS)) ?? undefined
 }
 
 /** The experts of a rank. */
--- a/packages/groups/src/rankService.ts
+++ b/packages/groups/src/rankService.ts
@@ -11,6 +11,8 @@
 import { createKnownMaps, noteMap } from './mapChanges.ts'
 import type { OrderMessage } from './orderMessage.ts'
 import { fromOrderMessage } from './orderMessage.ts'
+import type { RelayRequest } from './orderRelay.ts'
+import { createOrderRelay, relayOrder } from './orderRelay.ts'
 import type { EnginePort, RankBusy, RankPlacement } from './ports.ts'
 
 /** Between looks at an engine that copies experts, ms. */
@@ -122,6 +124,7 @@
 			noteMap(known, order.epoch, order.version, order.map)
 		return answer
 	}
+	const relay = createOrderRelay()
 	return {
 		hello,
 		report: () => orNull(port.report(engine)),
@@ -129,6 +132,7 @@
 		sample: (_params: object, link: RpcLink) => orNull(sample(link)),
 		placement: () => orNull(port.placement(engine)),
 		order: takeOrder,
+		relay: (req: RelayRequest) => relayOrder(relay, req),
 		orderElsewhere: ({ engine: other, order }: OrderElsewhere) =>
 			giveOrder(port, other, order),
 	}
@@ -155,5 +159,6 @@
 	readonly sample: SampleMessage | null
 	readonly placement: RankPlacement | null
 	readonly order: RankAnswer
+	readonly relay: readonly (RankAnswer | null)[]
 	readonly orderElsewhere: OrderAnswer
 }
--- a/packages/groups/src/roundRunner.ts
+++ b/packages/groups/src/roundRunner.ts
@@ -3,6 +3,7 @@
 import type {
 	GroupMap,
 	GroupRound,
+	OrderAnswer,
 	RankReport,
 	WantedOrder,
 } from '@juniperhook/core'
@@ -21,7 +22,7 @@
 import { FENCE_BITS, pause, readAnchor } from './coordinatorState.ts'
 import { baseOf, setMap } from './mapWork.ts'
 import type { RankClient } from './rankClient.ts'
-import { hasAgent, orderRank, orderRankBy } from './rankClient.ts'
+import { hasAgent, orderRank, orderRankBy, orderRanksBy } from './rankClient.ts'
 
 /** Between steps of a round that waits for a report, ms. */
 const LOOK_MS = 20
@@ -37,6 +38,13 @@
 const PREPARE_LIMIT_MS = 4_000
 /** An order that takes longer is logged, ms. */
 const SLOW_ORDER_MS = 60
+/** Ranks from which on a map travels by way of some of their agents. */
+const RELAY_FROM = 24
+/** How long a relayed order may take: this, and so many times the copying. */
+const RELAY_BASE_MS = 300
+const RELAY_TIMES = 2
+const BITS = 8
+const SECOND_MS = 1_000
 /** After a failed round, ms. */
 const FAILED_PAUSE_MS = 200
 
@@ -62,9 +70,14 @@
 		held: report.held,
 	})
 	const asked = new Set<string>()
+	let relayed = false
 	let shown = round.phase
 	let phaseAt = startedAt
 	while (!isOver(round) && !co.stopped) {
+		if (round.phase === 'preparing' && !relayed) {
+			relayed = true
+			prepareByRelays(co, round, asked)
+		}
 		for (const wanted of listWanted(round)) void give(co, round, wanted, asked)
 		await pause(isUrgent(round) ? LOOK_MS / 8 : LOOK_MS / 2)
 		if (needsReport(round)) {
@@ -122,7 +135,7 @@
 	asked: Set<string>,
 ): Promise<void> {
 	const { rank, order } = wanted
-	const key = `${rank} ${order.type} ${'step' in order ? order.step : ''}`
+	const key = keyOf(wanted)
 	const client = co.clients.get(rank)
 	if (!client || asked.has(key)) return
 	asked.add(key)
@@ -132,6 +145,21 @@
 		? await orderRankBy(client, holder, order)
 		: await orderRank(client, order, baseOf(co))
 	asked.delete(key)
+	takeAnswer(co, round, wanted, answer, askedAt)
+}
+
+function keyOf({ rank, order }: WantedOrder): string {
+	return `${rank} ${order.type} ${'step' in order ? order.step : ''}`
+}
+
+function takeAnswer(
+	co: Coordinator,
+	round: GroupRound,
+	wanted: WantedOrder,
+	answer: OrderAnswer,
+	askedAt: number,
+): void {
+	const { rank, order } = wanted
 	const { phase } = round
 	takeOrderAnswer(round, wanted, answer)
 	const tookMs = Math.round(readNow() - askedAt)
@@ -146,6 +174,56 @@
 		})
 }
 
+/**
+ * Gives the ranks of a large group their map by way of some of their agents;
+ * those that do not answer are asked directly afterwards.
+ */
+function prepareByRelays(
+	co: Coordinator,
+	round: GroupRound,
+	asked: Set<string>,
+): void {
+	const reached = listWanted(round).filter(({ rank }) => {
+		const client = co.clients.get(rank)
+		return client && !client.home && hasAgent(client)
+	})
+	if (reached.length < RELAY_FROM) return
+	const part = Math.ceil(Math.sqrt(reached.length))
+	for (let from = 0; from < reached.length; from += part) {
+		const [first, ...rest] = reached.slice(from, from + part)
+		void give(co, round, first!, asked)
+		if (rest.length > 0) void giveBy(co, round, first!, rest, asked)
+	}
+}
+
+/** Gives an order to several ranks by way of the first one's agent. */
+async function giveBy(
+	co: Coordinator,
+	round: GroupRound,
+	by: WantedOrder,
+	wanted: readonly WantedOrder[],
+	asked: Set<string>,
+): Promise<void> {
+	const askedAt = readNow()
+	for (const one of wanted) asked.add(keyOf(one))
+	const clients = wanted.map(({ rank }) => co.clients.get(rank)!)
+	const relay = co.clients.get(by.rank)!
+	const waitMs = RELAY_BASE_MS + RELAY_TIMES * copyMsOf(co)
+	const base = baseOf(co)
+	const answers = await orderRanksBy(relay, clients, by.order, base, waitMs)
+	for (const [at, one] of wanted.entries()) {
+		asked.delete(keyOf(one))
+		takeAnswer(co, round, one, answers[at]!, askedAt)
+	}
+}
+
+/** Time that the largest change takes to copy, ms. */
+function copyMsOf({ group }: Coordinator): number {
+	if (!group || group.linkMbps <= 0) return 0
+	const { sets, maxNew, expertMb } = group.layout
+	return (sets * maxNew * expertMb * BITS * SECOND_MS) / group.linkMbps
+}
+
 /**
  * The rank whose agent asks for the hold. Should its VM stop right then, both
  * the anchor and this coordinator can still be reached to let the group go.
