--- a/packages/gateway/src/catalog.ts
+++ b/packages/gateway/src/catalog.ts
@@ -23,10 +23,11 @@
 import { serveWaiting } from './waiting.ts'
 
 /**
- * How long a watch waits, ms. A watch whose path was cut and healed says
- * nothing until then, and the platform counts a VM as in touch after 3 s.
+ * Part of the contact time that a watch waits. One whose path was cut and healed,
+ * or whose answer was lost, says nothing until then and a while more; when the
+ * contact time is over, this entry must know all changes again.
  */
-const WATCH_MS = 2_500
+const WATCH_SHARE = 0.6
 /**
  * After news, before the next watch, ms: changes often come many at a time, and
  * each call has its price. It adds to the time until a change is in force.
@@ -34,7 +35,7 @@
 const GATHER_MS = 100
 /** Between calls to a source that failed, ms; it grows up to the second. */
 const MIN_PAUSE_MS = 100
-const MAX_PAUSE_MS = 800
+const MAX_PAUSE_MS = 400
 /** The source counts as away when it has not answered for this long, ms. */
 const AWAY_AFTER_MS = 1_000
 /**
@@ -68,7 +69,7 @@
 		const whole = revision === undefined
 		const result = whole
 			? await source.read()
-			: await source.watch(revision!, WATCH_MS)
+			: await source.watch(revision!, watchMs(ctx))
 		const now = readNow()
 		ctx.metrics.sourceCalls.inc({ outcome: result.ok ? 'answered' : 'failed' })
 		if (!result.ok) {
@@ -88,6 +89,10 @@
 	}
 }
 
+function watchMs({ settings }: GatewayContext): number {
+	return Math.round(settings.contactMs * WATCH_SHARE)
+}
+
 function noteAway(
 	ctx: GatewayContext,
 	follower: CatalogFollower,
--- a/packages/gateway/src/context.ts
+++ b/packages/gateway/src/context.ts
@@ -31,6 +31,8 @@
 	readonly seeds: readonly string[]
 	/** From SIGTERM to SIGKILL, ms. */
 	readonly stopMs: number
+	/** After trouble, a VM must be up to date again after this time, ms. */
+	readonly contactMs: number
 	readonly retries: RetryAllowance
 }
 
--- a/packages/gateway/test/gateway.test.ts
+++ b/packages/gateway/test/gateway.test.ts
@@ -18,6 +18,11 @@
 const FIRST_PORT = 21_340
 const backends = await startBackends(3)
 const log = { ...createEventLog('test'), write: () => {}, flush: () => {} }
+const CONTACT_MS = 3_000
+/** What an adapter adds to a watch before it counts as lost, ms. */
+const WATCH_GRACE_MS = 500
+/** A pause before the next call, ms. */
+const PAUSE_MS = 100
 let ports = FIRST_PORT
 
 async function openGateway(
@@ -38,6 +43,7 @@
 			metrics: address(3),
 			seeds,
 			stopMs: 2_000,
+			contactMs: CONTACT_MS,
 			retries: { ratio: 0.2, slack: 1_000, windowMs: 10_000 },
 		},
 		WIRE,
@@ -442,6 +448,14 @@
 	assert.is(gateway.ctx.routes?.config.version, 9, 'never back')
 })
 
+test('gateway: a watch whose answer is lost ends well within the contact time', async () => {
+	const catalog = createCatalog(CONFIG, backends.listed)
+	await openGateway(catalog)
+	await until(() => catalog.watchMs > 0)
+	const reread = WATCH_GRACE_MS + 2 * PAUSE_MS
+	assert.ok(catalog.watchMs + reread < CONTACT_MS)
+})
+
 test.after(() => {
 	setImmediate(() => process.exit())
 })
--- a/packages/gateway/test/standIns.ts
+++ b/packages/gateway/test/standIns.ts
@@ -239,6 +239,8 @@
 	snapshot: CatalogSnapshot
 	/** Answers every call with a failure while set. */
 	down: boolean
+	/** How long the last watch was to wait, ms. */
+	watchMs: number
 	/** Tells of changes. */
 	tell(changes: Partial<CatalogSnapshot>): void
 }
@@ -257,6 +259,7 @@
 	const none = { config: undefined, servers: [], faults: [] }
 	const catalog: StandInCatalog = {
 		down: false,
+		watchMs: 0,
 		snapshot: {
 			revision: 1,
 			config: config && published(config),
@@ -274,6 +277,7 @@
 			return { ok: true, value: catalog.snapshot }
 		},
 		async watch(revision, waitMs) {
+			catalog.watchMs = waitMs
 			if (!changes)
 				await new Promise<void>(resolve => {
 					wake = resolve
