--- a/packages/core/src/core/mapNeed.ts
+++ b/packages/core/src/core/mapNeed.ts
@@ -18,6 +18,9 @@
 const FULL_PAUSE_SHARE = 0.85
 /** Part of an engine's slots that requests may always hold. */
 const MIN_HELD_SHARE = 0.5
+/** Part of an engine's slots that a limit gives back in a second. */
+const EASED_SHARE = 0.08
+const SECOND_MS = 1_000
 /** Requests held that count as none. */
 const FEW_HELD = 0.1
 
@@ -81,6 +84,23 @@
 	return Math.min(limits.slots, Math.max(least, held))
 }
 
+/**
+ * The limit to set next: at once when it must go down, but given back slowly.
+ * Those who were refused come back together; let in at once, they would fill the
+ * group again while its streams still are late.
+ */
+export function easeLimit(
+	before: number | undefined,
+	wanted: number | undefined,
+	slots: number,
+	elapsedMs: number,
+): number | undefined {
+	if (before === undefined) return wanted
+	const eased = before + (EASED_SHARE * slots * elapsedMs) / SECOND_MS
+	if (wanted !== undefined) return Math.min(wanted, eased)
+	return eased < slots ? eased : undefined
+}
+
 /** What a plan aims at when a pass may take `allowed` times a balanced one. */
 export function targetFactor(allowed: number): number {
 	return 1 + (allowed - 1) * TARGET_SHARE
--- a/packages/core/test/directRouting.test.ts
+++ b/packages/core/test/directRouting.test.ts
@@ -14,6 +14,7 @@
 	createServerTable,
 	doubtRemoval,
 	drawService,
+	easeLimit,
 	findMissing,
 	findRoute,
 	listServing,
@@ -281,6 +282,30 @@
 		assert.is(allowedHeld(busy, limits, cost), allowed)
 	})
 
+const EASES: {
+	name: string
+	before: number | undefined
+	wanted: number | undefined
+	next: number | undefined
+}[] = [
+	{ name: 'none', before: undefined, wanted: undefined, next: undefined },
+	{ name: 'the first', before: undefined, wanted: 5, next: 5 },
+	{ name: 'a lower one at once', before: 6, wanted: 4, next: 4 },
+	{ name: 'a higher one slowly', before: 4, wanted: 8, next: 4.64 },
+	{ name: 'none wanted: slowly', before: 4, wanted: undefined, next: 4.64 },
+	{
+		name: 'back at its slots',
+		before: 7.6,
+		wanted: undefined,
+		next: undefined,
+	},
+]
+
+for (const { name, before, wanted, next } of EASES)
+	test(`requests let in, a second later: ${name}`, () => {
+		assert.is(easeLimit(before, wanted, 8, 1_000), next)
+	})
+
 test('a choice keeps to what a server may hold', () => {
 	const table = createServerTable(['a', 'b', 'c'])
 	table.open.fill(1)
--- a/packages/groups/src/coordinator.ts
+++ b/packages/groups/src/coordinator.ts
@@ -4,7 +4,7 @@
  */
 
 import type { RankReport } from '@juniperhook/core'
-import { allowedHeld } from '@juniperhook/core'
+import { allowedHeld, easeLimit } from '@juniperhook/core'
 import { readNow } from '@juniperhook/runtime'
 import type { Coordinator } from './coordinatorState.ts'
 import { pause, readAnchor } from './coordinatorState.ts'
@@ -115,9 +115,13 @@
 
 /** Requests that a rank may hold; undefined for as many as fit. */
 function letIn(co: Coordinator): number | undefined {
-	const { group, passMs, held } = co
+	const { group, passMs, held, limit } = co
 	if (!group) return undefined
-	return allowedHeld({ factor: 1, passMs, held }, group, group.cost)
+	const now = readNow()
+	const wanted = allowedHeld({ factor: 1, passMs, held }, group, group.cost)
+	co.limit = easeLimit(limit, wanted, group.slots, now - co.limitedAt)
+	co.limitedAt = now
+	return co.limit === undefined ? undefined : Math.floor(co.limit)
 }
 
 /** Settles what an older round left, or makes the map better if that pays. */
--- a/packages/groups/src/coordinatorState.ts
+++ b/packages/groups/src/coordinatorState.ts
@@ -32,6 +32,10 @@
 	turn: number
 	/** Requests that a rank holds, smoothed. */
 	held: number
+	/** Requests that a rank may hold; undefined for as many as fit. */
+	limit: number | undefined
+	/** When the limit was last set, ms. */
+	limitedAt: number
 	/** How slow each rank is; 1 is its usual speed. */
 	readonly paces: Map<number, number>
 	/** Told after each reading: paces by engine address, and what is let in. */
@@ -72,6 +76,8 @@
 		demand: createDemand(0, 0),
 		turn: 0,
 		held: 0,
+		limit: undefined,
+		limitedAt: 0,
 		paces: new Map(),
 		onPaces: () => {},
 		lostAt: 0,
