Wait for a group that forms when this process starts

Ruled out: the time until entries listen (0.2 s after the VMs), the store (read 36 ms later). Change: while a service has refused this process from its start, requests wait for two formings (1.2 s) after the first refusal; a group that served and broke is still refused at once.

--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -6,6 +6,7 @@
 import type { CallerRequest } from './callerRequest.ts'
 import { dropDisplaced } from './catalog.ts'
 import {
+	closedWaitMs,
 	closeService,
 	isGrouped,
 	isGroupRefusal,
@@ -20,8 +21,6 @@
 
 /** A request waits for a server for this part of its target time. */
 const WAIT_SHARE = 0.2
-/** The same while its service is closed: it rarely opens within that time. */
-const CLOSED_WAIT_SHARE = 0.06
 /** An attempt with less time left than this is not made, ms. */
 const MIN_LEFT_MS = 5
 
@@ -80,17 +79,17 @@
 ): Promise<AttemptResult> {
 	const { request } = job
 	const askedAt = readNow()
+	const { targetMs } = request.route
 	const isClosed = ctx.closures.has(job.service)
-	const waitShare = isClosed ? CLOSED_WAIT_SHARE : WAIT_SHARE
+	const waitMs = isClosed
+		? closedWaitMs(ctx, job.service, targetMs)
+		: targetMs * WAIT_SHARE
 	const grant = await awaitServer(ctx, {
 		service: job.service,
 		team: request.team?.name ?? '',
 		priority: request.priority,
 		tried: job.tried,
-		waitMs: Math.min(
-			request.route.targetMs * waitShare,
-			request.givenUpAt - askedAt,
-		),
+		waitMs: Math.min(waitMs, request.givenUpAt - askedAt),
 		signal: job.signal,
 	})
 	const now = readNow()
--- a/packages/gateway/src/context.ts
+++ b/packages/gateway/src/context.ts
@@ -54,6 +54,11 @@
 	configSince: number
 	/** Services whose servers refuse all at once. */
 	readonly closures: Closures
+	/**
+	 * Until when a service that refused before it ever served this process is
+	 * expected to open, ms; 0 once it has served.
+	 */
+	readonly openUntil: Map<string, number>
 	/** Retries to each service. */
 	readonly retries: Map<string, RetryWindow>
 	/** Entries that are believed to live, with this one. */
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -57,6 +57,7 @@
 		published: undefined,
 		configSince: 0,
 		closures: new Map(),
+		openUntil: new Map(),
 		retries: new Map(),
 		entries: Math.max(1, settings.seeds.length),
 		open: 0,
--- a/packages/gateway/test/gateway.test.ts
+++ b/packages/gateway/test/gateway.test.ts
@@ -1,6 +1,7 @@
 /** Requests through a gateway to backend servers that follow a script. */
 
 import { connect } from 'node:net'
+import type { TrafficConfig } from '@juniperhook/core'
 import { createEventLog } from '@juniperhook/runtime'
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
@@ -10,6 +11,7 @@
 	CONFIG,
 	callGateway,
 	createCatalog,
+	ENGINE,
 	STREAM_EVENTS,
 	startBackends,
 	WIRE,
@@ -456,6 +458,39 @@
 	assert.ok(catalog.watchMs + reread < CONTACT_MS)
 })
 
+/** The plain service as ranks of a group that forms within 300 ms. */
+const GROUPED: TrafficConfig = {
+	...CONFIG,
+	services: CONFIG.services.map(service => ({ ...service, engine: ENGINE })),
+}
+
+test('gateway: at its start, requests wait for a group that forms', async () => {
+	const young = await openGateway(createCatalog(GROUPED, backends.listed))
+	reset(['refuse', 'refuse', 'refuse'])
+	const answers = await Promise.all([
+		callGateway(young.callers, '/r/1', { 'x-id': 'forming-1' }),
+		callGateway(young.callers, '/r/2', { 'x-id': 'forming-2' }),
+	])
+	assert.equal(
+		answers.map(answer => answer.status),
+		[200, 200],
+	)
+})
+
+test('gateway: a group that served and broke is not waited for', async () => {
+	const known = await openGateway(createCatalog(GROUPED, backends.listed))
+	reset()
+	await callGateway(known.callers, '/r/1', { 'x-id': 'broken-1' })
+	reset(new Array<Deed>(8).fill('refuse'))
+	const ids = [2, 3, 4].map(id => `broken-${id}`)
+	const answers = await Promise.all(
+		ids.map(id => callGateway(known.callers, `/r/${id}`, { 'x-id': id })),
+	)
+	assert.ok(answers.every(answer => answer.status === 503))
+	assert.ok(answers.every(answer => answer.headers['retry-after']))
+	assert.ok(backends.arrivals.length < 8, `${backends.arrivals.length} sends`)
+})
+
 test.after(() => {
 	setImmediate(() => process.exit())
 })
--- a/packages/gateway/test/standIns.ts
+++ b/packages/gateway/test/standIns.ts
@@ -4,6 +4,7 @@
 import { createServer, request } from 'node:http'
 import type { AddressInfo } from 'node:net'
 import type {
+	EngineProfile,
 	ListedServer,
 	TrafficConfig,
 	TrafficRoute,
@@ -234,6 +235,30 @@
 	},
 }
 
+/** An engine whose group forms within 300 ms. */
+export const ENGINE: EngineProfile = {
+	slots: 8,
+	memoryTokens: 100_000,
+	stepsPerPass: 1,
+	stepMs: 1,
+	perRequestMs: 0.1,
+	contextMsPerK: 0,
+	prefillTokensPerSecond: 1_000,
+	chunkTokens: 512,
+	linkMbps: 1_000,
+	usualPromptTokens: 100,
+	usualAnswerTokens: 10,
+	experts: {
+		sets: 1,
+		experts: 4,
+		places: 2,
+		maxNew: 1,
+		expertMb: 1,
+		expertShare: 0.85,
+		reformMs: 300,
+	},
+}
+
 /** A catalog whose answers a test sets; watches end when something is told. */
 export interface StandInCatalog extends CatalogSource {
 	snapshot: CatalogSnapshot
