Relay probes and arms as well; give large groups time to answer

Ruled out: a rank that could not be reached (no probe was silent). Change: probes, arms and disarms of large groups are relayed like maps; the limit and the lead grow with the ranks.

--- a/packages/groups/src/rankClient.ts
+++ b/packages/groups/src/rankClient.ts
@@ -35,7 +35,7 @@
  */
 const DEMAND_MS = 600
 /** Beyond what other agents may take, for the agent that relays, ms. */
-const RELAY_GRACE_MS = 200
+const RELAY_GRACE_MS = 80
 /** An order by way of another VM is looked after if it takes longer, ms. */
 const ELSEWHERE_MS = 50
 /** Without an agent for this long, its engine is called from here, ms. */
--- a/packages/groups/src/roundRunner.ts
+++ b/packages/groups/src/roundRunner.ts
@@ -5,6 +5,7 @@
 	GroupRound,
 	OrderAnswer,
 	RankReport,
+	RoundPhase,
 	WantedOrder,
 } from '@juniperhook/core'
 import {
@@ -26,22 +27,28 @@
 
 /** Between steps of a round that waits for a report, ms. */
 const LOOK_MS = 20
-/** A rank that does not answer a probe for this long cannot be armed, ms. */
+/**
+ * A rank that does not answer a probe for this long cannot be armed, ms: so much,
+ * and so much for each rank, since one small VM reads all the answers. With 72
+ * ranks, probes of a sound group took up to 88 ms.
+ */
 const PROBE_MS = 60
+const PROBE_PER_RANK_MS = 1
 /**
  * Time from the hold until all ranks are armed, ms; passes meanwhile run. It
  * covers a hold by way of a VM that has stopped and the probe that follows, so
  * that streams do not pause for it.
  */
 const LEAD_MS = 120
+const LEAD_PER_RANK_MS = 1.5
 /** A round that cannot be prepared is given up after this time, ms. */
 const PREPARE_LIMIT_MS = 4_000
 /** An order that takes longer is logged, ms. */
 const SLOW_ORDER_MS = 60
-/** Ranks from which on a map travels by way of some of their agents. */
+/** Ranks from which on orders travel by way of some of their agents. */
 const RELAY_FROM = 24
 /** How long a relayed order may take: this, and so many times the copying. */
-const RELAY_BASE_MS = 300
+const RELAY_BASE_MS = 150
 const RELAY_TIMES = 2
 const BITS = 8
 const SECOND_MS = 1_000
@@ -70,25 +77,25 @@
 		held: report.held,
 	})
 	const asked = new Set<string>()
-	let relayed = false
+	const relayed = new Set<RoundPhase>()
 	let shown = round.phase
 	let phaseAt = startedAt
 	while (!isOver(round) && !co.stopped) {
-		if (round.phase === 'preparing' && !relayed) {
-			relayed = true
-			prepareByRelays(co, round, asked)
-		}
+		if (!relayed.has(round.phase)) giveByRelays(co, round, asked)
+		relayed.add(round.phase)
 		for (const wanted of listWanted(round)) void give(co, round, wanted, asked)
 		await pause(isUrgent(round) ? LOOK_MS / 8 : LOOK_MS / 2)
 		if (needsReport(round)) {
 			const { phase } = round
 			const fresh = await readAnchor(co)
-			const lead = Math.max(1, Math.ceil(LEAD_MS / co.passMs))
+			const leadMs = LEAD_MS + LEAD_PER_RANK_MS * round.ranks
+			const lead = Math.max(1, Math.ceil(leadMs / co.passMs))
 			if (fresh && round.phase === phase) takeAnchorReport(round, fresh, lead)
 		}
 		if (round.phase !== shown) phaseAt = readNow()
 		shown = round.phase
-		if (readNow() - phaseAt > PROBE_MS) giveUpProbing(round)
+		const probeMs = PROBE_MS + PROBE_PER_RANK_MS * round.ranks
+		if (readNow() - phaseAt > probeMs) giveUpProbing(round)
 		const tooLong = readNow() - startedAt > PREPARE_LIMIT_MS
 		if (tooLong && isHarmless(round)) break
 	}
@@ -175,10 +182,10 @@
 }
 
 /**
- * Gives the ranks of a large group their map by way of some of their agents;
- * those that do not answer are asked directly afterwards.
+ * Gives the ranks of a large group what they all are to be given by way of some
+ * of their agents; those that do not answer are asked directly afterwards.
  */
-function prepareByRelays(
+function giveByRelays(
 	co: Coordinator,
 	round: GroupRound,
 	asked: Set<string>,
@@ -208,7 +215,8 @@
 	for (const one of wanted) asked.add(keyOf(one))
 	const clients = wanted.map(({ rank }) => co.clients.get(rank)!)
 	const relay = co.clients.get(by.rank)!
-	const waitMs = RELAY_BASE_MS + RELAY_TIMES * copyMsOf(co)
+	const copyMs = by.order.type === 'prepare' ? copyMsOf(co) : 0
+	const waitMs = RELAY_BASE_MS + RELAY_TIMES * copyMs
 	const base = baseOf(co)
 	const answers = await orderRanksBy(relay, clients, by.order, base, waitMs)
 	for (const [at, one] of wanted.entries()) {
