Let in as many as fit while a rank is too slow for any limit to help

The limit of 4 requests a rank, meant to bring pauses back under 120 ms, refused 177 of 262 requests in two seconds and helped nobody. Change: no limit while a rank's own steps pass the longest pause.

--- a/packages/core/src/core/mapNeed.ts
+++ b/packages/core/src/core/mapNeed.ts
@@ -62,6 +62,8 @@
 	readonly stepMs: number
 	/** What each request adds to it, ms. */
 	readonly perRequestMs: number
+	/** Token steps in a pass. */
+	readonly stepsPerPass: number
 }
 
 /**
@@ -84,6 +86,20 @@
 	return Math.min(limits.slots, Math.max(least, held))
 }
 
+/**
+ * Whether a rank is so slow that its own steps take longer than a stream may
+ * pause. No limit brings streams back in time then, and those that are served
+ * late are worth more than those that are refused.
+ */
+export function isBeyondLimits(
+	{ maxPauseMs }: GroupLimits,
+	{ stepMs, stepsPerPass }: PassCost,
+	slowestPace: number,
+): boolean {
+	const ownMs = stepsPerPass * stepMs * slowestPace
+	return maxPauseMs > 0 && ownMs > FULL_PAUSE_SHARE * maxPauseMs
+}
+
 /**
  * The limit to set next: at once when it must go down, but given back slowly.
  * Those who were refused come back together; let in at once, they would fill the
--- a/packages/core/test/directRouting.test.ts
+++ b/packages/core/test/directRouting.test.ts
@@ -17,6 +17,7 @@
 	easeLimit,
 	findMissing,
 	findRoute,
+	isBeyondLimits,
 	listServing,
 	mayEnter,
 	noteClosed,
@@ -278,10 +279,23 @@
 	test(`requests let in, ${name}`, () => {
 		const busy = { factor: 1, passMs, held }
 		const limits = { maxPauseMs: 120, slots: 8 }
-		const cost = { stepMs: 5.85, perRequestMs: 0.53 }
+		const cost = { stepMs: 5.85, perRequestMs: 0.53, stepsPerPass: 5 }
 		assert.is(allowedHeld(busy, limits, cost), allowed)
 	})
 
+const PACES: { pace: number; maxPauseMs: number; beyond: boolean }[] = [
+	{ pace: 1, maxPauseMs: 120, beyond: false },
+	{ pace: 3, maxPauseMs: 120, beyond: false },
+	{ pace: 12, maxPauseMs: 120, beyond: true },
+	{ pace: 12, maxPauseMs: 0, beyond: false },
+]
+
+for (const { pace, maxPauseMs, beyond } of PACES)
+	test(`pace ${pace}, pauses up to ${maxPauseMs} ms: a limit ${beyond ? 'cannot help' : 'may help'}`, () => {
+		const cost = { stepMs: 5.85, perRequestMs: 0.53, stepsPerPass: 5 }
+		assert.is(isBeyondLimits({ maxPauseMs, slots: 8 }, cost, pace), beyond)
+	})
+
 const EASES: {
 	name: string
 	before: number | undefined
--- a/packages/groups/src/coordinator.ts
+++ b/packages/groups/src/coordinator.ts
@@ -4,7 +4,7 @@
  */
 
 import type { RankReport } from '@juniperhook/core'
-import { allowedHeld, easeLimit } from '@juniperhook/core'
+import { allowedHeld, easeLimit, isBeyondLimits } from '@juniperhook/core'
 import { readNow } from '@juniperhook/runtime'
 import type { Coordinator } from './coordinatorState.ts'
 import { pause, readAnchor } from './coordinatorState.ts'
@@ -118,8 +118,11 @@
 	const { group, passMs, held, limit } = co
 	if (!group) return undefined
 	const now = readNow()
-	const wanted = allowedHeld({ factor: 1, passMs, held }, group, group.cost)
-	co.limit = easeLimit(limit, wanted, group.slots, now - co.limitedAt)
+	const busy = { factor: 1, passMs, held }
+	const wanted = allowedHeld(busy, group, group.cost)
+	const eased = easeLimit(limit, wanted, group.slots, now - co.limitedAt)
+	const slowest = Math.max(1, ...co.paces.values())
+	co.limit = isBeyondLimits(group, group.cost, slowest) ? undefined : eased
 	co.limitedAt = now
 	return co.limit === undefined ? undefined : Math.floor(co.limit)
 }
--- a/packages/groups/test/standInGroup.ts
+++ b/packages/groups/test/standInGroup.ts
@@ -96,7 +96,7 @@
 			})),
 			layout,
 			linkMbps: 180_000,
-			cost: { stepMs: 1, perRequestMs: 0.1 },
+			cost: { stepMs: 1, perRequestMs: 0.1, stepsPerPass: 1 },
 			slots: 8,
 			maxPauseMs: PASS_MS,
 		},
