--- a/packages/core/src/core/mapNeed.ts
+++ b/packages/core/src/core/mapNeed.ts
@@ -16,6 +16,8 @@
 const TARGET_SHARE = 0.4
 /** Part of the longest pause in time beyond which fewer requests are let in. */
 const FULL_PAUSE_SHARE = 0.85
+/** How much longer passes are while experts are copied, by the platform's page. */
+const COPYING_FACTOR = 1.15
 /** Part of an engine's slots that requests may always hold. */
 const MIN_HELD_SHARE = 0.5
 /** Part of an engine's slots that a limit gives back in a second. */
@@ -96,7 +98,7 @@
 	{ stepMs, stepsPerPass }: PassCost,
 	slowestPace: number,
 ): boolean {
-	const ownMs = stepsPerPass * stepMs * slowestPace
+	const ownMs = stepsPerPass * stepMs * slowestPace * COPYING_FACTOR
 	return maxPauseMs > 0 && ownMs > FULL_PAUSE_SHARE * maxPauseMs
 }
 
