Close and limit lock-step groups one by one

Cause: a service may have several groups, and agents of each may coordinate. One broken rank closed the whole service at an entry, and each group's news of slow ranks and limits replaced that of the others. Change: closures, limits and paces belong to a group (service and name, as listed by its ranks); a choice leaves out ranks of groups that are shut. Test: two groups, one broken: 24 of 24 served, at most 12 sends to the broken one (before: the service was closed for all).

--- a/packages/core/src/core/closure.ts
+++ b/packages/core/src/core/closure.ts
@@ -1,13 +1,13 @@
 /**
- * Services that refuse everywhere at once, as a lock-step group does while it
- * forms anew: instead of a storm of tries, one request at a time finds out
- * whether the service is open again.
+ * Lock-step groups that refuse at every rank at once, as they do while they form
+ * anew: instead of a storm of tries, one request at a time finds out whether the
+ * group is open again.
  */
 
-/** Between tries while a service refuses, ms; a forming takes some 600. */
+/** Between tries while a group refuses, ms; a forming takes some 600. */
 export const TRY_AGAIN_MS = 100
 
-/** What is known of a service that refuses. */
+/** What is known of a group that refuses. */
 export interface Closure {
 	/** When it began to refuse, ms. */
 	readonly since: number
@@ -15,34 +15,44 @@
 	until: number
 }
 
-/** Services that refuse, by name. */
+/** Groups that refuse, by name. */
 export type Closures = Map<string, Closure>
 
-/** Notes that a server of the service refused for its whole group. */
+/** Notes that a rank refused for its whole group. */
 export function noteClosed(
 	closures: Closures,
-	service: string,
+	group: string,
 	now: number,
 ): void {
-	const since = closures.get(service)?.since ?? now
-	closures.set(service, { since, until: now + TRY_AGAIN_MS })
+	const since = closures.get(group)?.since ?? now
+	closures.set(group, { since, until: now + TRY_AGAIN_MS })
 }
 
-/** Notes that a server of the service took a request; true if it was closed. */
-export function noteOpen(closures: Closures, service: string): boolean {
-	return closures.delete(service)
+/** Notes that a rank of the group took a request; true if it was closed. */
+export function noteOpen(closures: Closures, group: string): boolean {
+	return closures.delete(group)
+}
+
+/** Whether a group is closed and no try of it is due. */
+export function isShut(
+	closures: Closures,
+	group: string,
+	now: number,
+): boolean {
+	const closure = closures.get(group)
+	return closure !== undefined && now < closure.until
 }
 
 /**
- * Whether a request may be sent now. While the service is closed, a yes is a
- * try: the next one waits until its answer, or a while.
+ * Whether a request may be sent now. While the group is closed, a yes is a try:
+ * the next one waits until its answer, or a while.
  */
 export function mayEnter(
 	closures: Closures,
-	service: string,
+	group: string,
 	now: number,
 ): boolean {
-	const closure = closures.get(service)
+	const closure = closures.get(group)
 	if (!closure) return true
 	if (now < closure.until) return false
 	closure.until = now + TRY_AGAIN_MS
--- a/packages/core/src/core/dispatch.ts
+++ b/packages/core/src/core/dispatch.ts
@@ -15,8 +15,8 @@
 	readonly tried: ReadonlySet<number>
 	/** Requests that a server may hold beyond its slots. */
 	readonly queueRoom: number
-	/** Requests that a server may hold whatever its slots. */
-	readonly most: number
+	/** Numbers of the lock-step groups that take nothing now. */
+	readonly shutGroups: ReadonlySet<number>
 	/** This entry's data centre is where these rows are. */
 	readonly near: ReadonlySet<number>
 }
@@ -24,7 +24,7 @@
 /** What a choice gives. */
 export type DispatchChoice =
 	| { readonly kind: 'row'; readonly row: number }
-	/** All servers are full. */
+	/** All servers are full, or their groups take nothing. */
 	| { readonly kind: 'full' }
 	/** There is no server at all. */
 	| { readonly kind: 'none' }
@@ -156,7 +156,8 @@
 		const row = candidates[(first + at) % candidates.length]!
 		const held = heldBy(table, row)
 		const slots = table.slots[row]!
-		if (held >= Math.min(slots + query.queueRoom, query.most)) continue
+		if (held >= Math.min(slots + query.queueRoom, table.most[row]!)) continue
+		if (query.shutGroups.has(table.group[row]!)) continue
 		const far = query.near.has(row) ? 0 : FAR_LOAD
 		const slow = PACE_LOAD * (table.pace[row]! - 1)
 		const load = held / slots + far + slow + penalties.get(row)!
--- a/packages/core/src/core/routing.ts
+++ b/packages/core/src/core/routing.ts
@@ -36,6 +36,8 @@
 	readonly ratedAt: Float64Array
 	/** How slow the server says it is; 1 is its usual speed. */
 	readonly pace: Float64Array
+	/** Requests that it may hold whatever its slots. */
+	readonly most: Float64Array
 }
 
 /** Failures in a row after which a server is left alone for a while. */
@@ -69,6 +71,7 @@
 		failureRate: new Float64Array(size),
 		ratedAt: new Float64Array(size),
 		pace: new Float64Array(size).fill(1),
+		most: new Float64Array(size).fill(Number.POSITIVE_INFINITY),
 	}
 }
 
@@ -91,6 +94,7 @@
 	to.failureRate[row] = from.failureRate[old]!
 	to.ratedAt[row] = from.ratedAt[old]!
 	to.pace[row] = from.pace[old]!
+	to.most[row] = from.most[old]!
 }
 
 /** A load report from an agent. */
--- a/packages/core/src/types/traffic.ts
+++ b/packages/core/src/types/traffic.ts
@@ -129,4 +129,6 @@
 	readonly leaving: boolean
 	/** Time for which it is still slow after its start, ms. */
 	readonly coldMs: number
+	/** Name of the lock-step group that it is a rank of, if any. */
+	readonly group?: string | undefined
 }
--- a/packages/core/test/directRouting.test.ts
+++ b/packages/core/test/directRouting.test.ts
@@ -204,7 +204,7 @@
 	rows: [0, 1, 2],
 	tried: new Set<number>(),
 	queueRoom: 0,
-	most: Number.POSITIVE_INFINITY,
+	shutGroups: new Set<number>(),
 	near: new Set([0, 1, 2]),
 }
 
@@ -326,11 +326,28 @@
 	table.slots.fill(8)
 	table.sentSince.fill(5)
 	const random = createRandom(1)
-	assert.is(chooseRow(table, { ...QUERY, most: 5 }, 0, random).kind, 'full')
-	assert.is(chooseRow(table, { ...QUERY, most: 6 }, 0, random).kind, 'row')
+	table.most.fill(5)
+	assert.is(chooseRow(table, QUERY, 0, random).kind, 'full')
+	table.most.fill(6)
+	assert.is(chooseRow(table, QUERY, 0, random).kind, 'row')
+})
+
+test('a choice leaves out ranks of a group that is shut', () => {
+	const table = createServerTable(['a', 'b', 'c'])
+	table.open.fill(1)
+	table.slots.fill(8)
+	table.group.set([0, 0, 1])
+	table.sentSince[2] = 7
+	const random = createRandom(1)
+	const shut = (...groups: number[]) => ({
+		...QUERY,
+		shutGroups: new Set(groups),
+	})
+	assert.equal(chooseRow(table, shut(0), 0, random), { kind: 'row', row: 2 })
+	assert.is(chooseRow(table, shut(0, 1), 0, random).kind, 'full')
 })
 
-test('a closed service takes one try at a time', () => {
+test('a closed group takes one try at a time', () => {
 	const closures = new Map()
 	noteClosed(closures, 's', 0)
 	assert.not(mayEnter(closures, 's', TRY_AGAIN_MS - 1))
--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -7,11 +7,12 @@
 import { dropDisplaced } from './catalog.ts'
 import {
 	closedWaitMs,
-	closeService,
+	closeGroup,
 	isGrouped,
 	isGroupRefusal,
-	openService,
-} from './closedService.ts'
+	isServiceClosed,
+	openGroup,
+} from './closedGroups.ts'
 import type { GatewayContext } from './context.ts'
 import { noteHeld, noteToldLoad } from './fleet.ts'
 import type { ServerAnswer } from './serverCall.ts'
@@ -80,7 +81,7 @@
 	const { request } = job
 	const askedAt = readNow()
 	const { targetMs } = request.route
-	const isClosed = ctx.closures.has(job.service)
+	const isClosed = isServiceClosed(ctx, job.service)
 	const waitMs = isClosed
 		? closedWaitMs(ctx, job.service, targetMs)
 		: targetMs * WAIT_SHARE
@@ -153,7 +154,7 @@
 		if (result.kind === 'notSent') noteNotRun(job, mayHaveRunBefore)
 		// A rank without a process: its group stands still and will refuse.
 		if (result.reason === REFUSED && isGrouped(ctx, job.service))
-			closeService(ctx, job.service)
+			closeGroup(ctx, server)
 		logAttempt(ctx, job, serverId, result.kind, result.reason)
 		return result.kind === 'notSent'
 			? { kind: 'notRun', reason: result.reason }
@@ -169,12 +170,11 @@
 		free()
 		// A full server is told by its load; it has not failed.
 		const fault = readHeader(headers[wire.atFault]) ?? ''
-		if (isGroupRefusal(ctx, job.service, answer.status))
-			closeService(ctx, job.service)
+		if (isGroupRefusal(ctx, job.service, answer.status)) closeGroup(ctx, server)
 		logAttempt(ctx, job, serverId, 'notRun', `${answer.status} ${fault}`)
 		return { kind: 'notRun', reason: `status ${answer.status}` }
 	}
-	openService(ctx, job.service)
+	openGroup(ctx, server)
 	return {
 		kind: 'answer',
 		answer,
--- a/packages/gateway/src/context.ts
+++ b/packages/gateway/src/context.ts
@@ -52,10 +52,10 @@
 	published: PublishedConfig | undefined
 	/** When the configuration came into force, ms. */
 	configSince: number
-	/** Services whose servers refuse all at once. */
+	/** Lock-step groups that refuse at every rank. */
 	readonly closures: Closures
 	/**
-	 * Until when a service that refused before it ever served this process is
+	 * Until when a group that refused before it ever served this process is
 	 * expected to open, ms; 0 once it has served.
 	 */
 	readonly openUntil: Map<string, number>
--- a/packages/gateway/src/fleet.ts
+++ b/packages/gateway/src/fleet.ts
@@ -15,6 +15,18 @@
 } from '@juniperhook/core'
 import type { Waiter } from './waiting.ts'
 
+/** How a lock-step group fares, as its coordinator told it. */
+export interface ToldGroup {
+	/** How slow its slow ranks are, by address. */
+	readonly slow: Readonly<Record<string, number>>
+	/** Requests that each rank may hold; undefined for as many as fit. */
+	readonly limit: number | undefined
+	/** When it was told, ms. */
+	readonly at: number
+	/** Whether the coordinator told this entry, not one of its peers. */
+	readonly direct: boolean
+}
+
 /** Servers as rows, and requests that wait for one. */
 export interface Fleet {
 	table: ServerTable
@@ -27,14 +39,10 @@
 	readonly held: Map<string, number>
 	/** Requests that each peer has at each server id. */
 	readonly heldByPeer: Map<string, ReadonlyMap<string, number>>
-	/** How slow servers are, by address, as told directly. */
-	readonly toldPaces: Map<string, number>
-	/** Requests that each rank of a service may hold, as told directly. */
-	readonly toldLimits: Map<string, number>
-	/** Limits in force, by service: told directly or by a peer. */
-	limits: ReadonlyMap<string, number>
-	/** When that was told, ms. */
-	pacesAt: number
+	/** Names of lock-step groups; a group's number is its place here. */
+	groups: string[]
+	/** How groups fare that do not fare well, by name. */
+	readonly toldGroups: Map<string, ToldGroup>
 	/** Requests that wait, by service. */
 	readonly queues: Map<string, FairQueue<Waiter>>
 }
@@ -48,10 +56,8 @@
 		near: new Set(),
 		held: new Map(),
 		heldByPeer: new Map(),
-		toldPaces: new Map(),
-		toldLimits: new Map(),
-		limits: new Map(),
-		pacesAt: 0,
+		groups: [],
+		toldGroups: new Map(),
 		queues: new Map(),
 	}
 }
@@ -67,11 +73,13 @@
 	const table = createServerTable(servers.map(server => server.id))
 	fleet.rowsOf = new Map()
 	fleet.near = new Set()
+	fleet.groups = []
 	for (const [row, server] of servers.entries()) {
 		copyServerRow(fleet.table, table, server.id)
 		const engine = routes?.services.get(server.service)?.engine
 		table.slots[row] = engine ? engine.slots : server.slots
 		table.open[row] = 1
+		if (engine?.experts) table.group[row] = numberOf(fleet, groupOf(server))
 		const rows = fleet.rowsOf.get(server.service) ?? []
 		rows.push(row)
 		fleet.rowsOf.set(server.service, rows)
@@ -81,6 +89,16 @@
 	fleet.servers = servers
 }
 
+/** Name of a rank's group; groups of two services never share one. */
+export function groupOf({ service, group }: ListedServer): string {
+	return `${service}/${group ?? ''}`
+}
+
+function numberOf(fleet: Fleet, group: string): number {
+	const known = fleet.groups.indexOf(group)
+	return known >= 0 ? known : fleet.groups.push(group) - 1
+}
+
 /** Notes a request sent to a server (`1`) or ended there (`-1`). */
 export function noteHeld(fleet: Fleet, id: string, change: 1 | -1): void {
 	const held = (fleet.held.get(id) ?? 0) + change
@@ -106,18 +124,13 @@
 	fleet.table.reportedAt[row] = now
 }
 
-/**
- * Takes how slow servers are, by address, and what ranks may hold, by service;
- * all others have their usual speed and hold what fits.
- */
-export function applyPaces(
-	fleet: Fleet,
-	paces: ReadonlyMap<string, number>,
-	limits: ReadonlyMap<string, number>,
-): void {
-	fleet.limits = limits
-	for (const [row, { address }] of fleet.servers.entries())
-		fleet.table.pace[row] = Math.max(1, paces.get(address) ?? 1)
+/** Puts in force what is told of groups; all others fare well. */
+export function applyToldGroups(fleet: Fleet): void {
+	for (const [row, server] of fleet.servers.entries()) {
+		const told = fleet.toldGroups.get(groupOf(server))
+		fleet.table.pace[row] = Math.max(1, told?.slow[server.address] ?? 1)
+		fleet.table.most[row] = told?.limit ?? Number.POSITIVE_INFINITY
+	}
 }
 
 /** Takes what a peer holds at each server. */
--- a/packages/gateway/src/forward.ts
+++ b/packages/gateway/src/forward.ts
@@ -13,6 +13,7 @@
 import { logAttempt, makeAttempt, mayTryAgain, retriesOf } from './attempt.ts'
 import type { CallerRequest } from './callerRequest.ts'
 import { readCallerRequest } from './callerRequest.ts'
+import { isServiceClosed } from './closedGroups.ts'
 import type { GatewayContext } from './context.ts'
 import { writeFailure, writeWhole } from './reply.ts'
 import { readAnswerBody } from './serverCall.ts'
@@ -114,7 +115,7 @@
 		begun: res.headersSent,
 		config: request.routes.config.version,
 	})
-	const closed = ctx.closures.has(job.service)
+	const closed = isServiceClosed(ctx, job.service)
 	const left = request.deadlineAt - readNow()
 	const comeBack = chooseComeBack(closed, left, ctx.random)
 	const retryAfterMs = ERRORS[error].ran === 'no' ? comeBack : 0
--- a/packages/gateway/src/peers.ts
+++ b/packages/gateway/src/peers.ts
@@ -19,7 +19,7 @@
 import * as v from 'valibot'
 import { adoptConfig, takeRecords } from './catalog.ts'
 import type { GatewayContext } from './context.ts'
-import { applyPaces, dropPeerLoad, notePeerLoad } from './fleet.ts'
+import { applyToldGroups, dropPeerLoad, notePeerLoad } from './fleet.ts'
 import type { CatalogSource } from './ports.ts'
 
 /** Between states told to peers while something changes, ms. */
@@ -30,7 +30,7 @@
 const SILENT_MS = 2_000
 /** A peer counts as an entry for this long after its last word, ms. */
 const REMEMBERED_MS = 10_000
-/** Slow servers are told each second while there are any; then forgotten, ms. */
+/** Groups are told of each second while they fare badly; then forgotten, ms. */
 const PACES_MS = 2_500
 /** Entries that one entry keeps links to; more hear of changes in turn. */
 const MAX_LINKS = 12
@@ -38,6 +38,12 @@
 const MAX_RECONNECT_MS = 1_500
 const CONNECT_MS = 500
 
+const GroupNewsSchema = v.object({
+	/** How slow the slow ranks are, by address. */
+	slow: v.record(v.string(), v.number()),
+	/** Requests that each rank may hold. */
+	limit: v.optional(v.number()),
+})
 const StateSchema = v.object({
 	name: v.string(),
 	control: v.string(),
@@ -45,15 +51,10 @@
 	list: v.number(),
 	held: v.record(v.string(), v.number()),
 	peers: v.array(v.string()),
-	/** Servers that are slow, by address, as the teller was told directly. */
-	slow: v.optional(v.record(v.string(), v.number()), {}),
-	/** Requests that each rank of a service may hold, told likewise. */
-	limits: v.optional(v.record(v.string(), v.number()), {}),
-})
-const PacesSchema = v.object({
-	paces: v.record(v.string(), v.number()),
-	limits: v.optional(v.record(v.string(), v.number()), {}),
+	/** Groups that do not fare well, by name, as the teller was told directly. */
+	groups: v.optional(v.record(v.string(), GroupNewsSchema), {}),
 })
+const PacesSchema = v.object({ group: v.string(), ...GroupNewsSchema.entries })
 type State = v.InferOutput<typeof StateSchema>
 
 const ServerSchema = v.object({
@@ -64,6 +65,7 @@
 	slots: v.number(),
 	leaving: v.boolean(),
 	coldMs: v.number(),
+	group: v.optional(v.string()),
 })
 const PullSchema = v.object({
 	config: v.optional(v.string()),
@@ -170,48 +172,48 @@
 		list: ctx.list.revision,
 		held: Object.fromEntries(ctx.fleet.held),
 		peers: [...peers.links.keys()],
-		slow: Object.fromEntries(ctx.fleet.toldPaces),
-		limits: Object.fromEntries(ctx.fleet.toldLimits),
+		groups: tellGroups(ctx),
 	}
 }
 
-/** A group's coordinator tells how slow its ranks are. */
+/** What this entry was told of groups by their coordinators. */
+function tellGroups(ctx: GatewayContext): State['groups'] {
+	const groups: State['groups'] = {}
+	for (const [group, { slow, limit, direct }] of ctx.fleet.toldGroups)
+		if (direct) groups[group] = { slow, ...(limit !== undefined && { limit }) }
+	return groups
+}
+
+/** A group's coordinator tells how slow its ranks are and what is let in. */
 function takePaces(ctx: GatewayContext, params: unknown): void {
-	const { paces, limits } = v.parse(PacesSchema, params)
-	const { fleet } = ctx
-	fleet.pacesAt = readNow()
-	fleet.toldPaces.clear()
-	for (const [address, pace] of Object.entries(paces))
-		fleet.toldPaces.set(address, pace)
-	fleet.toldLimits.clear()
-	for (const [service, limit] of Object.entries(limits))
-		fleet.toldLimits.set(service, limit)
-	ctx.log.write('paces told', {
-		slow: Object.keys(paces),
-		limits: JSON.stringify(limits),
-	})
-	applyPaces(fleet, fleet.toldPaces, new Map(fleet.toldLimits))
+	const { group, slow, limit } = v.parse(PacesSchema, params)
+	const { toldGroups } = ctx.fleet
+	const isWell = Object.keys(slow).length === 0 && limit === undefined
+	if (isWell) toldGroups.delete(group)
+	else toldGroups.set(group, { slow, limit, at: readNow(), direct: true })
+	ctx.log.write('paces told', { group, slow: Object.keys(slow), limit })
+	applyToldGroups(ctx.fleet)
 }
 
-/** Takes what a peer was told, unless this entry is told itself. */
-function takePeersPaces(ctx: GatewayContext, state: State, now: number): void {
-	const { fleet } = ctx
-	const slow = Object.entries(state.slow)
-	const limits = Object.entries(state.limits)
-	if (fleet.toldPaces.size + fleet.toldLimits.size > 0) return
-	if (slow.length + limits.length === 0) return
-	fleet.pacesAt = now
-	applyPaces(fleet, new Map(slow), new Map(limits))
+/** Takes what a peer was told of groups that this entry is not told of. */
+function takePeersGroups(ctx: GatewayContext, state: State, now: number): void {
+	const { toldGroups } = ctx.fleet
+	const news = Object.entries(state.groups).filter(
+		([group]) => !toldGroups.get(group)?.direct,
+	)
+	if (news.length === 0) return
+	for (const [group, { slow, limit }] of news)
+		toldGroups.set(group, { slow, limit, at: now, direct: false })
+	applyToldGroups(ctx.fleet)
 }
 
 /** What has not been told again is no longer believed. */
-function forgetPaces(ctx: GatewayContext, now: number): void {
-	const { fleet } = ctx
-	if (fleet.pacesAt === 0 || now - fleet.pacesAt < PACES_MS) return
-	fleet.pacesAt = 0
-	fleet.toldPaces.clear()
-	fleet.toldLimits.clear()
-	applyPaces(fleet, fleet.toldPaces, fleet.toldLimits)
+function forgetGroups(ctx: GatewayContext, now: number): void {
+	const { toldGroups } = ctx.fleet
+	const old = [...toldGroups].filter(([, { at }]) => now - at > PACES_MS)
+	if (old.length === 0) return
+	for (const [group] of old) toldGroups.delete(group)
+	applyToldGroups(ctx.fleet)
 }
 
 function tellPeers(ctx: GatewayContext, peers: Peers): void {
@@ -247,7 +249,7 @@
 			peers.links.set(address, undefined)
 	const held = new Map(Object.entries(state.held))
 	notePeerLoad(ctx.fleet, state.name, held, now)
-	takePeersPaces(ctx, state, now)
+	takePeersGroups(ctx, state, now)
 	const version = ctx.routes?.config.version ?? -1
 	// A peer that is behind may not be reached from here but by its own link.
 	const isBehind = state.config < version || state.list < ctx.list.revision
@@ -307,7 +309,7 @@
 
 function forgetSilent(ctx: GatewayContext, peers: Peers): void {
 	const now = readNow()
-	forgetPaces(ctx, now)
+	forgetGroups(ctx, now)
 	for (const [name, heardAt] of peers.heardAt) {
 		if (now - heardAt > SILENT_MS) dropPeerLoad(ctx.fleet, name, now)
 		if (now - heardAt > REMEMBERED_MS) peers.heardAt.delete(name)
--- a/packages/gateway/src/waiting.ts
+++ b/packages/gateway/src/waiting.ts
@@ -6,12 +6,13 @@
 	dequeue,
 	enqueue,
 	type FairQueue,
+	isShut,
 	mayEnter,
 	removeWaiting,
 } from '@juniperhook/core'
 import { readNow } from '@juniperhook/runtime'
 import type { GatewayContext } from './context.ts'
-import { noteHeld, queueOf } from './fleet.ts'
+import { groupOf, noteHeld, queueOf } from './fleet.ts'
 
 /** Requests that an engine may hold beyond its slots. */
 const ENGINE_QUEUE_ROOM = 2
@@ -101,19 +102,27 @@
 		const row = fleet.table.rowOf.get(id)
 		if (row !== undefined) tried.add(row)
 	}
+	const now = readNow()
 	const isEngine = routes?.services.get(service)?.engine !== undefined
 	const query = {
 		rows: fleet.rowsOf.get(service) ?? [],
 		tried,
 		queueRoom: isEngine ? ENGINE_QUEUE_ROOM : PLAIN_QUEUE_ROOM,
-		most: fleet.limits.get(service) ?? Number.POSITIVE_INFINITY,
+		shutGroups: listShutGroups(ctx, now),
 		near: fleet.near,
 	}
-	const now = readNow()
 	const choice = chooseRow(fleet.table, query, now, ctx.random)
 	if (choice.kind !== 'row') return choice
-	if (!mayEnter(ctx.closures, service, now)) return { kind: 'full' }
-	const { id } = fleet.servers[choice.row]!
+	const server = fleet.servers[choice.row]!
+	if (!mayEnter(ctx.closures, groupOf(server), now)) return { kind: 'full' }
+	const { id } = server
 	noteHeld(fleet, id, 1)
 	return { kind: 'server', id }
 }
+
+function listShutGroups(ctx: GatewayContext, now: number): Set<number> {
+	const shut = new Set<number>()
+	for (const [number, group] of ctx.fleet.groups.entries())
+		if (isShut(ctx.closures, group, now)) shut.add(number)
+	return shut
+}
--- a/packages/gateway/test/gateway.test.ts
+++ b/packages/gateway/test/gateway.test.ts
@@ -1,5 +1,7 @@
 /** Requests through a gateway to backend servers that follow a script. */
 
+import { createServer } from 'node:http'
+import type { AddressInfo } from 'node:net'
 import { connect } from 'node:net'
 import type { TrafficConfig } from '@juniperhook/core'
 import { createEventLog } from '@juniperhook/runtime'
@@ -450,6 +452,33 @@
 	assert.is(gateway.ctx.routes?.config.version, 9, 'never back')
 })
 
+test('gateway: a broken group leaves the other group of its service alone', async () => {
+	let refused = 0
+	const broken = createServer((_req, res) => {
+		refused++
+		res.writeHead(503, { [WIRE.notRun]: '1' }).end()
+	})
+	await new Promise<void>(resolve => broken.listen(0, '127.0.0.1', resolve))
+	const { port } = broken.address() as AddressInfo
+	const [first, second, third] = backends.listed
+	const address = `127.0.0.1:${port}`
+	const listed = [
+		{ ...first!, address, id: 'broken', group: 'a' },
+		{ ...second!, group: 'b' },
+		{ ...third!, group: 'b' },
+	]
+	const two = await openGateway(createCatalog(GROUPED, listed))
+	reset()
+	const ids = Array.from({ length: 24 }, (_, at) => `two-groups-${at}`)
+	const answers = await Promise.all(
+		ids.map(id => callGateway(two.callers, '/r/1', { 'x-id': id })),
+	)
+	assert.ok(answers.every(answer => answer.status === 200))
+	await callGateway(two.callers, '/r/1', { 'x-id': 'two-groups-last' })
+	assert.ok(refused <= 12, `${refused} of 25 sent to the broken group`)
+	broken.close()
+})
+
 test('gateway: a watch whose answer is lost ends well within the contact time', async () => {
 	const catalog = createCatalog(CONFIG, backends.listed)
 	await openGateway(catalog)
--- a/packages/groups/src/agent.ts
+++ b/packages/groups/src/agent.ts
@@ -206,9 +206,9 @@
 	const random = createRandom(randomBytes(4).readUInt32LE())
 	const { agentPort } = settings
 	const co = createCoordinator(port, log, random, report.rank, agentPort)
-	const { service } = settings
+	const name = `${settings.service}/${report.group}`
 	co.onPaces = (paces, allowedHeld) =>
-		tellPaces(agent.teller, { service, paces, allowedHeld })
+		tellPaces(agent.teller, { group: name, paces, allowedHeld })
 	fitGroup(co, group)
 	// The agents of earlier candidates are silent: engines are called directly.
 	for (const rank of CANDIDATES.slice(0, CANDIDATES.indexOf(report.rank)))
--- a/packages/groups/src/paceTeller.ts
+++ b/packages/groups/src/paceTeller.ts
@@ -10,7 +10,7 @@
 const CONNECT_MS = 300
 
 /** What is told of a group that fares well. */
-const ORDINARY = JSON.stringify({ paces: {}, limits: {} })
+const ORDINARY = JSON.stringify({ slow: {} })
 
 /** Links to entries and what they were told. */
 export interface PaceTeller {
@@ -33,7 +33,8 @@
 
 /** How a group fares, for entries. */
 export interface GroupNews {
-	readonly service: string
+	/** The service and the group's name in it. */
+	readonly group: string
 	/** By engine address. */
 	readonly paces: ReadonlyMap<string, number>
 	/** Requests that a rank may hold; undefined for as many as fit. */
@@ -42,19 +43,20 @@
 
 /** Tells entries how a group fares, if that is out of the ordinary or news. */
 export function tellPaces(teller: PaceTeller, news: GroupNews): void {
-	const slow = [...news.paces].filter(([, pace]) => pace > SLOW_PACE)
-	const { service, allowedHeld } = news
-	const paces = Object.fromEntries(slow)
-	const limits = allowedHeld === undefined ? {} : { [service]: allowedHeld }
-	const text = JSON.stringify({ paces, limits })
+	const { group, paces, allowedHeld } = news
+	const slowOnes = [...paces].filter(([, pace]) => pace > SLOW_PACE)
+	const slow = Object.fromEntries(slowOnes)
+	const isLimited = allowedHeld !== undefined
+	const told = { slow, ...(isLimited && { limit: allowedHeld }) }
+	const text = JSON.stringify(told)
 	const now = readNow()
-	const isUnusual = slow.length > 0 || allowedHeld !== undefined
+	const isUnusual = text !== ORDINARY
 	if (text === teller.told && !(isUnusual && now - teller.toldAt > TELL_MS))
 		return
 	teller.told = text
 	teller.toldAt = now
 	for (const entry of teller.entries)
-		void tell(teller, entry, { paces, limits })
+		void tell(teller, entry, { group, ...told })
 }
 
 async function tell(
--- a/packages/groups/test/largeGroup.test.ts
+++ b/packages/groups/test/largeGroup.test.ts
@@ -21,8 +21,8 @@
 const told: Record<string, number>[] = []
 
 async function startAll(): Promise<void> {
-	const paces = (news: { paces: Record<string, number> }) =>
-		void told.push(news.paces)
+	const paces = (news: { slow: Record<string, number> }) =>
+		void told.push(news.slow)
 	await serveRpc(ENTRY, { paces })
 	for (let rank = 0; rank < RANKS; rank++) {
 		const engine = addressOf(rank)
