--- a/packages/groups/src/coordinator.ts
+++ b/packages/groups/src/coordinator.ts
@@ -28,8 +28,12 @@
 const IDLE_LOOK_MS = 80
 /** Choices that must have been seen before the first plan. */
 const MIN_SEEN = 20_000
-/** Weight of a new reading of what ranks hold. */
-const HELD_WEIGHT = 0.3
+/**
+ * Weight of a new reading of what ranks hold: a group that opens is filled
+ * within a second, and a plan for an empty one has to be made again.
+ */
+const RISING_WEIGHT = 0.8
+const FALLING_WEIGHT = 0.3
 
 /** Coordinates until it is stopped. */
 export async function runCoordinator(co: Coordinator): Promise<void> {
@@ -96,7 +100,8 @@
 	co.onPaces(new Map(paces), letIn(co))
 	if (busy.length === 0) return
 	const mean = busy.reduce((sum, held) => sum + held, 0) / busy.length
-	co.held += (mean - co.held) * HELD_WEIGHT
+	const weight = mean > co.held ? RISING_WEIGHT : FALLING_WEIGHT
+	co.held += (mean - co.held) * weight
 }
 
 /** The clients that are asked this time. */
