--- a/soak/src/callers.ts
+++ b/soak/src/callers.ts
@@ -93,6 +93,7 @@
 		givenUpAt: now + Math.min(deadline, TIMEOUT_MS[kind]),
 		deadlineAt: now + deadline,
 		leftAt: undefined,
+		gaveUp: false,
 		promisedAt: undefined,
 		answeredAt: undefined,
 		status: 0,
@@ -151,7 +152,7 @@
 	if (got.status === 0) {
 		count(record, 'connections without an answer')
 		const wasRead = (record.runs.get(asked.id) ?? []).length > 0
-		if (wasRead && !wasKilled && entry.child)
+		if (wasRead && !wasKilled && !asked.gaveUp && entry.child)
 			breakPromise(record, 'LOST', `${asked.id} at ${entry.name}`)
 	}
 	if (!options.timed || wasKilled) return
@@ -287,7 +288,10 @@
 /** A caller does not wait for ever for a process that hangs. */
 function giveUpLater(req: ClientRequest, asked: Asked): void {
 	const waitMs = asked.deadlineAt - performance.now() + CONNECT_MS
-	const timer = setTimeout(() => req.destroy(), waitMs)
+	const timer = setTimeout(() => {
+		asked.gaveUp = true
+		req.destroy()
+	}, waitMs)
 	req.on('close', () => clearTimeout(timer))
 }
 
--- a/soak/src/types.ts
+++ b/soak/src/types.ts
@@ -21,6 +21,8 @@
 	readonly deadlineAt: number
 	/** When the caller left, if it did. */
 	leftAt: number | undefined
+	/** Whether the caller gave up after its deadline without an answer. */
+	gaveUp: boolean
 	/** A promise that it has not run and never will. */
 	promisedAt: number | undefined
 	answeredAt: number | undefined
--- a/soak/test/judge.test.ts
+++ b/soak/test/judge.test.ts
@@ -21,6 +21,7 @@
 	givenUpAt: 1_000,
 	deadlineAt: 1_000,
 	leftAt: undefined,
+	gaveUp: false,
 	promisedAt: undefined,
 	answeredAt: undefined,
 	status: 0,
