--- a/soak/src/soak.ts
+++ b/soak/src/soak.ts
@@ -8,6 +8,8 @@
 import { judgeWhole } from './verdict.ts'
 import { startWorld, stopWorld } from './world.ts'
 
+/** A soak that is interrupted ends the processes that it started. */
+const SIGNALS = ['SIGINT', 'SIGTERM'] as const
 /** Until all processes serve, ms. */
 const START_MS = 2_500
 /** After the last fault, until recovery is due, ms. */
@@ -21,6 +23,11 @@
 export async function runSoak(options: SoakOptions): Promise<Record> {
 	rmSync(options.folder, { recursive: true, force: true })
 	const world = await startWorld(options)
+	const interrupt = () => {
+		stopWorld(world)
+		process.exit(1)
+	}
+	for (const signal of SIGNALS) process.once(signal, interrupt)
 	await sleep(START_MS)
 	const callers = Array.from({ length: options.clients }, (_, number) =>
 		runCaller(world, number),
@@ -33,6 +40,7 @@
 	await Promise.race([Promise.all(callers), sleep(LAST_ANSWERS_MS)])
 	judgeWhole(world, calmSince)
 	stopWorld(world)
+	for (const signal of SIGNALS) process.removeListener(signal, interrupt)
 	if (world.record.broken.length === 0)
 		rmSync(options.folder, { recursive: true, force: true })
 	return world.record
