--- a/packages/core/src/core/mapNeed.ts
+++ b/packages/core/src/core/mapNeed.ts
@@ -26,7 +26,7 @@
 /** Requests held that count as none. */
 const FEW_HELD = 0.1
 
-/** How a group fares. */
+/** How busy a group is. */
 export interface GroupBusy {
 	/** Time of a pass over that of a balanced one. */
 	readonly factor: number
--- a/packages/gateway/src/fleet.ts
+++ b/packages/gateway/src/fleet.ts
@@ -15,7 +15,7 @@
 } from '@juniperhook/core'
 import type { Waiter } from './waiting.ts'
 
-/** How a lock-step group fares, as its coordinator told it. */
+/** Slow ranks and limit of a lock-step group, as its coordinator told them. */
 export interface ToldGroup {
 	/** How slow its slow ranks are, by address. */
 	readonly slow: Readonly<Record<string, number>>
@@ -41,7 +41,7 @@
 	readonly heldByPeer: Map<string, ReadonlyMap<string, number>>
 	/** Names of lock-step groups; a group's number is its place here. */
 	groups: string[]
-	/** How groups fare that do not fare well, by name. */
+	/** Groups that have slow ranks or a limit, by name. */
 	readonly toldGroups: Map<string, ToldGroup>
 	/** Requests that wait, by service. */
 	readonly queues: Map<string, FairQueue<Waiter>>
@@ -124,7 +124,7 @@
 	fleet.table.reportedAt[row] = now
 }
 
-/** Puts in force what is told of groups; all others fare well. */
+/** Puts in force what is told of groups; all others have neither. */
 export function applyToldGroups(fleet: Fleet): void {
 	for (const [row, server] of fleet.servers.entries()) {
 		const told = fleet.toldGroups.get(groupOf(server))
--- a/packages/gateway/src/peerMessages.ts
+++ b/packages/gateway/src/peerMessages.ts
@@ -2,8 +2,8 @@
 
 import * as v from 'valibot'
 
-/** How a lock-step group fares that does not fare well. */
-const GroupNewsSchema = v.object({
+/** Slow ranks and limit of a lock-step group. */
+const GroupStatusSchema = v.object({
 	/** How slow the slow ranks are, by address. */
 	slow: v.record(v.string(), v.number()),
 	/** Requests that each rank may hold. */
@@ -17,13 +17,13 @@
 	list: v.number(),
 	held: v.record(v.string(), v.number()),
 	peers: v.array(v.string()),
-	/** Groups that do not fare well, by name, as the teller was told directly. */
-	groups: v.optional(v.record(v.string(), GroupNewsSchema), {}),
+	/** Groups with slow ranks or a limit, by name, as the teller was told directly. */
+	groups: v.optional(v.record(v.string(), GroupStatusSchema), {}),
 })
 /** A coordinator's news of its group. */
 export const PacesSchema = v.object({
 	group: v.string(),
-	...GroupNewsSchema.entries,
+	...GroupStatusSchema.entries,
 })
 /** See {@link StateSchema}. */
 export type State = v.InferOutput<typeof StateSchema>
--- a/packages/gateway/src/toldGroups.ts
+++ b/packages/gateway/src/toldGroups.ts
@@ -1,5 +1,5 @@
 /**
- * How lock-step groups fare that do not fare well: told by their coordinators to
+ * Lock-step groups that have slow ranks or a limit: told by their coordinators to
  * some entries, and by those to their peers.
  */
 
@@ -10,7 +10,7 @@
 import type { State } from './peerMessages.ts'
 import { PacesSchema } from './peerMessages.ts'
 
-/** Groups are told of each second while they fare badly; then forgotten, ms. */
+/** Coordinators repeat what they tell each second; older is forgotten, ms. */
 const PACES_MS = 2_500
 
 /** What this entry was told of groups by their coordinators. */
--- a/packages/gateway/test/gateway.test.ts
+++ b/packages/gateway/test/gateway.test.ts
@@ -1,11 +1,20 @@
 /** Requests through a gateway to backend servers that follow a script. */
 
+import { createServer } from 'node:http'
+import type { AddressInfo } from 'node:net'
 import { connect } from 'node:net'
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
 import { createOpener, until } from './openGateway.ts'
 import type { Deed } from './standIns.ts'
-import { callGateway, STREAM_EVENTS, startBackends, WIRE } from './standIns.ts'
+import {
+	CONFIG,
+	callGateway,
+	createCatalog,
+	STREAM_EVENTS,
+	startBackends,
+	WIRE,
+} from './standIns.ts'
 
 const backends = await startBackends(3)
 const openGateway = createOpener(21_340, backends.listed)
@@ -344,6 +353,36 @@
 		assert.is(backends.runs.length, 0)
 	})
 
+/** More than the buffers of a connection on loopback hold. */
+const LONG_BODY = 'x'.repeat(24_000_000)
+
+test('gateway: a connection answered before its body was read is not used again', async () => {
+	const sockets: unknown[] = []
+	const server = createServer((req, res) => {
+		sockets.push(req.socket)
+		const id = String(req.headers[WIRE.requestId])
+		const early = sockets.length === 1
+		if (!early) req.resume()
+		res.writeHead(200, { [WIRE.requestId]: id, [WIRE.seal]: 'sealed' })
+		res.end(`answer to ${id}`)
+	})
+	await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve))
+	const { port } = server.address() as AddressInfo
+	const listed = { ...backends.listed[0]!, address: `127.0.0.1:${port}` }
+	const limits = { ...CONFIG.limits, maxBodyBytes: LONG_BODY.length }
+	const routes = CONFIG.routes.map(route => ({ ...route, timeoutMs: 9_000 }))
+	const catalog = createCatalog({ ...CONFIG, limits, routes }, [listed])
+	const lone = await openGateway(catalog)
+	const send = (id: string, body: string) =>
+		callGateway(lone.callers, '/r/x', { 'x-id': id }, 'POST', body)
+	assert.is((await send('early', LONG_BODY)).body, 'answer to early')
+	assert.is((await send('next', 'short')).body, 'answer to next')
+	assert.is(sockets.length, 2)
+	assert.is.not(sockets[0], sockets[1])
+	server.closeAllConnections()
+	server.close()
+})
+
 test.after(() => {
 	setImmediate(() => process.exit())
 })
--- a/packages/groups/src/paceTeller.ts
+++ b/packages/groups/src/paceTeller.ts
@@ -9,7 +9,7 @@
 const TELL_MS = 1_000
 const CONNECT_MS = 300
 
-/** What is told of a group that fares well. */
+/** What is told of a group without slow ranks and limit. */
 const ORDINARY = JSON.stringify({ slow: {} })
 
 /** Links to entries and what they were told. */
@@ -31,8 +31,8 @@
 	return { entries, links: new Map(), told: ORDINARY, toldAt: 0, onUnreached }
 }
 
-/** How a group fares, for entries. */
-export interface GroupNews {
+/** What entries are told of a group. */
+export interface GroupStatus {
 	/** The service and the group's name in it. */
 	readonly group: string
 	/** By engine address. */
@@ -41,9 +41,9 @@
 	readonly allowedHeld: number | undefined
 }
 
-/** Tells entries how a group fares, if that is out of the ordinary or news. */
-export function tellPaces(teller: PaceTeller, news: GroupNews): void {
-	const { group, paces, allowedHeld } = news
+/** Tells entries of slow ranks and the limit, if there are any or they changed. */
+export function tellPaces(teller: PaceTeller, status: GroupStatus): void {
+	const { group, paces, allowedHeld } = status
 	const slowOnes = [...paces].filter(([, pace]) => pace > SLOW_PACE)
 	const slow = Object.fromEntries(slowOnes)
 	const isLimited = allowedHeld !== undefined
--- a/soak/src/faults.ts
+++ b/soak/src/faults.ts
@@ -9,7 +9,7 @@
 import { cutRelay, healRelay, resetRelay } from '@juniperhook/fakes'
 import type { Managed } from './processes.ts'
 import { killProcess, stopProcess, writeSettings } from './processes.ts'
-import type { BackendServer, Misdeeds } from './servers.ts'
+import type { BackendServer, Misbehaviour } from './servers.ts'
 import { behave, crashServer, startServer } from './servers.ts'
 import { beginTrouble, EVERYBODY } from './trouble.ts'
 import { count, drawBetween, drawOf, sleep } from './types.ts'
@@ -234,12 +234,12 @@
 function misbehave(
 	world: World,
 	random: Random,
-	misdeeds: Misdeeds,
+	misbehaviour: Misbehaviour,
 ): () => void {
 	const backend = drawOf(random, world.servers.all)
-	backend.misdeeds = misdeeds
+	backend.misbehaviour = misbehaviour
 	return () => {
-		backend.misdeeds = behave()
+		backend.misbehaviour = behave()
 	}
 }
 
--- a/soak/src/servers.ts
+++ b/soak/src/servers.ts
@@ -24,7 +24,7 @@
 const STALL_MS = 300
 
 /** How a server treats what it runs; parts of the requests, 0 to 1. */
-export interface Misdeeds {
+export interface Misbehaviour {
 	/** Runs it and resets the connection. */
 	reset: number
 	/** Runs it and never answers. */
@@ -40,7 +40,7 @@
 }
 
 /** A server that does as it should. */
-export function behave(): Misdeeds {
+export function behave(): Misbehaviour {
 	return { reset: 0, hang: 0, cut: 0, fail: 0, extra: 0, slow: 1 }
 }
 
@@ -57,7 +57,7 @@
 	id: string
 	/** Whether it has said that it leaves. */
 	leaving: boolean
-	misdeeds: Misdeeds
+	misbehaviour: Misbehaviour
 }
 
 /** All backend servers. */
@@ -145,17 +145,17 @@
 
 async function serveWhole(
 	servers: Servers,
-	{ misdeeds }: BackendServer,
+	{ misbehaviour }: BackendServer,
 	run: Run,
 	res: ServerResponse,
 ): Promise<void> {
 	const { random, record } = servers
-	await sleep(drawBetween(random, ...WORK_MS) * misdeeds.slow)
+	await sleep(drawBetween(random, ...WORK_MS) * misbehaviour.slow)
 	run.endedAt ??= performance.now()
 	const head = { [WIRE.requestId]: run.id, [WIRE.seal]: `seal-${run.serverId}` }
 	const text = bodyOf(run.id)
 	const dice = random()
-	const { reset, hang, cut, fail, extra } = misdeeds
+	const { reset, hang, cut, fail, extra } = misbehaviour
 	if (dice < reset) {
 		count(record, 'answers lost by a reset')
 		res.socket?.resetAndDestroy()
@@ -190,13 +190,13 @@
 	req: IncomingMessage,
 	res: ServerResponse,
 ): Promise<void> {
-	const { misdeeds } = backend
+	const { misbehaviour } = backend
 	const from = Number(req.headers[WIRE.lastEventId] ?? 0) + 1
 	const breaksAt =
-		servers.random() < misdeeds.cut
+		servers.random() < misbehaviour.cut
 			? from + Math.floor(servers.random() * 4)
 			: 0
-	await sleep(EVENT_MS * misdeeds.slow)
+	await sleep(EVENT_MS * misbehaviour.slow)
 	res.writeHead(200, {
 		[WIRE.requestId]: run.id,
 		[WIRE.seal]: `seal-${run.serverId}`,
@@ -211,7 +211,7 @@
 			return
 		}
 		res.write(`id: ${event}\ndata: ${run.id} event ${event}\n\n`)
-		await sleep(EVENT_MS * misdeeds.slow)
+		await sleep(EVENT_MS * misbehaviour.slow)
 	}
 	run.endedAt ??= performance.now()
 	res.end()
--- a/soak/src/world.ts
+++ b/soak/src/world.ts
@@ -115,7 +115,7 @@
 		server: undefined,
 		id: '',
 		leaving: false,
-		misdeeds: behave(),
+		misbehaviour: behave(),
 	}
 	servers.all.push(backend)
 	await startServer(servers, backend)
