Soak: let two of its judges see what they judge

Two guards were taken out, and no promise was reported broken: requests that may run once had one attempt by configuration, and a server that leaves ended 2.25 s later, just when runs there begin to count. Now two attempts, and 4.5 s.

--- a/soak/src/config.ts
+++ b/soak/src/config.ts
@@ -33,7 +33,7 @@
 	return JSON.stringify({
 		config_version: version,
 		routes: [
-			route(PREFIX_OF.once, 'non_idempotent', PLAIN, 1),
+			route(PREFIX_OF.once, 'non_idempotent', PLAIN, 2),
 			route(PREFIX_OF.repeatable, 'idempotent', PLAIN, 2),
 			{
 				...route(PREFIX_OF.stream, 'streaming', MODEL, 2),
--- a/soak/src/faults.ts
+++ b/soak/src/faults.ts
@@ -16,8 +16,11 @@
 import type { World } from './world.ts'
 import { listServer, publish, unlistServer } from './world.ts'
 
-/** A server that has said that it leaves serves on for this long, ms. */
-const DRAIN_MS = 1_500
+/**
+ * A server that has said that it leaves serves on for this long, ms: longer than
+ * entries may send it anything, so that one that does is seen.
+ */
+const SERVES_ON_MS = 4_500
 /** An entry in the list runs out this long after a crash, ms. */
 const LAPSE_MS = 900
 const FAULT_MS = [300, 3_500] as const
@@ -279,7 +282,7 @@
 	const { id } = backend
 	backend.leaving = true
 	listServer(world, backend)
-	await sleep(DRAIN_MS * 1.5)
+	await sleep(SERVES_ON_MS)
 	if (world.over || backend.id !== id || !backend.server) return
 	crashServer(backend)
 	unlistServer(world, id)
