--- a/soak/src/faults.ts
+++ b/soak/src/faults.ts
@@ -154,7 +154,8 @@
 export async function playFaults(world: World): Promise<void> {
 	const { options, record } = world
 	const random = createRandom(options.seed)
-	const names = Object.keys(FAULT_KINDS)
+	const kinds = Object.keys(FAULT_KINDS)
+	const names = kinds.filter(name => name.includes(options.only))
 	const drawn = Array.from({ length: options.faults }, () => ({
 		at: random() * options.faultMs,
 		forMs: drawBetween(random, ...FAULT_MS),
--- a/soak/src/main.ts
+++ b/soak/src/main.ts
@@ -20,6 +20,7 @@
 		seconds: { type: 'string', default: '15' },
 		faults: { type: 'string', default: '14' },
 		net: { type: 'string', default: '9' },
+		only: { type: 'string', default: '' },
 		verbose: { type: 'boolean', default: false },
 	},
 })
@@ -34,6 +35,7 @@
 		faultMs: Number(values.seconds) * 1_000,
 		faults: Number(values.faults),
 		net: Number(values.net),
+		only: values.only,
 		timed: true,
 		folder: join(tmpdir(), 'juniperhook-soak', `seed-${seed}`),
 	}
--- a/soak/src/types.ts
+++ b/soak/src/types.ts
@@ -83,6 +83,8 @@
 	readonly faultMs: number
 	/** Faults in that time. */
 	readonly faults: number
+	/** Only kinds of faults whose names have this in them; all for ''. */
+	readonly only: string
 	/** Second part of the loopback addresses, so that soaks can run side by side. */
 	readonly net: number
 	/** Whether promises with a time bound are judged. */
--- a/soak/test/soak.process.test.ts
+++ b/soak/test/soak.process.test.ts
@@ -28,6 +28,7 @@
 			faultMs: 6_000,
 			faults: 10,
 			net: 14,
+			only: '',
 			timed: false,
 			folder: join(tmpdir(), 'juniperhook-soak', `test-${seed}`),
 		})
