--- a/soak/src/servers.ts
+++ b/soak/src/servers.ts
@@ -20,6 +20,9 @@
 export const STREAM_EVENTS = 6
 const EVENT_MS = 15
 const WORK_MS = [3, 25] as const
+/** Some work takes so long that a caller who leaves can be seen to free it, ms. */
+const LONG_WORK_MS = 1_200
+const LONG_PART = 0.06
 /** A rank of a group that broke stands still this long, then refuses, ms. */
 const STALL_MS = 300
 
@@ -150,7 +153,8 @@
 	res: ServerResponse,
 ): Promise<void> {
 	const { random, record } = servers
-	await sleep(drawBetween(random, ...WORK_MS) * misbehaviour.slow)
+	const usual = drawBetween(random, ...WORK_MS) * misbehaviour.slow
+	await sleep(random() < LONG_PART ? LONG_WORK_MS : usual)
 	run.endedAt ??= performance.now()
 	const head = { [WIRE.requestId]: run.id, [WIRE.seal]: `seal-${run.serverId}` }
 	const text = bodyOf(run.id)
