--- a/packages/fakes/src/relay.ts
+++ b/packages/fakes/src/relay.ts
@@ -80,14 +80,14 @@
 }
 
 /** Does things in turn, each after the relay's delay of that moment. */
-function createDelay(relay: Relay): (action: () => void) => void {
-	const queue: { action: () => void; at: number }[] = []
+function createDelay(relay: Relay): (deed: () => void) => void {
+	const queue: { deed: () => void; at: number }[] = []
 	const pump = () => {
-		while (queue[0] && queue[0].at <= performance.now()) queue.shift()!.action()
+		while (queue[0] && queue[0].at <= performance.now()) queue.shift()!.deed()
 		if (queue[0]) setTimeout(pump, queue[0].at - performance.now())
 	}
-	return action => {
-		queue.push({ action, at: performance.now() + relay.delayMs })
+	return deed => {
+		queue.push({ deed, at: performance.now() + relay.delayMs })
 		if (queue.length === 1) pump()
 	}
 }
