Soak: two more findings traced; a frozen entry that stops, SIGHUP before the first line

The signal came before main.js ran. The platform's rules do not count a request there; the judge now asks whether the entry was left alone.

--- a/soak/src/callers.ts
+++ b/soak/src/callers.ts
@@ -83,7 +83,11 @@
 	if (got.status === 0) {
 		count(record, 'connections without an answer')
 		const wasRead = (record.runs.get(asked.id) ?? []).length > 0
-		if (wasRead && !wasKilled && !asked.gaveUp && entry.child)
+		// One that was frozen while it stops runs out of its time to end.
+		const isStopping = entry.stoppingAt !== undefined
+		const isExcused =
+			isStopping && !isCalm(troubles, entry.name, asked.sentAt, now)
+		if (wasRead && !wasKilled && !asked.gaveUp && !isExcused && entry.child)
 			breakPromise(record, 'LOST', `${asked.id} at ${entry.name}`)
 	}
 	if (!options.timed || wasKilled) return
--- a/soak/src/faults.ts
+++ b/soak/src/faults.ts
@@ -8,7 +8,12 @@
 import type { Relay } from '@juniperhook/fakes'
 import { cutRelay, healRelay, resetRelay } from '@juniperhook/fakes'
 import type { Managed } from './processes.ts'
-import { killProcess, stopProcess, writeSettings } from './processes.ts'
+import {
+	killProcess,
+	signalSettings,
+	stopProcess,
+	writeSettings,
+} from './processes.ts'
 import type { BackendServer, Misbehaviour } from './servers.ts'
 import { behave, crashServer, startServer } from './servers.ts'
 import { beginTrouble, EVERYBODY } from './trouble.ts'
@@ -66,7 +71,7 @@
 	'change settings': (world, random) => {
 		const one = drawOf(random, [...world.entries, ...world.agents])
 		writeSettings(world.options, one, Math.floor(random() * 1_000_000))
-		if (random() < 0.7) one.child?.kill('SIGHUP')
+		if (random() < 0.7) signalSettings(one)
 		return nothing
 	},
 	'silence a server': (world, random) =>
--- a/soak/src/processes.ts
+++ b/soak/src/processes.ts
@@ -24,6 +24,8 @@
 	new URL('../../platform/dist/main.js', import.meta.url),
 )
 const RESTART_MS = 150
+/** Far beyond what Node takes to run its first line, also on a busy machine, ms. */
+const NODE_START_MS = 1_000
 /** From SIGTERM to SIGKILL, ms. */
 export const GRACE_MS = 5_000
 const SEEDS = 2
@@ -39,6 +41,8 @@
 	child: ChildProcess | undefined
 	/** Starts so far. */
 	life: number
+	/** When the present life was started, ms. */
+	startedAt: number
 	/** Whether the soak has told the present life to end. */
 	told: boolean
 	/** When the present life was told to stop by SIGTERM, ms. */
@@ -66,6 +70,7 @@
 		logPath: join(options.folder, `${name}.log`),
 		child: undefined,
 		life: 0,
+		startedAt: 0,
 		told: false,
 		stoppingAt: undefined,
 		killedAt: 0,
@@ -123,6 +128,7 @@
 	})
 	managed.child = child
 	managed.life++
+	managed.startedAt = performance.now()
 	managed.told = false
 	managed.stoppingAt = undefined
 	child.on('exit', (code, signal) => {
@@ -140,6 +146,14 @@
 	})
 }
 
+/**
+ * Tells a process that its settings have changed. Until Node has started and
+ * main.js runs, SIGHUP ends a process; none that young is told.
+ */
+export function signalSettings({ child, startedAt }: Managed): void {
+	if (performance.now() - startedAt > NODE_START_MS) child?.kill('SIGHUP')
+}
+
 /** Kills a process without warning. */
 export function killProcess(record: Record, managed: Managed): void {
 	if (!managed.child) return
