--- a/bench/schedule.ts
+++ b/bench/schedule.ts
@@ -5,14 +5,7 @@
 
 import { writeFileSync } from 'node:fs'
 import type { GroupMap, SetPlan } from '@juniperhook/core'
-import {
-	allowedFactor,
-	isWorthwhile,
-	passFactor,
-	planSet,
-	skewOfSet,
-	targetFactor,
-} from '@juniperhook/core'
+import { passFactor, planMap, planSet, skewOfSet } from '@juniperhook/core'
 import type { ExpertDay, ExpertGroup } from '@juniperhook/fakes'
 import {
 	createExpertGroup,
@@ -23,7 +16,7 @@
 import type { Demand } from '@juniperhook/groups'
 import {
 	createDemand,
-	decayDemand,
+	refreshDemand,
 	shareOfSet,
 	takeChoices,
 } from '@juniperhook/groups'
@@ -121,7 +114,7 @@
 	while (group.nowMs < day.lengthMs) {
 		if (policy === 'bound') group.map = planAll(group, demandOf(group), 1)
 		const now = demandOf(group)
-		const passMs = playPass(group)
+		playPass(group)
 		for (const [at, share] of now.entries())
 			counts[at]! += Math.round(share * CHOICES)
 		if (coming && group.nowMs >= coming.at) {
@@ -131,11 +124,11 @@
 		}
 		if (group.nowMs - countedAt < COUNTS_MS) continue
 		countedAt = group.nowMs
-		decayDemand(demand, group.nowMs)
 		takeChoices(demand, counts)
+		refreshDemand(demand, group.nowMs)
 		counts.fill(0)
 		if (coming || demand.seen === 0) continue
-		const map = decide(group, demand, policy, passMs)
+		const map = decide(group, demand, policy)
 		if (!map) continue
 		const copyMs = startCopies(group, map)
 		coming = { map, at: group.nowMs + copyMs + ARM_MS }
@@ -147,7 +140,6 @@
 	group: ExpertGroup,
 	demand: Demand,
 	policy: Policy,
-	passMs: number,
 ): GroupMap | undefined {
 	const { layout } = group.day
 	const shares = group.map.map((_, set) => shareOfSet(demand, set))
@@ -171,22 +163,27 @@
 				? planAll(group, flat, 1)
 				: undefined
 		case 'present': {
-			const held = group.streams.length / group.day.ranks
-			const limits = { maxPauseMs: MAX_PAUSE_MS, slots: group.day.slots }
-			const allowed = allowedFactor({ factor, passMs, held }, limits)
-			if (factor <= allowed) return undefined
-			const map = planAll(group, flat, targetFactor(allowed))
-			const after = map.map((placement, set) =>
-				skewOfSet(placement, shares[set]!, layout),
-			)
-			const then = passFactor(after, layout.expertShare)
-			return isWorthwhile(factor, then) ? map : undefined
+			const paces = new Array<number>(group.day.ranks).fill(1)
+			const cost = {
+				copyMs: (layout.expertMb * 8_000) / group.day.linkMbps,
+				overheadMs: ARM_MS,
+				steadyMs: group.day.shiftEveryMs,
+			}
+			const basis = { map: group.map, shares, layout, paces, cost }
+			return finish(planMap(basis))?.placements
 		}
 		default:
 			return policy satisfies never
 	}
 }
 
+function finish<T>(steps: Generator<void, T>): T {
+	for (;;) {
+		const step = steps.next()
+		if (step.done) return step.value
+	}
+}
+
 /** Plans all sets; `anew` from the map that a group forms with. */
 function planAll(
 	group: ExpertGroup,
--- a/packages/core/src/core/dispatch.ts
+++ b/packages/core/src/core/dispatch.ts
@@ -156,7 +156,8 @@
 		const row = candidates[(first + at) % candidates.length]!
 		const held = heldBy(table, row)
 		const slots = table.slots[row]!
-		if (held >= Math.min(slots + query.queueRoom, table.most[row]!)) continue
+		if (held >= Math.min(slots + query.queueRoom, Math.ceil(table.most[row]!)))
+			continue
 		if (query.shutGroups.has(table.group[row]!)) continue
 		const far = query.near.has(row) ? 0 : FAR_LOAD
 		const slow = PACE_LOAD * (table.pace[row]! - 1)
@@ -168,6 +169,22 @@
 	return best < 0 ? { kind: 'full' } : { kind: 'row', row: best }
 }
 
+/**
+ * Lock-step groups that hold as much as their ranks may together. A limit may be
+ * a fraction: each rank may then hold one more than that, but not all of them.
+ */
+export function listFullGroups(table: ServerTable): Set<number> {
+	const room = new Map<number, number>()
+	for (const [row, group] of table.group.entries()) {
+		const most = table.most[row]!
+		if (group < 0 || most === Number.POSITIVE_INFINITY) continue
+		const left = (room.get(group) ?? 0) + most - heldBy(table, row)
+		room.set(group, left)
+	}
+	const full = [...room].filter(([, left]) => left < 1)
+	return new Set(full.map(([group]) => group))
+}
+
 /** Requests that a server holds, as far as is known. */
 export function heldBy(table: ServerTable, row: number): number {
 	return Math.max(0, table.reported[row]!) + table.sentSince[row]!
--- a/packages/core/src/core/groupPlan.ts
+++ b/packages/core/src/core/groupPlan.ts
@@ -11,8 +11,8 @@
 
 export type { SetPlacement } from './placementTable.ts'
 
-/** Steps of the search for each rank. */
-const STEPS_PER_RANK = 4
+/** Steps of a search for each rank of a set. */
+export const STEPS_PER_RANK = 4
 
 /** What planning a set gives. */
 export interface SetPlan {
--- a/packages/core/src/core/placementStep.ts
+++ b/packages/core/src/core/placementStep.ts
@@ -27,6 +27,8 @@
 	expert: number
 	/** Place that gets what `at` had; -1 for a change of one place. */
 	backAt: number
+	/** By how much it lowers the sum of powers, for each expert copied. */
+	worth: number
 }
 
 /** The change that takes most off the loaded ranks for each expert copied. */
@@ -36,16 +38,16 @@
 	)
 	const hot = order.at(-1)!
 	const targets = order.slice(0, MAX_TARGETS).filter(rank => rank !== hot)
-	const best: Change = { at: -1, expert: FREE, backAt: -1 }
-	let bestWorth = sumOfPowers(search) * MIN_PROGRESS
+	const least = sumOfPowers(search) * MIN_PROGRESS
+	const best: Change = { at: -1, expert: FREE, backAt: -1, worth: least }
 	const weigh = (at: number, expert: number, backAt = -1) => {
 		const copies = copiesOf(search, at, expert, backAt)
 		const worth = gainOf(search, at, expert, backAt) / Math.max(1, copies)
-		if (worth <= bestWorth) return
+		if (worth <= best.worth) return
 		best.at = at
 		best.expert = expert
 		best.backAt = backAt
-		bestWorth = worth
+		best.worth = worth
 	}
 	const { places } = search
 	for (let from = hot * places; from < (hot + 1) * places; from++) {
--- a/packages/core/src/core/placementTable.ts
+++ b/packages/core/src/core/placementTable.ts
@@ -8,11 +8,25 @@
 /** A set's experts by rank. */
 export type SetPlacement = readonly (readonly number[])[]
 
+/** New experts of all sets together that one change may give each rank. */
+export interface CopyBudget {
+	most: number
+	/** Given so far, by rank. */
+	readonly used: Int16Array
+}
+
+/** Makes a budget of which nothing is used. */
+export function createBudget(ranks: number, most: number): CopyBudget {
+	return { most, used: new Int16Array(ranks) }
+}
+
 /** A placement of one set that a search changes, with its loads. */
 export interface Search {
 	readonly ranks: number
 	readonly places: number
 	readonly maxNew: number
+	/** Shared by the sets of a group. */
+	readonly budget: CopyBudget
 	readonly share: Float64Array
 	/** Expert in each place, rank by rank. */
 	readonly slots: Int16Array
@@ -42,6 +56,7 @@
 	share: Float64Array,
 	layout: ExpertLayout,
 	paces: readonly number[],
+	budget = createBudget(placement.length, Number.POSITIVE_INFINITY),
 ): Search {
 	const ranks = placement.length
 	const { places, experts, maxNew } = layout
@@ -49,6 +64,7 @@
 		ranks,
 		places,
 		maxNew,
+		budget,
 		share,
 		slots: new Int16Array(ranks * places).fill(FREE),
 		had: new Uint8Array(ranks * experts),
@@ -104,26 +120,33 @@
 
 /** Whether a rank may still take an expert in this change. */
 export function canTake(search: Search, rank: number, expert: number): boolean {
-	return !isNew(search, rank, expert) || search.fresh[rank]! < search.maxNew
+	if (!isNew(search, rank, expert)) return true
+	const { fresh, maxNew, budget } = search
+	return fresh[rank]! < maxNew && budget.used[rank]! < budget.most
 }
 
 /** Puts an expert, or none, in a place. */
 export function place(search: Search, at: number, expert: number): void {
-	const { slots, has, copies, holders, fresh, places, share } = search
+	const { slots, has, copies, holders, places, share } = search
 	const rank = Math.floor(at / places)
 	const old = slots[at]!
 	if (old !== FREE) {
 		has[rank * share.length + old] = 0
 		copies[old]!--
 		holders[old] = holders[old]!.filter(holder => holder !== rank)
-		if (isNew(search, rank, old)) fresh[rank]!--
+		if (isNew(search, rank, old)) countNew(search, rank, -1)
 	}
 	slots[at] = expert
 	if (expert === FREE) return
 	has[rank * share.length + expert] = 1
 	copies[expert]!++
 	holders[expert]!.push(rank)
-	if (isNew(search, rank, expert)) fresh[rank]!++
+	if (isNew(search, rank, expert)) countNew(search, rank, 1)
+}
+
+function countNew(search: Search, rank: number, change: 1 | -1): void {
+	search.fresh[rank]! += change
+	search.budget.used[rank]! += change
 }
 
 /** Load of the most loaded rank. */
--- a/packages/core/test/directRouting.test.ts
+++ b/packages/core/test/directRouting.test.ts
@@ -14,10 +14,11 @@
 	createServerTable,
 	doubtRemoval,
 	drawService,
-	easeLimit,
 	findMissing,
 	findRoute,
+	heldWithin,
 	isBeyondLimits,
+	listFullGroups,
 	listServing,
 	mayEnter,
 	noteClosed,
@@ -25,6 +26,7 @@
 	noteOpen,
 	noteRequest,
 	noteTry,
+	predictPassMs,
 	settleRemovals,
 	TRY_AGAIN_MS,
 	takeRecord,
@@ -255,32 +257,79 @@
 
 const HELDS: {
 	name: string
-	passMs: number
-	held: number
+	factor: number
+	shiftedFactor: number
+	steadyMs: number
 	allowed: number | undefined
 }[] = [
-	{ name: 'passes in time', passMs: 100, held: 8, allowed: undefined },
-	{ name: 'a little too long', passMs: 110, held: 8, allowed: 6 },
 	{
-		name: 'far too long: half of the slots at least',
-		passMs: 400,
-		held: 8,
-		allowed: 4,
+		name: 'passes in time',
+		factor: 1.2,
+		shiftedFactor: 1,
+		steadyMs: 10_000,
+		allowed: undefined,
+	},
+	{
+		name: 'longer',
+		factor: 2.2,
+		shiftedFactor: 1,
+		steadyMs: 10_000,
+		allowed: 4.51,
 	},
 	{
-		name: 'long with few: the slots at most',
-		passMs: 103,
-		held: 30,
-		allowed: 8,
+		name: 'shifts that come often are prepared for',
+		factor: 1.1,
+		shiftedFactor: 2.2,
+		steadyMs: 3_500,
+		allowed: 4.51,
+	},
+	{
+		name: 'rare ones are not',
+		factor: 1.1,
+		shiftedFactor: 2.2,
+		steadyMs: 20_000,
+		allowed: undefined,
+	},
+	{
+		name: 'far too long: half of the slots at least',
+		factor: 8,
+		shiftedFactor: 1,
+		steadyMs: 10_000,
+		allowed: 4,
 	},
 ]
 
-for (const { name, passMs, held, allowed } of HELDS)
+for (const { name, allowed, ...state } of HELDS)
 	test(`requests let in, ${name}`, () => {
-		const busy = { factor: 1, passMs, held }
 		const limits = { maxPauseMs: 120, slots: 8 }
-		const cost = { stepMs: 5.85, perRequestMs: 0.53, stepsPerPass: 5 }
-		assert.is(allowedHeld(busy, limits, cost), allowed)
+		const cost = { stepMs: 4.55, perRequestMs: 1.3575, stepsPerPass: 4 }
+		const held = allowedHeld(state, limits, cost)
+		assert.is(held && Number(held.toFixed(2)), allowed)
+	})
+
+test('a pass grows with what ranks hold, imbalance and copying', () => {
+	const cost = { stepMs: 5, perRequestMs: 1, stepsPerPass: 4 }
+	const even = { factor: 1, copying: false }
+	assert.is(predictPassMs(cost, 5, even), 40)
+	assert.is(predictPassMs(cost, 5, { factor: 2, copying: false }), 80)
+	assert.is(predictPassMs(cost, 5, { factor: 1, copying: true }), 46)
+	assert.is(heldWithin(cost, 40, even), 5)
+	assert.ok(heldWithin(cost, 10, even) < 0)
+})
+
+const FULL_GROUPS = [
+	{ name: 'without a limit', most: Number.POSITIVE_INFINITY, full: false },
+	{ name: 'with room for one', most: 2.5, full: false },
+	{ name: 'with less room than one', most: 2.25, full: true },
+]
+
+for (const { name, most, full } of FULL_GROUPS)
+	test(`a group ${name} is ${full ? 'full' : 'not full'}`, () => {
+		const table = createServerTable(['a', 'b', 'c', 'd'])
+		table.group.fill(0)
+		table.most.fill(most)
+		table.sentSince.set([3, 2, 2, 2])
+		assert.is(listFullGroups(table).has(0), full)
 	})
 
 const PACES: { pace: number; maxPauseMs: number; beyond: boolean }[] = [
@@ -296,30 +345,6 @@
 		assert.is(isBeyondLimits({ maxPauseMs, slots: 8 }, cost, pace), beyond)
 	})
 
-const EASES: {
-	name: string
-	before: number | undefined
-	wanted: number | undefined
-	next: number | undefined
-}[] = [
-	{ name: 'none', before: undefined, wanted: undefined, next: undefined },
-	{ name: 'the first', before: undefined, wanted: 5, next: 5 },
-	{ name: 'a lower one at once', before: 6, wanted: 4, next: 4 },
-	{ name: 'a higher one slowly', before: 4, wanted: 8, next: 4.64 },
-	{ name: 'none wanted: slowly', before: 4, wanted: undefined, next: 4.64 },
-	{
-		name: 'back at its slots',
-		before: 7.6,
-		wanted: undefined,
-		next: undefined,
-	},
-]
-
-for (const { name, before, wanted, next } of EASES)
-	test(`requests let in, a second later: ${name}`, () => {
-		assert.is(easeLimit(before, wanted, 8, 1_000), next)
-	})
-
 test('a choice keeps to what a server may hold', () => {
 	const table = createServerTable(['a', 'b', 'c'])
 	table.open.fill(1)
--- a/packages/core/test/groupPlan.test.ts
+++ b/packages/core/test/groupPlan.test.ts
@@ -3,7 +3,14 @@
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
 import type { SetPlacement } from '../src/index.ts'
-import { createRandom, dealExperts, planSet, skewOfSet } from '../src/index.ts'
+import {
+	createRandom,
+	dealExperts,
+	isWorthwhile,
+	planMap,
+	planSet,
+	skewOfSet,
+} from '../src/index.ts'
 
 const SIZES = [
 	{
@@ -112,4 +119,68 @@
 	assert.is(planSet(dealt, share, layout).copies, 0)
 })
 
+function finish<T>(steps: Generator<void, T>): T {
+	for (;;) {
+		const step = steps.next()
+		if (step.done) return step.value
+	}
+}
+
+/** A plan from the dealt map for three sets in which a few experts are liked. */
+function planFor(copyMs: number, steadyMs: number) {
+	const size = { ranks: 12, experts: 96, places: 11, maxNew: 4 }
+	const layout = { ...layoutOf({ name: '', ...size }), sets: 3 }
+	const dealt = dealExperts(size.ranks, layout)
+	const map = [dealt, dealt, dealt]
+	const shares = map.map((_, set) => skewedShare(size.experts, set + 1))
+	const paces = new Array<number>(size.ranks).fill(1)
+	const cost = { copyMs, overheadMs: 300, steadyMs }
+	const plan = finish(planMap({ map, shares, layout, paces, cost }))
+	return { plan, map, size }
+}
+
+const COPY_TIMES = [
+	{ copyMs: 400, mostNew: 1 },
+	{ copyMs: 20, mostNew: 2 },
+]
+
+for (const { copyMs, mostNew } of COPY_TIMES)
+	test(`plan of a map: copies of ${copyMs} ms, ${mostNew} on a rank first`, () => {
+		const { plan, map, size } = planFor(copyMs, 10_000)
+		assert.ok(plan)
+		assert.is(plan.mostNew, mostNew)
+		assert.ok(plan.after < plan.before)
+		const placed = plan.placements
+		for (const [set, placement] of placed.entries())
+			checkPlacement(placement, map[set]!, { name: '', ...size })
+		for (let rank = 0; rank < size.ranks; rank++) {
+			const fresh = placed.flatMap((placement, set) =>
+				placement[rank]!.filter(one => !map[set]![rank]!.includes(one)),
+			)
+			assert.ok(fresh.length <= plan.mostNew, 'all sets together')
+		}
+	})
+
+test('plan of a map: none that comes after the next shift', () => {
+	assert.is(planFor(400, 500).plan, undefined)
+})
+
+const GAINS = [
+	{ name: 'a large one', before: 2, after: 1.2, steadyMs: 3_500, worth: true },
+	{
+		name: 'a small one',
+		before: 1.1,
+		after: 1.06,
+		steadyMs: 9e9,
+		worth: false,
+	},
+	{ name: 'a late one', before: 2, after: 1.2, steadyMs: 700, worth: false },
+]
+
+for (const { name, before, after, steadyMs, worth } of GAINS)
+	test(`gain of a map, ${name}: ${worth ? 'worth' : 'not worth'} its copies`, () => {
+		const cost = { copyMs: 400, overheadMs: 300, steadyMs }
+		assert.is(isWorthwhile(before, after, 1, cost), worth)
+	})
+
 test.run()
--- a/packages/gateway/src/waiting.ts
+++ b/packages/gateway/src/waiting.ts
@@ -7,6 +7,7 @@
 	enqueue,
 	type FairQueue,
 	isShut,
+	listFullGroups,
 	mayEnter,
 	removeWaiting,
 } from '@juniperhook/core'
@@ -124,5 +125,6 @@
 	const shut = new Set<number>()
 	for (const [number, group] of ctx.fleet.groups.entries())
 		if (isShut(ctx.closures, group, now)) shut.add(number)
+	for (const number of listFullGroups(ctx.fleet.table)) shut.add(number)
 	return shut
 }
--- a/packages/groups/src/coordinator.ts
+++ b/packages/groups/src/coordinator.ts
@@ -4,19 +4,24 @@
  */
 
 import type { RankReport } from '@juniperhook/core'
-import { allowedHeld, easeLimit, isBeyondLimits } from '@juniperhook/core'
+import { allowedHeld, isBeyondLimits } from '@juniperhook/core'
 import { readNow } from '@juniperhook/runtime'
 import type { Coordinator } from './coordinatorState.ts'
 import { pause, readAnchor } from './coordinatorState.ts'
-import { decayDemand, takeChoices } from './demand.ts'
-import { planMap, readMap } from './mapWork.ts'
+import { isShifting, refreshDemand, takeChoices } from './demand.ts'
+import { factorNow, planNext, readMap } from './mapWork.ts'
 import type { RankBusy } from './ports.ts'
 import type { RankClient } from './rankClient.ts'
 import { busyOfRank, closeRankClient, sampleRank } from './rankClient.ts'
 import { runRound } from './roundRunner.ts'
 
-/** Between readings of counts, ms: a few passes. */
+/** Between readings of all ranks' counts, ms: a few passes. */
 const COUNTS_MS = 200
+/**
+ * Between readings of the counts of the engine beside this process, ms: a pass or
+ * less, so that a shift of demand is seen with the first passes that have it.
+ */
+const HOME_COUNTS_MS = 50
 /** Ranks whose counts are read; the others' requests are like theirs. */
 const MAX_COUNTED = 16
 /**
@@ -51,7 +56,19 @@
 	while (!co.stopped) {
 		const startedAt = readNow()
 		await readDemand(co)
-		await pause(Math.max(0, startedAt + COUNTS_MS - readNow()))
+		await watchHome(co, startedAt + COUNTS_MS)
+	}
+}
+
+/** Waits until `until`, or until the engine at home shows another demand. */
+async function watchHome(co: Coordinator, until: number): Promise<void> {
+	const home = co.clients.get(co.homeRank)
+	while (!co.stopped && readNow() < until) {
+		await pause(Math.min(HOME_COUNTS_MS, Math.max(0, until - readNow())))
+		const sample = home && (await sampleRank(home))
+		if (!sample) continue
+		takeChoices(co.demand, sample.chosen)
+		if (isShifting(co.demand)) return
 	}
 }
 
@@ -73,7 +90,6 @@
 }
 
 async function readDemand(co: Coordinator): Promise<void> {
-	decayDemand(co.demand, readNow())
 	const clients = [...co.clients.values()]
 	const counted = clients.slice(0, MAX_COUNTED)
 	const others = takeTurn(co, clients.slice(MAX_COUNTED))
@@ -94,6 +110,7 @@
 			if (told) note(client, told)
 		}),
 	])
+	noteDemand(co)
 	const paces = clients.map(
 		({ member }) => [member.engine, co.paces.get(member.rank) ?? 1] as const,
 	)
@@ -104,6 +121,37 @@
 	co.held += (mean - co.held) * weight
 }
 
+/** Below this agreement with what was known, demand counts as shifted. */
+const SHIFTED = 0.8
+/** A shift may show in several readings; they count as one, ms. */
+const ONE_SHIFT_MS = 1_000
+/** Weight of a new interval between shifts. */
+const STEADY_WEIGHT = 0.4
+
+function noteDemand(co: Coordinator): void {
+	const now = readNow()
+	const agreement = refreshDemand(co.demand, now)
+	const sinceMs = now - co.shiftedAt
+	// Where shifts have stopped, demand is expected to stay.
+	if (sinceMs < Number.POSITIVE_INFINITY)
+		co.steadyMs = Math.max(co.steadyMs, sinceMs)
+	if (agreement >= SHIFTED) return
+	if (sinceMs > ONE_SHIFT_MS) {
+		if (sinceMs < Number.POSITIVE_INFINITY)
+			co.steadyMs += STEADY_WEIGHT * (sinceMs - co.steadyMs)
+		co.shiftedAt = now
+	}
+	const factor =
+		co.group && co.map ? factorNow(co, co.group, co.map) : co.shiftedFactor
+	co.shiftedFactor += STEADY_WEIGHT * (factor - co.shiftedFactor)
+	co.log.write('demand shifted', {
+		agreement: Number(agreement.toFixed(2)),
+		steadyMs: Math.round(co.steadyMs),
+		factor: Number(factor.toFixed(2)),
+		shiftedFactor: Number(co.shiftedFactor.toFixed(2)),
+	})
+}
+
 /** The clients that are asked this time. */
 function takeTurn(
 	co: Coordinator,
@@ -118,18 +166,20 @@
 	)
 }
 
+/** Limits are told in steps of this, so that news of them stay rare. */
+const LIMIT_STEP = 0.25
+
 /** Requests that a rank may hold; undefined for as many as fit. */
 function letIn(co: Coordinator): number | undefined {
-	const { group, passMs, held, limit } = co
-	if (!group) return undefined
-	const now = readNow()
-	const busy = { factor: 1, passMs, held }
-	const wanted = allowedHeld(busy, group, group.cost)
-	const eased = easeLimit(limit, wanted, group.slots, now - co.limitedAt)
+	const { group, map, shiftedFactor, steadyMs } = co
+	if (!group || !map) return undefined
 	const slowest = Math.max(1, ...co.paces.values())
-	co.limit = isBeyondLimits(group, group.cost, slowest) ? undefined : eased
-	co.limitedAt = now
-	return co.limit === undefined ? undefined : Math.floor(co.limit)
+	if (isBeyondLimits(group, group.cost, slowest)) return undefined
+	const factor = factorNow(co, group, map)
+	const state = { factor, shiftedFactor, steadyMs }
+	const limit = allowedHeld(state, group, group.cost)
+	if (limit === undefined) return undefined
+	return Math.floor(limit / LIMIT_STEP) * LIMIT_STEP
 }
 
 /** Settles what an older round left, or makes the map better if that pays. */
@@ -141,6 +191,6 @@
 	if (report.armed !== undefined) return
 	const map = await readMap(co, report)
 	if (!map || co.demand.seen < MIN_SEEN) return
-	const better = await planMap(co, map)
+	const better = await planNext(co, map)
 	if (better) await runRound(co, report, better)
 }
--- a/packages/groups/src/coordinatorState.ts
+++ b/packages/groups/src/coordinatorState.ts
@@ -18,6 +18,11 @@
 /** Fences are a counter and this many random low bits, so that none is doubled. */
 export const FENCE_BITS = 12
 
+/** Overhead of a round before one was seen: a few passes, ms. */
+const FIRST_OVERHEAD_MS = 300
+/** How long demand is taken to be steady before a shift was seen, ms. */
+const FIRST_STEADY_MS = 10_000
+
 /** A coordinator's state. */
 export interface Coordinator {
 	readonly port: EnginePort
@@ -32,10 +37,6 @@
 	turn: number
 	/** Requests that a rank holds, smoothed. */
 	held: number
-	/** Requests that a rank may hold; undefined for as many as fit. */
-	limit: number | undefined
-	/** When the limit was last set, ms. */
-	limitedAt: number
 	/** How slow each rank is; 1 is its usual speed. */
 	readonly paces: Map<number, number>
 	/** Told after each reading: paces by engine address, and what is let in. */
@@ -53,6 +54,14 @@
 	counter: number
 	undo: boolean
 	passMs: number
+	/** From a plan until its map is in use, without copying, smoothed, ms. */
+	overheadMs: number
+	/** Between two shifts of demand, smoothed, ms. */
+	steadyMs: number
+	/** Passes over balanced ones right after shifts, smoothed. */
+	shiftedFactor: number
+	/** When demand was last seen to shift, ms. */
+	shiftedAt: number
 	lastReport: { report: RankReport; at: number } | undefined
 	stopped: boolean
 }
@@ -76,8 +85,6 @@
 		demand: createDemand(0, 0),
 		turn: 0,
 		held: 0,
-		limit: undefined,
-		limitedAt: 0,
 		paces: new Map(),
 		onPaces: () => {},
 		lostAt: 0,
@@ -87,6 +94,10 @@
 		counter: 0,
 		undo: false,
 		passMs: 50,
+		overheadMs: FIRST_OVERHEAD_MS,
+		steadyMs: FIRST_STEADY_MS,
+		shiftedFactor: 1,
+		shiftedAt: Number.NEGATIVE_INFINITY,
 		lastReport: undefined,
 		stopped: false,
 	}
--- a/packages/groups/src/demand.ts
+++ b/packages/groups/src/demand.ts
@@ -1,9 +1,23 @@
-/** What experts are in demand, from the counts of a group's ranks. */
+/**
+ * What experts are in demand, from the counts of a group's ranks. Demand is
+ * remembered for a while against chance, but only as long as new counts agree
+ * with it: after a shift the memory would hide half of it for its half-life.
+ */
 
 /** Demand older than this counts half, ms. */
-const HALF_LIFE_MS = 350
+const HALF_LIFE_MS = 1_500
 /** Part of the demand that is taken to be even, against chance. */
 const EVEN_SHARE = 0.05
+/**
+ * Agreement (cosine) of new counts with the memory below which nothing of the
+ * memory is kept, and from which all of it is. Counts of 200 ms of an emulated
+ * group agree by 0.97 and more while demand is steady, and by 0.34 to 0.93 in
+ * the reading in which it shifts.
+ */
+const AGREES_NOT = 0.8
+const AGREES = 0.95
+/** A set's counts below this number are too few to speak against the memory. */
+const MIN_COUNTED = 1_000
 
 /** Demand for each expert of each set. */
 export interface Demand {
@@ -11,6 +25,8 @@
 	readonly experts: number
 	/** Decayed choices. */
 	readonly weights: Float64Array
+	/** Choices that were read since the memory was last refreshed. */
+	readonly fresh: Float64Array
 	decayedAt: number
 	/** Choices seen since the start. */
 	seen: number
@@ -22,28 +38,71 @@
 		sets,
 		experts,
 		weights: new Float64Array(sets * experts),
+		fresh: new Float64Array(sets * experts),
 		decayedAt: 0,
 		seen: 0,
 	}
 }
 
-/** Lets what is known grow old. */
-export function decayDemand(demand: Demand, now: number): void {
-	const factor = 0.5 ** ((now - demand.decayedAt) / HALF_LIFE_MS)
-	demand.decayedAt = now
-	for (let at = 0; at < demand.weights.length; at++)
-		demand.weights[at]! *= factor
-}
-
 /** Takes what a rank's requests chose, set by set, one number an expert. */
 export function takeChoices(demand: Demand, chosen: readonly number[]): void {
-	if (chosen.length !== demand.weights.length) return
+	if (chosen.length !== demand.fresh.length) return
 	for (const [at, count] of chosen.entries()) {
-		demand.weights[at]! += count
+		demand.fresh[at]! += count
 		demand.seen += count
 	}
 }
 
+/**
+ * Puts fresh choices into the memory. Gives the least agreement of any set with
+ * what was remembered: 1 for none that speaks against it.
+ */
+export function refreshDemand(demand: Demand, now: number): number {
+	const { sets, experts, weights, fresh } = demand
+	const factor = 0.5 ** ((now - demand.decayedAt) / HALF_LIFE_MS)
+	demand.decayedAt = now
+	let least = 1
+	for (let set = 0; set < sets; set++) {
+		const agreement = agreementOf(demand, set)
+		least = Math.min(least, agreement)
+		const kept = factor * keptShare(agreement)
+		for (let at = set * experts; at < (set + 1) * experts; at++)
+			weights[at] = weights[at]! * kept + fresh[at]!
+	}
+	fresh.fill(0)
+	return least
+}
+
+/** Whether fresh choices of some set speak against the memory. */
+export function isShifting(demand: Demand): boolean {
+	for (let set = 0; set < demand.sets; set++)
+		if (agreementOf(demand, set) < AGREES_NOT) return true
+	return false
+}
+
+/** Cosine of a set's fresh choices and its memory; 1 where either is small. */
+function agreementOf({ experts, weights, fresh }: Demand, set: number): number {
+	let product = 0
+	let freshSquares = 0
+	let knownSquares = 0
+	let counted = 0
+	for (let at = set * experts; at < (set + 1) * experts; at++) {
+		const one = fresh[at]!
+		const known = weights[at]!
+		counted += one
+		product += one * known
+		freshSquares += one * one
+		knownSquares += known * known
+	}
+	if (counted < MIN_COUNTED || knownSquares === 0) return 1
+	return product / Math.sqrt(freshSquares * knownSquares)
+}
+
+function keptShare(agreement: number): number {
+	const share = (agreement - AGREES_NOT) / (AGREES - AGREES_NOT)
+	return Math.min(1, Math.max(0, share))
+}
+
 /** Each expert's part of its set's demand. */
 export function shareOfSet(demand: Demand, set: number): Float64Array {
 	const { experts, weights } = demand
--- a/packages/groups/src/mapWork.ts
+++ b/packages/groups/src/mapWork.ts
@@ -1,21 +1,24 @@
 /** A group's present map, and a better one when passes need it. */
 
-import type { GroupMap, RankReport, SetPlan } from '@juniperhook/core'
-import {
-	allowedFactor,
-	dealExperts,
-	isWorthwhile,
-	passFactor,
-	planSet,
-	skewOfSet,
-	targetFactor,
+import type {
+	GroupMap,
+	MapPlan,
+	RankReport,
+	RoundCost,
 } from '@juniperhook/core'
+import { dealExperts, passFactor, planMap, skewOfSet } from '@juniperhook/core'
 import { readNow } from '@juniperhook/runtime'
 import type { Coordinator } from './coordinatorState.ts'
 import { shareOfSet } from './demand.ts'
 import type { MapBase } from './mapChanges.ts'
+import type { PublishedGroup } from './ports.ts'
 import { placementOfRank } from './rankClient.ts'
 
+/** A search lets others run after this time, ms. */
+const MAX_BLOCK_MS = 5
+const BITS = 8
+const SECOND_MS = 1_000
+
 /** The map in use, from memory or from the ranks. */
 export async function readMap(
 	co: Coordinator,
@@ -69,48 +72,77 @@
 	return { epoch: mapEpoch, version: mapVersion, map, experts }
 }
 
-/** A better map, if passes need it and its gain outweighs the copying. */
-export async function planMap(
+/** Plans a better map, if one is worth its copying, and logs why. */
+export async function planNext(
 	co: Coordinator,
 	map: GroupMap,
-): Promise<GroupMap | undefined> {
+): Promise<MapPlan | undefined> {
 	const { group, demand } = co
 	if (!group) return undefined
-	const { layout } = group
 	const startedAt = readNow()
 	const shares = map.map((_, set) => shareOfSet(demand, set))
-	const paces = map[0]!.map((_, rank) => co.paces.get(rank) ?? 1)
-	const skews = map.map((placement, set) =>
-		skewOfSet(placement, shares[set]!, layout, paces),
-	)
-	const before = passFactor(skews, layout.expertShare)
-	const busy = { factor: before, passMs: co.passMs, held: co.held }
-	const allowed = allowedFactor(busy, group)
-	if (before <= allowed) return undefined
-	const target = targetFactor(allowed)
-	const plans: SetPlan[] = []
-	for (const [set, placement] of map.entries()) {
-		plans.push(planSet(placement, shares[set]!, layout, paces, target))
-		// A set of a large group takes tens of ms: others are answered between.
-		await new Promise(resolve => setImmediate(resolve))
-	}
-	const after = passFactor(
-		plans.map(plan => plan.after),
-		layout.expertShare,
-	)
-	if (!isWorthwhile(before, after)) return undefined
+	const paces = pacesOf(co, map)
+	const cost = costOfRound(co, group)
+	const { layout } = group
+	const plan = await finish(planMap({ map, shares, layout, paces, cost }))
+	if (!plan) return undefined
 	co.log.write('map planned', {
-		before: round3(before),
-		after: round3(after),
-		allowed: round3(allowed),
-		copies: plans.reduce((sum, plan) => sum + plan.copies, 0),
+		before: round3(plan.before),
+		after: round3(plan.after),
+		copies: plan.copies,
+		mostNew: plan.mostNew,
+		overheadMs: Math.round(cost.overheadMs),
+		steadyMs: Math.round(cost.steadyMs),
 		passMs: Math.round(co.passMs),
 		held: round3(co.held),
 		slow: paces.filter(pace => pace > 1.2).length,
 		tookMs: Math.round(readNow() - startedAt),
 		of: co.mapVersion,
 	})
-	return plans.map(plan => plan.placement)
+	return plan
+}
+
+/** Time of a pass with the map in use over that of a balanced one. */
+export function factorNow(
+	co: Coordinator,
+	{ layout }: PublishedGroup,
+	map: GroupMap,
+): number {
+	const paces = pacesOf(co, map)
+	const skews = map.map((placement, set) =>
+		skewOfSet(placement, shareOfSet(co.demand, set), layout, paces),
+	)
+	return passFactor(skews, layout.expertShare)
+}
+
+function pacesOf(co: Coordinator, map: GroupMap): number[] {
+	return map[0]!.map((_, rank) => co.paces.get(rank) ?? 1)
+}
+
+/** Runs a search; steps of a large group take long, so others run between. */
+async function finish<T>(steps: Generator<void, T>): Promise<T> {
+	let yieldedAt = readNow()
+	for (;;) {
+		const step = steps.next()
+		if (step.done) return step.value
+		if (readNow() - yieldedAt < MAX_BLOCK_MS) continue
+		await new Promise(resolve => setImmediate(resolve))
+		yieldedAt = readNow()
+	}
+}
+
+/** What the next round is expected to cost. */
+function costOfRound(co: Coordinator, group: PublishedGroup): RoundCost {
+	return {
+		copyMs: copyMsOf(group),
+		overheadMs: co.overheadMs,
+		steadyMs: co.steadyMs,
+	}
+}
+
+/** Time that a rank takes to copy one expert, ms. */
+export function copyMsOf({ layout, linkMbps }: PublishedGroup): number {
+	return linkMbps > 0 ? (layout.expertMb * BITS * SECOND_MS) / linkMbps : 0
 }
 
 function round3(value: number): number {
--- a/packages/groups/src/roundRunner.ts
+++ b/packages/groups/src/roundRunner.ts
@@ -1,8 +1,8 @@
 /** Takes one change of the map from order to order. */
 
 import type {
-	GroupMap,
 	GroupRound,
+	MapPlan,
 	OrderAnswer,
 	RankReport,
 	RoundPhase,
@@ -21,7 +21,7 @@
 import { readNow } from '@juniperhook/runtime'
 import type { Coordinator } from './coordinatorState.ts'
 import { FENCE_BITS, pause, readAnchor } from './coordinatorState.ts'
-import { baseOf, setMap } from './mapWork.ts'
+import { baseOf, copyMsOf, setMap } from './mapWork.ts'
 import type { RankClient } from './rankClient.ts'
 import { hasAgent, orderRank, orderRankBy, orderRanksBy } from './rankClient.ts'
 
@@ -50,11 +50,19 @@
 /** How long a relayed order may take: this, and so many times the copying. */
 const RELAY_BASE_MS = 150
 const RELAY_TIMES = 2
-const BITS = 8
-const SECOND_MS = 1_000
 /** After a failed round, ms. */
 const FAILED_PAUSE_MS = 200
 
+/** A round under way. */
+interface Run {
+	readonly round: GroupRound
+	/** Orders that are under way. */
+	readonly asked: Set<string>
+	readonly startedAt: number
+	/** Most experts that one rank has to copy. */
+	readonly mostNew: number
+}
+
 function nextFence(co: Coordinator): number {
 	co.counter++
 	const low = Math.floor(co.random() * 2 ** FENCE_BITS)
@@ -65,25 +73,31 @@
 export async function runRound(
 	co: Coordinator,
 	report: RankReport,
-	map: GroupMap | undefined,
+	planned: MapPlan | undefined,
 ): Promise<void> {
 	const fence = nextFence(co)
-	const round = createRound(fence, report.epoch, report.size, map, co.undo)
+	const { epoch, size } = report
+	const round = createRound(fence, epoch, size, planned?.placements, co.undo)
 	const startedAt = readNow()
+	const run: Run = {
+		round,
+		asked: new Set(),
+		startedAt,
+		mostNew: planned?.mostNew ?? 0,
+	}
 	co.log.write('round begun', {
 		fence,
 		epoch: round.epoch,
 		step: report.step,
 		held: report.held,
 	})
-	const asked = new Set<string>()
 	const relayed = new Set<RoundPhase>()
 	let shown = round.phase
 	let phaseAt = startedAt
 	while (!isOver(round) && !co.stopped) {
-		if (!relayed.has(round.phase)) giveByRelays(co, round, asked)
+		if (!relayed.has(round.phase)) giveByRelays(co, run)
 		relayed.add(round.phase)
-		for (const wanted of listWanted(round)) void give(co, round, wanted, asked)
+		for (const wanted of listWanted(round)) void give(co, run, wanted)
 		await pause(isUrgent(round) ? LOOK_MS / 8 : LOOK_MS / 2)
 		if (needsReport(round)) {
 			const { phase } = round
@@ -99,7 +113,7 @@
 		const tooLong = readNow() - startedAt > PREPARE_LIMIT_MS
 		if (tooLong && isHarmless(round)) break
 	}
-	await endRound(co, round, startedAt)
+	await endRound(co, run)
 }
 
 function needsReport(round: GroupRound): boolean {
@@ -137,10 +151,10 @@
 /** Gives an order unless the same one is under way. */
 async function give(
 	co: Coordinator,
-	round: GroupRound,
+	run: Run,
 	wanted: WantedOrder,
-	asked: Set<string>,
 ): Promise<void> {
+	const { asked } = run
 	const { rank, order } = wanted
 	const key = keyOf(wanted)
 	const client = co.clients.get(rank)
@@ -152,7 +166,7 @@
 		? await orderRankBy(client, holder, order)
 		: await orderRank(client, order, baseOf(co))
 	asked.delete(key)
-	takeAnswer(co, round, wanted, answer, askedAt)
+	takeAnswer(co, run, wanted, answer, askedAt)
 }
 
 function keyOf({ rank, order }: WantedOrder): string {
@@ -161,7 +175,7 @@
 
 function takeAnswer(
 	co: Coordinator,
-	round: GroupRound,
+	{ round }: Run,
 	wanted: WantedOrder,
 	answer: OrderAnswer,
 	askedAt: number,
@@ -185,12 +199,8 @@
  * Gives the ranks of a large group what they all are to be given by way of some
  * of their agents; those that do not answer are asked directly afterwards.
  */
-function giveByRelays(
-	co: Coordinator,
-	round: GroupRound,
-	asked: Set<string>,
-): void {
-	const reached = listWanted(round).filter(({ rank }) => {
+function giveByRelays(co: Coordinator, run: Run): void {
+	const reached = listWanted(run.round).filter(({ rank }) => {
 		const client = co.clients.get(rank)
 		return client && !client.home && hasAgent(client)
 	})
@@ -198,38 +208,36 @@
 	const part = Math.ceil(Math.sqrt(reached.length))
 	for (let from = 0; from < reached.length; from += part) {
 		const [first, ...rest] = reached.slice(from, from + part)
-		void give(co, round, first!, asked)
-		if (rest.length > 0) void giveBy(co, round, first!, rest, asked)
+		void give(co, run, first!)
+		if (rest.length > 0) void giveBy(co, run, first!, rest)
 	}
 }
 
 /** Gives an order to several ranks by way of the first one's agent. */
 async function giveBy(
 	co: Coordinator,
-	round: GroupRound,
+	run: Run,
 	by: WantedOrder,
 	wanted: readonly WantedOrder[],
-	asked: Set<string>,
 ): Promise<void> {
+	const { asked } = run
 	const askedAt = readNow()
 	for (const one of wanted) asked.add(keyOf(one))
 	const clients = wanted.map(({ rank }) => co.clients.get(rank)!)
 	const relay = co.clients.get(by.rank)!
-	const copyMs = by.order.type === 'prepare' ? copyMsOf(co) : 0
-	const waitMs = RELAY_BASE_MS + RELAY_TIMES * copyMs
+	const copyingMs = by.order.type === 'prepare' ? copyingMsOf(co, run) : 0
+	const waitMs = RELAY_BASE_MS + RELAY_TIMES * copyingMs
 	const base = baseOf(co)
 	const answers = await orderRanksBy(relay, clients, by.order, base, waitMs)
 	for (const [at, one] of wanted.entries()) {
 		asked.delete(keyOf(one))
-		takeAnswer(co, round, one, answers[at]!, askedAt)
+		takeAnswer(co, run, one, answers[at]!, askedAt)
 	}
 }
 
-/** Time that the largest change takes to copy, ms. */
-function copyMsOf({ group }: Coordinator): number {
-	if (!group || group.linkMbps <= 0) return 0
-	const { sets, maxNew, expertMb } = group.layout
-	return (sets * maxNew * expertMb * BITS * SECOND_MS) / group.linkMbps
+/** Time that the experts of this round take to copy, ms. */
+function copyingMsOf({ group }: Coordinator, run: Run): number {
+	return group ? run.mostNew * copyMsOf(group) : 0
 }
 
 /**
@@ -244,11 +252,15 @@
 	return undefined
 }
 
-async function endRound(
-	co: Coordinator,
-	round: GroupRound,
-	startedAt: number,
-): Promise<void> {
+/** Weight of a new round in what rounds take besides copying. */
+const OVERHEAD_WEIGHT = 0.3
+
+function noteOverhead(co: Coordinator, tookMs: number): void {
+	co.overheadMs += OVERHEAD_WEIGHT * (Math.max(0, tookMs) - co.overheadMs)
+}
+
+async function endRound(co: Coordinator, run: Run): Promise<void> {
+	const { round, startedAt } = run
 	co.log.write('round over', {
 		fence: round.fence,
 		phase: round.phase,
@@ -265,5 +277,7 @@
 		return
 	}
 	const ours = round.map && !round.inherited && round.version > 0
-	if (ours) setMap(co, round.map!, { epoch: round.epoch, map: round.version })
+	if (!ours) return
+	noteOverhead(co, readNow() - startedAt - copyingMsOf(co, run))
+	setMap(co, round.map!, { epoch: round.epoch, map: round.version })
 }
