--- a/packages/core/src/core/comeBack.ts
+++ b/packages/core/src/core/comeBack.ts
@@ -1,28 +1,52 @@
-/** When a refused caller should come back. */
+/**
+ * When a refused caller should come back: once the service is expected to take
+ * requests again, and after those who were sent away before.
+ */
 
 import type { Random } from '../internal.ts'
 
 /**
- * A group that broke needs about this long until it serves again, ms: the
- * crashes of engines that were played lasted from 2 to 5 s.
+ * Callers come back when they are told to only if that is within a third of the
+ * time they have left, by the platform's page.
  */
-const CLOSED_MS = 2_600
-/** A full service has room for another request after about this time, ms. */
-const FULL_MS = 1_500
-/** Callers come back spread over this part of the time. */
-const SPREAD = 0.3
-/** Callers heed a time up to a third of what they have left. */
 const HEEDED_SHARE = 0.32
-/** The shortest time told, ms. */
+/** The shortest time told, ms: a way there and back. */
 const MIN_MS = 50
+/** Callers of one moment come back spread over this part of a gap. */
+const SPREAD = 0.5
+
+/** Callers that were told to come back to a service. */
+export interface Returns {
+	/** When the last of them is due, ms. */
+	lastDueAt: number
+}
+
+/** Makes a record of nobody. */
+export function createReturns(): Returns {
+	return { lastDueAt: 0 }
+}
+
+/** What the time told to a caller follows from. */
+export interface ReturnForecast {
+	/** When the service is expected to take requests again, from now, ms. */
+	readonly openInMs: number
+	/** Between two places that come free, ms. */
+	readonly gapMs: number
+	/** Until the caller's deadline, ms. */
+	readonly leftMs: number
+}
 
-/** Time to tell a caller with `leftMs` until its deadline, ms. */
-export function chooseComeBack(
-	closed: boolean,
-	leftMs: number,
+/** Books the next place for a caller, and gives the time to tell it, ms. */
+export function bookReturn(
+	returns: Returns,
+	{ openInMs, gapMs, leftMs }: ReturnForecast,
+	now: number,
 	random: Random,
 ): number {
-	const usual = closed ? CLOSED_MS : FULL_MS
-	const spread = usual * (1 + SPREAD * (random() - 0.5))
-	return Math.max(MIN_MS, Math.min(spread, leftMs * HEEDED_SHARE))
+	const heededMs = leftMs * HEEDED_SHARE
+	const afterOthers = Math.max(now + openInMs, returns.lastDueAt) + gapMs
+	const dueAt = Math.min(afterOthers, now + heededMs)
+	returns.lastDueAt = Math.max(returns.lastDueAt, dueAt)
+	const spreadMs = SPREAD * gapMs * (random() - 0.5)
+	return Math.max(MIN_MS, Math.min(dueAt - now + spreadMs, heededMs))
 }
--- a/packages/core/src/core/mapNeed.ts
+++ b/packages/core/src/core/mapNeed.ts
@@ -3,18 +3,27 @@
  * map is worth its copying, and how many requests it may hold.
  */
 
-import type { PassCost } from '../internal.ts'
-import { COPYING_FACTOR, heldWithin } from '../internal.ts'
+import type { PassCost, PassFit } from '../internal.ts'
+import { COPYING_FACTOR, heldWithin, predictPassMs } from '../internal.ts'
 
 /** A plan must make passes shorter by this part. */
-const MIN_GAIN = 0.05
+const MIN_GAIN = 0.08
 /**
  * Part of the longest pause in time that a pass may be predicted to take: the
  * rest is for prompts that are read and for the way to the caller.
  */
-const FULL_PAUSE_SHARE = 0.9
+const FULL_PAUSE_SHARE = 0.75
+/**
+ * The same for the few passes between a shift of demand and the map that cures
+ * it: fewer passes are less likely to meet one that takes longer than predicted.
+ */
+const SHIFT_PAUSE_SHARE = 0.9
+/** The same for passes after a shift with the present map, for it to be kept. */
+const KEPT_MAP_SHARE = 0.65
 /** Part of an engine's slots that requests may always hold. */
 const MIN_HELD_SHARE = 0.5
+/** Part of the longest pause beyond which a slow rank's own steps are hopeless. */
+const HOPELESS_SHARE = 0.85
 /** Shifts that come within this time are prepared for, ms. */
 const SHIFTS_OFTEN_MS = 6_000
 
@@ -34,6 +43,8 @@
 	readonly shiftedFactor: number
 	/** How long demand is expected to stay as it is, ms. */
 	readonly steadyMs: number
+	/** How passes were seen to compare with the published figures. */
+	readonly fit: PassFit
 }
 
 /**
@@ -42,15 +53,18 @@
  * to see one: all that are under way when it comes would be late.
  */
 export function allowedHeld(
-	{ factor, shiftedFactor, steadyMs }: LetInState,
+	{ factor, shiftedFactor, steadyMs, fit }: LetInState,
 	{ maxPauseMs, slots }: GroupLimits,
 	cost: PassCost,
 ): number | undefined {
 	if (maxPauseMs <= 0 || cost.perRequestMs <= 0) return undefined
-	const mostMs = FULL_PAUSE_SHARE * maxPauseMs
-	const worst =
-		steadyMs < SHIFTS_OFTEN_MS ? Math.max(factor, shiftedFactor) : factor
-	const held = heldWithin(cost, mostMs, { factor: worst, copying: true })
+	const within = (share: number, worst: number) =>
+		heldWithin(cost, fit, share * maxPauseMs, { factor: worst, copying: true })
+	const isPrepared = steadyMs < SHIFTS_OFTEN_MS && shiftedFactor > factor
+	const held = Math.min(
+		within(FULL_PAUSE_SHARE, factor),
+		isPrepared ? within(SHIFT_PAUSE_SHARE, shiftedFactor) : slots,
+	)
 	if (held >= slots) return undefined
 	return Math.max(slots * MIN_HELD_SHARE, held)
 }
@@ -66,7 +80,27 @@
 	slowestPace: number,
 ): boolean {
 	const ownMs = stepsPerPass * stepMs * slowestPace * COPYING_FACTOR
-	return maxPauseMs > 0 && ownMs > FULL_PAUSE_SHARE * maxPauseMs
+	return maxPauseMs > 0 && ownMs > HOPELESS_SHARE * maxPauseMs
+}
+
+/**
+ * Whether streams could be late with the present map: whether the next shift of
+ * demand, or the present one, would make passes too long while it is cured.
+ * Without it a group with time to spare copies experts for nobody.
+ */
+export function isMapNeeded(
+	held: number,
+	{ factor, shiftedFactor, fit }: LetInState,
+	{ maxPauseMs }: GroupLimits,
+	cost: PassCost,
+): boolean {
+	if (maxPauseMs <= 0) return true
+	const worst = Math.max(factor, shiftedFactor)
+	const passMs = predictPassMs(cost, fit, held, {
+		factor: worst,
+		copying: true,
+	})
+	return passMs > KEPT_MAP_SHARE * maxPauseMs
 }
 
 /** What a change of the map costs and how long it lasts. */
--- /dev/null
+++ b/packages/core/test/comeBack.test.ts
@@ -0,0 +1,93 @@
+/** When refused callers come back, and what that is predicted from. */
+
+import { test } from 'uvu'
+import * as assert from 'uvu/assert'
+import {
+	beginSpell,
+	bookReturn,
+	createPlaceFlow,
+	createRandom,
+	createReturns,
+	createSpell,
+	endSpell,
+	expectSpellEnd,
+	gapNow,
+	notePlace,
+	predictWaitMs,
+} from '../src/index.ts'
+
+const SPELLS = [
+	{ name: 'just begun', elapsedMs: 0, expected: 1_000 },
+	{ name: 'half over', elapsedMs: 500, expected: 500 },
+	{ name: 'longer than usual', elapsedMs: 3_000, expected: 1_500 },
+]
+
+for (const { name, elapsedMs, expected } of SPELLS)
+	test(`spell, ${name}: ${expected} ms to go`, () => {
+		const spell = createSpell(1_000)
+		assert.is(expectSpellEnd(spell, 0), 0)
+		beginSpell(spell, 0)
+		beginSpell(spell, elapsedMs / 2)
+		assert.is(expectSpellEnd(spell, elapsedMs), expected)
+	})
+
+test('spells: the usual length follows those that were seen', () => {
+	const spell = createSpell(1_000)
+	for (let at = 0; at < 20; at++) {
+		beginSpell(spell, at * 10_000)
+		endSpell(spell, at * 10_000 + 3_000)
+	}
+	assert.ok(Math.abs(spell.usualMs - 3_000) < 10)
+	assert.is(expectSpellEnd(spell, 0), 0)
+})
+
+test('places: a wait is as long as the places before it take', () => {
+	const flow = createPlaceFlow()
+	for (let at = 0; at <= 60; at++) notePlace(flow, at * 50)
+	assert.ok(Math.abs(gapNow(flow, 3_000) - 50) < 1)
+	assert.ok(Math.abs(predictWaitMs(flow, 3, 3_000) - 200) < 4)
+	assert.is(gapNow(flow, 3_400), 400, 'none has come since')
+})
+
+const RETURNS = [
+	{ name: 'an open service', openInMs: 0, leftMs: 8_000, least: 50, most: 125 },
+	{ name: 'a full one', openInMs: 900, leftMs: 8_000, least: 975, most: 1_025 },
+	{
+		name: 'little time left',
+		openInMs: 900,
+		leftMs: 1_500,
+		least: 455,
+		most: 480,
+	},
+	{ name: 'no time left', openInMs: 900, leftMs: 10, least: 50, most: 50 },
+]
+
+for (const { name, openInMs, leftMs, least, most } of RETURNS)
+	test(`come back to ${name}: ${least} to ${most} ms`, () => {
+		const random = createRandom(3)
+		for (let draw = 0; draw < 50; draw++) {
+			const forecast = { openInMs, gapMs: 100, leftMs }
+			const told = bookReturn(createReturns(), forecast, 0, random)
+			assert.ok(told >= least && told <= most, `${told}`)
+		}
+	})
+
+test('come back: one after the other, in the order they came', () => {
+	const returns = createReturns()
+	const forecast = { openInMs: 300, gapMs: 100, leftMs: 8_000 }
+	const even = () => 0.5
+	const told = [0, 10, 20].map(now => bookReturn(returns, forecast, now, even))
+	assert.equal(told, [400, 490, 580])
+})
+
+test('come back: a new spell does not wait for callers long gone', () => {
+	const returns = createReturns()
+	const forecast = { openInMs: 300, gapMs: 100, leftMs: 8_000 }
+	bookReturn(returns, forecast, 0, () => 0.5)
+	assert.is(
+		bookReturn(returns, forecast, 60_000, () => 0.5),
+		400,
+	)
+})
+
+test.run()
--- a/packages/core/test/directRouting.test.ts
+++ b/packages/core/test/directRouting.test.ts
@@ -5,7 +5,6 @@
 import type { ListedServer, TrafficConfig, TryResult } from '../src/index.ts'
 import {
 	allowedHeld,
-	chooseComeBack,
 	chooseRow,
 	createRandom,
 	createRetryWindow,
@@ -16,7 +15,6 @@
 	drawService,
 	findMissing,
 	findRoute,
-	heldWithin,
 	isBeyondLimits,
 	listFullGroups,
 	listServing,
@@ -26,7 +24,6 @@
 	noteOpen,
 	noteRequest,
 	noteTry,
-	predictPassMs,
 	settleRemovals,
 	TRY_AGAIN_MS,
 	takeRecord,
@@ -271,17 +268,17 @@
 	},
 	{
 		name: 'longer',
-		factor: 2.2,
+		factor: 1.6,
 		shiftedFactor: 1,
 		steadyMs: 10_000,
-		allowed: 4.51,
+		allowed: 6.54,
 	},
 	{
 		name: 'shifts that come often are prepared for',
 		factor: 1.1,
 		shiftedFactor: 2.2,
 		steadyMs: 3_500,
-		allowed: 4.51,
+		allowed: 5.79,
 	},
 	{
 		name: 'rare ones are not',
@@ -303,20 +300,11 @@
 	test(`requests let in, ${name}`, () => {
 		const limits = { maxPauseMs: 120, slots: 8 }
 		const cost = { stepMs: 4.55, perRequestMs: 1.3575, stepsPerPass: 4 }
-		const held = allowedHeld(state, limits, cost)
+		const fit = { base: 1, stepSkew: 0.3 }
+		const held = allowedHeld({ ...state, fit }, limits, cost)
 		assert.is(held && Number(held.toFixed(2)), allowed)
 	})
 
-test('a pass grows with what ranks hold, imbalance and copying', () => {
-	const cost = { stepMs: 5, perRequestMs: 1, stepsPerPass: 4 }
-	const even = { factor: 1, copying: false }
-	assert.is(predictPassMs(cost, 5, even), 40)
-	assert.is(predictPassMs(cost, 5, { factor: 2, copying: false }), 80)
-	assert.is(predictPassMs(cost, 5, { factor: 1, copying: true }), 46)
-	assert.is(heldWithin(cost, 40, even), 5)
-	assert.ok(heldWithin(cost, 10, even) < 0)
-})
-
 const FULL_GROUPS = [
 	{ name: 'without a limit', most: Number.POSITIVE_INFINITY, full: false },
 	{ name: 'with room for one', most: 2.5, full: false },
@@ -382,19 +370,4 @@
 	assert.ok(mayEnter(closures, 's', TRY_AGAIN_MS + 1))
 })
 
-const COME_BACKS: { closed: boolean; leftMs: number; most: number }[] = [
-	{ closed: true, leftMs: 8_000, most: 2_560 },
-	{ closed: true, leftMs: 20_000, most: 2_990 },
-	{ closed: false, leftMs: 8_000, most: 1_725 },
-	{ closed: true, leftMs: 1_500, most: 480 },
-	{ closed: false, leftMs: 10, most: 50 },
-]
-
-for (const { closed, leftMs, most } of COME_BACKS)
-	test(`come back, closed ${closed}, ${leftMs} ms left: at most ${most}`, () => {
-		const random = createRandom(3)
-		for (let draw = 0; draw < 50; draw++)
-			assert.ok(chooseComeBack(closed, leftMs, random) <= most)
-	})
-
 test.run()
--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -15,13 +15,14 @@
 } from './closedGroups.ts'
 import type { GatewayContext } from './context.ts'
 import { noteHeld, noteToldLoad } from './fleet.ts'
+import { noteFirst, pressureOf, spareMs } from './pressure.ts'
 import type { ServerAnswer } from './serverCall.ts'
 import { callServer } from './serverCall.ts'
 import { buildServerHeaders } from './serverHeaders.ts'
 import { awaitServer, serveWaiting } from './waiting.ts'
 
-/** A request waits for a server for this part of its target time. */
-const WAIT_SHARE = 0.2
+/** A request that was sent before may wait for this part of its target time. */
+const AGAIN_WAIT_SHARE = 0.2
 /** An attempt with less time left than this is not made, ms. */
 const MIN_LEFT_MS = 5
 
@@ -80,17 +81,17 @@
 ): Promise<AttemptResult> {
 	const { request } = job
 	const askedAt = readNow()
-	const { targetMs } = request.route
 	const isClosed = isServiceClosed(ctx, job.service)
 	const waitMs = isClosed
-		? closedWaitMs(ctx, job.service, targetMs)
-		: targetMs * WAIT_SHARE
+		? closedWaitMs(ctx, job.service)
+		: waitFor(ctx, job, askedAt)
 	const grant = await awaitServer(ctx, {
 		service: job.service,
 		team: request.team?.name ?? '',
 		priority: request.priority,
 		tried: job.tried,
 		waitMs: Math.min(waitMs, request.givenUpAt - askedAt),
+		inTurn: !isClosed,
 		signal: job.signal,
 	})
 	const now = readNow()
@@ -107,6 +108,15 @@
 	}
 }
 
+/** How long a request may wait for a server with room, ms. */
+function waitFor(ctx: GatewayContext, job: Job, now: number): number {
+	const { targetMs } = job.request.route
+	const elapsedMs = now - job.request.arrivedAt
+	const spare = spareMs(pressureOf(ctx, job.service), targetMs, elapsedMs)
+	// What was begun, and is late already, is not given up for want of a moment.
+	return job.sends > 0 ? Math.max(spare, targetMs * AGAIN_WAIT_SHARE) : spare
+}
+
 async function sendTo(
 	ctx: GatewayContext,
 	job: Job,
@@ -175,6 +185,7 @@
 		return { kind: 'notRun', reason: `status ${answer.status}` }
 	}
 	openGroup(ctx, server)
+	noteFirst(pressureOf(ctx, job.service), readNow() - sentAt)
 	return {
 		kind: 'answer',
 		answer,
--- a/packages/gateway/src/closedGroups.ts
+++ b/packages/gateway/src/closedGroups.ts
@@ -1,7 +1,14 @@
 /** Lock-step groups that are broken and refuse at every rank. */
 
-import type { ListedServer } from '@juniperhook/core'
-import { noteClosed, noteOpen } from '@juniperhook/core'
+import type { ListedServer, Spell } from '@juniperhook/core'
+import {
+	beginSpell,
+	createSpell,
+	endSpell,
+	expectSpellEnd,
+	noteClosed,
+	noteOpen,
+} from '@juniperhook/core'
 import { readNow } from '@juniperhook/runtime'
 import type { GatewayContext } from './context.ts'
 import { groupOf } from './fleet.ts'
@@ -15,10 +22,10 @@
  */
 const FORMINGS_WAITED = 2
 /**
- * While a service refuses later on, requests wait for this part of their target:
- * a rank that crashed is away for seconds.
+ * How long a group is assumed to be away before an outage was seen, besides its
+ * forming, ms: for a process to be started again and to load its weights.
  */
-const CLOSED_WAIT_SHARE = 0.06
+const FIRST_OUTAGE_MS = 2_000
 
 /** Whether a refusal speaks for all ranks of a lock-step group. */
 export function isGroupRefusal(
@@ -44,6 +51,7 @@
 	const group = groupOf(rank)
 	if (!ctx.closures.has(group)) ctx.log.write('group closed', { group })
 	noteClosed(ctx.closures, group, now)
+	beginSpell(outageOf(ctx, rank), now)
 	if (ctx.openUntil.has(group)) return
 	const reformMs = layoutOf(ctx, rank.service)?.reformMs ?? 0
 	ctx.openUntil.set(group, now + FORMINGS_WAITED * reformMs)
@@ -55,7 +63,9 @@
 	ctx.openUntil.set(group, 0)
 	const since = ctx.closures.get(group)?.since
 	if (since === undefined || !noteOpen(ctx.closures, group)) return
-	const closedMs = Math.round(readNow() - since)
+	const now = readNow()
+	endSpell(outageOf(ctx, rank), now)
+	const closedMs = Math.round(now - since)
 	ctx.log.write('group open', { group, closedMs })
 	serveWaiting(ctx)
 }
@@ -67,15 +77,33 @@
 	return rows.every(row => ctx.closures.has(groupOf(ctx.fleet.servers[row]!)))
 }
 
-/** How long a request may wait for a service that refuses, ms. */
-export function closedWaitMs(
+/** Outages of a rank's group. */
+function outageOf(ctx: GatewayContext, rank: ListedServer): Spell {
+	const group = groupOf(rank)
+	const known = ctx.outages.get(group)
+	if (known) return known
+	const reformMs = layoutOf(ctx, rank.service)?.reformMs ?? 0
+	const outage = createSpell(FIRST_OUTAGE_MS + reformMs)
+	ctx.outages.set(group, outage)
+	return outage
+}
+
+/** When the first group of a service that refuses is expected to open, ms. */
+export function expectOpenMs(
 	ctx: GatewayContext,
 	service: string,
-	targetMs: number,
+	now: number,
 ): number {
+	if (!isServiceClosed(ctx, service)) return 0
+	const rows = ctx.fleet.rowsOf.get(service) ?? []
+	const outages = rows.map(row => outageOf(ctx, ctx.fleet.servers[row]!))
+	return Math.min(...outages.map(outage => expectSpellEnd(outage, now)))
+}
+
+/** How long a request may wait for a service that refuses, ms. */
+export function closedWaitMs(ctx: GatewayContext, service: string): number {
 	const rows = ctx.fleet.rowsOf.get(service) ?? []
 	const groups = new Set(rows.map(row => groupOf(ctx.fleet.servers[row]!)))
 	const expected = [...groups].map(group => ctx.openUntil.get(group) ?? 0)
-	const forming = Math.max(0, ...expected) - readNow()
-	return Math.max(targetMs * CLOSED_WAIT_SHARE, forming)
+	return Math.max(0, ...expected) - readNow()
 }
--- a/packages/gateway/src/context.ts
+++ b/packages/gateway/src/context.ts
@@ -7,11 +7,13 @@
 	RetryWindow,
 	RouteTable,
 	ServerList,
+	Spell,
 } from '@juniperhook/core'
 import type { EventLog } from '@juniperhook/runtime'
 import type { Fleet } from './fleet.ts'
 import type { GatewayMetrics } from './metrics.ts'
 import type { PublishedConfig, WireNames } from './ports.ts'
+import type { Pressure } from './pressure.ts'
 import type { ServerPool } from './serverPool.ts'
 
 /** What a gateway is told of its VM. */
@@ -59,6 +61,10 @@
 	 * expected to open, ms; 0 once it has served.
 	 */
 	readonly openUntil: Map<string, number>
+	/** Outages of lock-step groups, by group. */
+	readonly outages: Map<string, Spell>
+	/** What is observed of each service that may be full. */
+	readonly pressures: Map<string, Pressure>
 	/** Retries to each service. */
 	readonly retries: Map<string, RetryWindow>
 	/** Entries that are believed to live, with this one. */
--- a/packages/gateway/src/forward.ts
+++ b/packages/gateway/src/forward.ts
@@ -2,19 +2,14 @@
 
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { ErrorKind } from '@juniperhook/core'
-import {
-	chooseComeBack,
-	drawService,
-	ERRORS,
-	noteRequest,
-} from '@juniperhook/core'
+import { drawService, ERRORS, noteRequest } from '@juniperhook/core'
 import { readNow } from '@juniperhook/runtime'
 import type { AttemptResult, Job } from './attempt.ts'
 import { logAttempt, makeAttempt, mayTryAgain, retriesOf } from './attempt.ts'
 import type { CallerRequest } from './callerRequest.ts'
 import { readCallerRequest } from './callerRequest.ts'
-import { isServiceClosed } from './closedGroups.ts'
 import type { GatewayContext } from './context.ts'
+import { chooseComeBack } from './pressure.ts'
 import { writeFailure, writeWhole } from './reply.ts'
 import { readAnswerBody } from './serverCall.ts'
 import { relayStream } from './streamRelay.ts'
@@ -104,6 +99,7 @@
 ): void {
 	if (res.writableEnded || res.destroyed) return
 	const { request } = job
+	const leftMs = request.deadlineAt - readNow()
 	ctx.log.write('request failed', {
 		req: request.id,
 		route: request.route.name,
@@ -115,10 +111,8 @@
 		begun: res.headersSent,
 		config: request.routes.config.version,
 	})
-	const closed = isServiceClosed(ctx, job.service)
-	const left = request.deadlineAt - readNow()
-	const comeBack = chooseComeBack(closed, left, ctx.random)
-	const retryAfterMs = ERRORS[error].ran === 'no' ? comeBack : 0
+	const retryAfterMs =
+		ERRORS[error].ran === 'no' ? chooseComeBack(ctx, job.service, leftMs) : 0
 	writeFailure(ctx, res, error, request.id, retryAfterMs)
 }
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -58,6 +58,8 @@
 		configSince: 0,
 		closures: new Map(),
 		openUntil: new Map(),
+		outages: new Map(),
+		pressures: new Map(),
 		retries: new Map(),
 		entries: Math.max(1, settings.seeds.length),
 		open: 0,
--- a/packages/gateway/src/waiting.ts
+++ b/packages/gateway/src/waiting.ts
@@ -2,18 +2,24 @@
 
 import type { Waiting } from '@juniperhook/core'
 import {
+	beginSpell,
 	chooseRow,
 	dequeue,
+	endSpell,
 	enqueue,
 	type FairQueue,
 	isShut,
 	listFullGroups,
 	mayEnter,
+	notePlace,
+	predictWaitMs,
 	removeWaiting,
 } from '@juniperhook/core'
 import { readNow } from '@juniperhook/runtime'
 import type { GatewayContext } from './context.ts'
 import { groupOf, noteHeld, queueOf } from './fleet.ts'
+import type { Pressure } from './pressure.ts'
+import { pressureOf } from './pressure.ts'
 
 /** Requests that an engine may hold beyond its slots. */
 const ENGINE_QUEUE_ROOM = 2
@@ -43,6 +49,8 @@
 	readonly tried: ReadonlySet<string>
 	/** How long it may wait, ms. */
 	readonly waitMs: number
+	/** Whether places come free one by one; not while a group forms. */
+	readonly inTurn: boolean
 	readonly signal: AbortSignal
 }
 
@@ -52,11 +60,19 @@
 	wish: ServerWish,
 ): Promise<Grant> {
 	const queue = queueOf(ctx.fleet, wish.service)
+	const pressure = pressureOf(ctx, wish.service)
+	const now = readNow()
 	if (queue.waiting.length === 0) {
 		const grant = choose(ctx, wish.service, wish.tried)
+		if (grant.kind === 'server') {
+			notePlace(pressure.flow, now)
+			endSpell(pressure.full, now)
+		}
 		if (grant.kind !== 'full') return Promise.resolve(grant)
 	}
-	if (wish.waitMs <= 0) return Promise.resolve({ kind: 'full' })
+	beginSpell(pressure.full, now)
+	if (waitsTooLong(queue, wish, pressure, now))
+		return Promise.resolve({ kind: 'full' })
 	return new Promise(resolve => {
 		const leave = (grant: Grant) => {
 			clearTimeout(timer)
@@ -78,6 +94,18 @@
 	})
 }
 
+/** One that surely waits too long is told so now, not when its time is over. */
+function waitsTooLong(
+	queue: FairQueue<Waiter>,
+	wish: ServerWish,
+	{ flow }: Pressure,
+	now: number,
+): boolean {
+	if (!wish.inTurn) return wish.waitMs <= 0
+	const before = queue.waiting.filter(one => one.priority <= wish.priority)
+	return predictWaitMs(flow, before.length, now) > wish.waitMs
+}
+
 /** Gives waiting requests the servers that have room now. */
 export function serveWaiting(ctx: GatewayContext): void {
 	for (const queue of ctx.fleet.queues.values()) serveQueue(ctx, queue)
@@ -88,6 +116,8 @@
 		const grant = choose(ctx, next.service, next.tried)
 		if (grant.kind === 'full') return
 		dequeue(queue)
+		if (grant.kind === 'server')
+			notePlace(pressureOf(ctx, next.service).flow, readNow())
 		next.grant(grant)
 	}
 }
--- a/packages/groups/src/coordinator.ts
+++ b/packages/groups/src/coordinator.ts
@@ -3,16 +3,22 @@
  * the group from map to map, one round at a time.
  */
 
-import type { RankReport } from '@juniperhook/core'
-import { allowedHeld, isBeyondLimits } from '@juniperhook/core'
+import type { GroupMap, RankReport } from '@juniperhook/core'
+import { allowedHeld, isBeyondLimits, isMapNeeded } from '@juniperhook/core'
 import { readNow } from '@juniperhook/runtime'
 import type { Coordinator } from './coordinatorState.ts'
 import { pause, readAnchor } from './coordinatorState.ts'
 import { isShifting, refreshDemand, takeChoices } from './demand.ts'
 import { factorNow, planNext, readMap } from './mapWork.ts'
+import { watchPasses } from './passWatch.ts'
 import type { RankBusy } from './ports.ts'
 import type { RankClient } from './rankClient.ts'
-import { busyOfRank, closeRankClient, sampleRank } from './rankClient.ts'
+import {
+	busyOfRank,
+	closeRankClient,
+	reportRank,
+	sampleRank,
+} from './rankClient.ts'
 import { runRound } from './roundRunner.ts'
 
 /** Between readings of all ranks' counts, ms: a few passes. */
@@ -65,7 +71,10 @@
 	const home = co.clients.get(co.homeRank)
 	while (!co.stopped && readNow() < until) {
 		await pause(Math.min(HOME_COUNTS_MS, Math.max(0, until - readNow())))
-		const sample = home && (await sampleRank(home))
+		if (!home) continue
+		const report = await reportRank(home)
+		if (report) watchPasses(co, report)
+		const sample = await sampleRank(home, report)
 		if (!sample) continue
 		takeChoices(co.demand, sample.chosen)
 		if (isShifting(co.demand)) return
@@ -171,17 +180,25 @@
 
 /** Requests that a rank may hold; undefined for as many as fit. */
 function letIn(co: Coordinator): number | undefined {
-	const { group, map, shiftedFactor, steadyMs } = co
+	const { group, map, shiftedFactor, steadyMs, fitter } = co
 	if (!group || !map) return undefined
 	const slowest = Math.max(1, ...co.paces.values())
 	if (isBeyondLimits(group, group.cost, slowest)) return undefined
 	const factor = factorNow(co, group, map)
-	const state = { factor, shiftedFactor, steadyMs }
+	const state = { factor, shiftedFactor, steadyMs, fit: fitter.fit }
 	const limit = allowedHeld(state, group, group.cost)
 	if (limit === undefined) return undefined
 	return Math.floor(limit / LIMIT_STEP) * LIMIT_STEP
 }
 
+function needsMap(co: Coordinator, map: GroupMap): boolean {
+	const { group, held, shiftedFactor, steadyMs, fitter } = co
+	if (!group) return false
+	const factor = factorNow(co, group, map)
+	const state = { factor, shiftedFactor, steadyMs, fit: fitter.fit }
+	return isMapNeeded(held, state, group, group.cost)
+}
+
 /** Settles what an older round left, or makes the map better if that pays. */
 async function improve(co: Coordinator, report: RankReport): Promise<void> {
 	if (report.held !== undefined) {
@@ -191,6 +208,7 @@
 	if (report.armed !== undefined) return
 	const map = await readMap(co, report)
 	if (!map || co.demand.seen < MIN_SEEN) return
+	if (!needsMap(co, map)) return
 	const better = await planNext(co, map)
 	if (better) await runRound(co, report, better)
 }
--- a/packages/groups/src/coordinatorState.ts
+++ b/packages/groups/src/coordinatorState.ts
@@ -1,11 +1,22 @@
 /** What a coordinator knows of its group, and its way to the ranks. */
 
-import type { GroupMap, Random, RankReport } from '@juniperhook/core'
-import { ANCHOR_RANK, fenceOfVersion } from '@juniperhook/core'
+import type {
+	GroupMap,
+	PassFitter,
+	Random,
+	RankReport,
+} from '@juniperhook/core'
+import {
+	ANCHOR_RANK,
+	createPassFitter,
+	fenceOfVersion,
+} from '@juniperhook/core'
 import type { EventLog } from '@juniperhook/runtime'
 import { readNow } from '@juniperhook/runtime'
 import type { Demand } from './demand.ts'
 import { createDemand } from './demand.ts'
+import type { PassWatch } from './passWatch.ts'
+import { createPassWatch } from './passWatch.ts'
 import type { EnginePort, PublishedGroup } from './ports.ts'
 import type { RankClient } from './rankClient.ts'
 import {
@@ -54,6 +65,11 @@
 	counter: number
 	undo: boolean
 	passMs: number
+	/** Passes that are being timed, and the model fitted to them. */
+	readonly passes: PassWatch
+	readonly fitter: PassFitter
+	/** Whether ranks copy experts for a round. */
+	copying: boolean
 	/** From a plan until its map is in use, without copying, smoothed, ms. */
 	overheadMs: number
 	/** Between two shifts of demand, smoothed, ms. */
@@ -94,6 +110,9 @@
 		counter: 0,
 		undo: false,
 		passMs: 50,
+		passes: createPassWatch(),
+		fitter: createPassFitter(),
+		copying: false,
 		overheadMs: FIRST_OVERHEAD_MS,
 		steadyMs: FIRST_STEADY_MS,
 		shiftedFactor: 1,
--- /dev/null
+++ b/packages/groups/src/passWatch.ts
@@ -0,0 +1,85 @@
+/**
+ * Times the passes of a group at the engine beside the coordinator, and fits the
+ * model of a pass to them.
+ */
+
+import type { PassSeen, RankReport } from '@juniperhook/core'
+import { notePasses, predictPassMs } from '@juniperhook/core'
+import { readNow } from '@juniperhook/runtime'
+import type { Coordinator } from './coordinatorState.ts'
+import { factorNow } from './mapWork.ts'
+import type { PublishedGroup } from './ports.ts'
+
+/** Passes that are timed together: looks are as far apart as passes take. */
+const PASSES = 4
+/** Between two lines that compare a prediction with what was seen, ms. */
+const LOG_MS = 1_000
+/** A mean beyond this is of a group that stood still, not of passes, ms. */
+const MAX_PASS_MS = 1_000
+
+/** Passes that are being timed under the same conditions. */
+export interface PassWatch {
+	since: { readonly report: RankReport; readonly at: number } | undefined
+	copying: boolean
+	factor: number
+	loggedAt: number
+}
+
+/** Makes a watch that has seen nothing. */
+export function createPassWatch(): PassWatch {
+	return { since: undefined, copying: false, factor: 1, loggedAt: 0 }
+}
+
+/** Takes a fresh report of the engine beside this process. */
+export function watchPasses(co: Coordinator, report: RankReport): void {
+	const { group, map, passes, copying } = co
+	if (!group || !map || !report.open) {
+		passes.since = undefined
+		return
+	}
+	const at = readNow()
+	const factor = factorNow(co, group, map)
+	const { since } = passes
+	const isSame =
+		since !== undefined &&
+		since.report.epoch === report.epoch &&
+		since.report.map === report.map &&
+		report.map === co.mapVersion &&
+		passes.copying === copying &&
+		Math.abs(passes.factor / factor - 1) < SAME_FACTOR
+	if (isSame && report.step - since.report.step < PASSES) return
+	if (isSame) {
+		const passMs = (at - since.at) / (report.step - since.report.step)
+		takePasses(co, group, { passMs, held: co.held, factor, copying })
+	}
+	passes.since = { report, at }
+	passes.copying = copying
+	passes.factor = factor
+}
+
+/** Factors this far apart count as the same conditions. */
+const SAME_FACTOR = 0.15
+
+function takePasses(
+	co: Coordinator,
+	group: PublishedGroup,
+	seen: PassSeen,
+): void {
+	if (seen.passMs > MAX_PASS_MS || seen.held <= 0) return
+	const { fitter, passes } = co
+	const { fit } = fitter
+	const predicted = predictPassMs(group.cost, fit, seen.held, seen)
+	notePasses(fitter, group.cost, seen)
+	const now = readNow()
+	if (now - passes.loggedAt < LOG_MS) return
+	passes.loggedAt = now
+	co.log.write('passes seen', {
+		passMs: Math.round(seen.passMs),
+		predictedMs: Math.round(predicted),
+		held: Number(seen.held.toFixed(2)),
+		factor: Number(seen.factor.toFixed(2)),
+		copying: seen.copying,
+		base: Number(fit.base.toFixed(2)),
+		stepSkew: Number(fit.stepSkew.toFixed(2)),
+	})
+}
--- a/packages/groups/src/rankClient.ts
+++ b/packages/groups/src/rankClient.ts
@@ -195,13 +195,17 @@
 	return await port.report(member.engine)
 }
 
-/** Counts, from an agent only: from afar they cost the group time. */
+/**
+ * Counts, from an agent only: from afar they cost the group time. `known` is a
+ * fresh report of the engine at home, if there is one.
+ */
 export async function sampleRank(
 	client: RankClient,
+	known?: RankReport,
 ): Promise<RankSample | undefined> {
 	const { port, member } = client
 	if (client.home)
-		return await readSample(port, member.engine, client.reader, undefined)
+		return await readSample(port, member.engine, client.reader, known)
 	const message = await ask(client, 'sample', {}, DEMAND_MS)
 	return message ? fromSampleMessage(message) : undefined
 }
--- a/packages/groups/src/rankService.ts
+++ b/packages/groups/src/rankService.ts
@@ -112,7 +112,7 @@
 	const sample = async (link: RpcLink): Promise<SampleMessage | undefined> => {
 		const reader = readers.get(link) ?? createChoiceReader()
 		readers.set(link, reader)
-		const read = await readSample(port, engine, reader, lastReport())
+		const read = await readSample(port, engine, reader, undefined)
 		return read && toSampleMessage(read)
 	}
 	const known = createKnownMaps()
--- a/packages/groups/src/roundRunner.ts
+++ b/packages/groups/src/roundRunner.ts
@@ -107,12 +107,14 @@
 			if (fresh && round.phase === phase) takeAnchorReport(round, fresh, lead)
 		}
 		if (round.phase !== shown) phaseAt = readNow()
+		co.copying = round.phase === 'preparing'
 		shown = round.phase
 		const probeMs = PROBE_MS + PROBE_PER_RANK_MS * round.ranks
 		if (readNow() - phaseAt > probeMs) giveUpProbing(round)
 		const tooLong = readNow() - startedAt > PREPARE_LIMIT_MS
 		if (tooLong && isHarmless(round)) break
 	}
+	co.copying = false
 	await endRound(co, run)
 }
 
