--- a/packages/core/src/core/mapNeed.ts
+++ b/packages/core/src/core/mapNeed.ts
@@ -12,7 +12,7 @@
  * Part of the longest pause in time that a pass may be predicted to take: the
  * rest is for prompts that are read and for the way to the caller.
  */
-const FULL_PAUSE_SHARE = 0.75
+const FULL_PAUSE_SHARE = 0.85
 /**
  * The same for the few passes between a shift of demand and the map that cures
  * it: fewer passes are less likely to meet one that takes longer than predicted.
--- a/packages/gateway/src/peers.ts
+++ b/packages/gateway/src/peers.ts
@@ -11,7 +11,6 @@
 	call,
 	connectRpc,
 	messageOf,
-	notify,
 	readNow,
 	serveRpc,
 	sleep,
@@ -71,10 +70,12 @@
 		told: '',
 	}
 	const methods: Methods = {
-		state: (params: unknown, link: RpcLink) =>
+		state: (params: unknown, link: RpcLink) => {
 			takeState(ctx, peers, source, params, link).catch(err =>
 				ctx.log.write('peer state refused', { reason: messageOf(err) }),
-			),
+			)
+			return true
+		},
 		pull: (params: unknown) => answerPull(ctx, params),
 		paces: (params: unknown) => takePaces(ctx, params),
 	}
@@ -113,7 +114,7 @@
 			pause = RECONNECT_MS
 			peers.links.set(address, link)
 			ctx.log.write('peer linked', { peer: address })
-			notify(link, 'state', stateOf(ctx, peers))
+			tell(ctx, link, stateOf(ctx, peers))
 			await new Promise(resolve => link.socket.once('close', resolve))
 			peers.links.set(address, undefined)
 			ctx.log.write('peer lost', { peer: address })
@@ -148,15 +149,19 @@
 	if (text === peers.told && now - peers.toldAt < HEARTBEAT_MS) return
 	peers.told = text
 	peers.toldAt = now
-	for (const link of peers.links.values()) if (link) tell(link, state)
+	for (const link of peers.links.values()) if (link) tell(ctx, link, state)
 }
 
-/** Bytes waiting on a link beyond which its peer is not reading, or cut off. */
-const MAX_WAITING_BYTES = 65_536
+/** A peer that has not confirmed a state by then is told on a new link, ms. */
+const CONFIRM_MS = 1_500
 
-function tell(link: RpcLink, state: State): void {
-	if (link.socket.writableLength > MAX_WAITING_BYTES) link.socket.destroy()
-	else notify(link, 'state', state)
+function tell(ctx: GatewayContext, link: RpcLink, state: State): void {
+	call(link, 'state', state, CONFIRM_MS).catch(err => {
+		if (link.socket.destroyed) return
+		// Without a reset, only the missing answer tells of a link gone silent.
+		ctx.log.write('peer silent', { reason: messageOf(err) })
+		link.socket.destroy()
+	})
 }
 
 async function takeState(
@@ -178,7 +183,7 @@
 	const version = ctx.routes?.config.version ?? -1
 	// A peer that is behind may not be reached from here but by its own link.
 	const isBehind = state.config < version || state.list < ctx.list.revision
-	if (isBehind && link.opened === 'there') tell(link, stateOf(ctx, peers))
+	if (isBehind && link.opened === 'there') tell(ctx, link, stateOf(ctx, peers))
 	const behind = state.config > version || state.list > ctx.list.revision
 	if (!behind || peers.pulling.has(state.name)) return
 	peers.pulling.add(state.name)
--- a/packages/gateway/test/gatewayState.test.ts
+++ b/packages/gateway/test/gatewayState.test.ts
@@ -2,6 +2,7 @@
 
 import { createServer } from 'node:http'
 import type { AddressInfo } from 'node:net'
+import { createServer as createTcpServer } from 'node:net'
 import type { TrafficConfig } from '@juniperhook/core'
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
@@ -66,6 +67,27 @@
 	assert.is(ready.status, 503)
 })
 
+test('gateway: a link to a peer that goes silent is made anew', async () => {
+	let links = 0
+	const control = '127.0.0.1:21598'
+	// It takes connections and what is sent on them, and never says a word.
+	const silent = createTcpServer(socket => {
+		links++
+		socket.on('error', () => {})
+		socket.resume()
+	})
+	await new Promise<void>(resolve =>
+		silent.listen(21_598, '127.0.0.1', () => resolve()),
+	)
+	const lone = await openGateway(createCatalog(CONFIG, backends.listed), [
+		control,
+	])
+	await until(() => links >= 2)
+	assert.ok(links >= 2, `${links} links`)
+	assert.ok(lone.ctx.routes)
+	silent.close()
+})
+
 test('gateway: what the source turns away comes from peers', async () => {
 	const catalog = createCatalog(undefined, [])
 	catalog.down = true
--- a/packages/groups/src/coordinator.ts
+++ b/packages/groups/src/coordinator.ts
@@ -141,6 +141,9 @@
 	const now = readNow()
 	const agreement = refreshDemand(co.demand, now)
 	const sinceMs = now - co.shiftedAt
+	const factor = factorOfDemand(co)
+	// The map that a group forms with fits demand no better than one after a shift.
+	if (co.mapVersion === 0 && factor !== undefined) co.shiftedFactor = factor
 	// Where shifts have stopped, demand is expected to stay.
 	if (sinceMs < Number.POSITIVE_INFINITY)
 		co.steadyMs = Math.max(co.steadyMs, sinceMs)
@@ -150,17 +153,23 @@
 			co.steadyMs += STEADY_WEIGHT * (sinceMs - co.steadyMs)
 		co.shiftedAt = now
 	}
-	const factor =
-		co.group && co.map ? factorNow(co, co.group, co.map) : co.shiftedFactor
-	co.shiftedFactor += STEADY_WEIGHT * (factor - co.shiftedFactor)
+	if (factor !== undefined)
+		co.shiftedFactor += STEADY_WEIGHT * (factor - co.shiftedFactor)
 	co.log.write('demand shifted', {
 		agreement: Number(agreement.toFixed(2)),
 		steadyMs: Math.round(co.steadyMs),
-		factor: Number(factor.toFixed(2)),
+		factor: Number(factor?.toFixed(2)),
 		shiftedFactor: Number(co.shiftedFactor.toFixed(2)),
 	})
 }
 
+/** What demand alone makes of passes, slow ranks left out. */
+function factorOfDemand(co: Coordinator): number | undefined {
+	const { group, map, demand } = co
+	if (!group || !map || demand.seen < MIN_SEEN) return undefined
+	return factorNow(co, group, map, [])
+}
+
 /** The clients that are asked this time. */
 function takeTurn(
 	co: Coordinator,
--- a/packages/groups/src/mapWork.ts
+++ b/packages/groups/src/mapWork.ts
@@ -102,13 +102,16 @@
 	return plan
 }
 
-/** Time of a pass with the map in use over that of a balanced one. */
+/**
+ * Time of a pass with the map in use over that of a balanced one; `paces` tells
+ * how slow ranks are, none if left out.
+ */
 export function factorNow(
 	co: Coordinator,
 	{ layout }: PublishedGroup,
 	map: GroupMap,
+	paces: readonly number[] = pacesOf(co, map),
 ): number {
-	const paces = pacesOf(co, map)
 	const skews = map.map((placement, set) =>
 		skewOfSet(placement, shareOfSet(co.demand, set), layout, paces),
 	)
--- a/packages/groups/src/paceTeller.ts
+++ b/packages/groups/src/paceTeller.ts
@@ -1,13 +1,15 @@
 /** Tells entries which ranks are slow and how much a group may hold. */
 
 import type { RpcLink } from '@juniperhook/runtime'
-import { connectRpc, messageOf, notify, readNow } from '@juniperhook/runtime'
+import { call, connectRpc, messageOf, readNow } from '@juniperhook/runtime'
 
 /** A rank counts as slow from this pace on. */
 const SLOW_PACE = 1.2
 /** Between two tellings while some rank is slow, ms. */
 const TELL_MS = 1_000
 const CONNECT_MS = 300
+/** An entry that has not confirmed by then is told again on a new link, ms. */
+const CONFIRM_MS = 500
 
 /** What is told of a group without slow ranks and limit. */
 const ORDINARY = JSON.stringify({ slow: {} })
@@ -19,6 +21,8 @@
 	readonly links: Map<string, RpcLink>
 	told: string
 	toldAt: number
+	/** Whether an entry has missed what was told last. */
+	missed: boolean
 	/** Entries that could not be reached, and why. */
 	onUnreached(entry: string, reason: string): void
 }
@@ -28,7 +32,14 @@
 	entries: readonly string[],
 	onUnreached: PaceTeller['onUnreached'],
 ): PaceTeller {
-	return { entries, links: new Map(), told: ORDINARY, toldAt: 0, onUnreached }
+	return {
+		entries,
+		links: new Map(),
+		told: ORDINARY,
+		toldAt: 0,
+		missed: false,
+		onUnreached,
+	}
 }
 
 /** What entries are told of a group. */
@@ -50,9 +61,10 @@
 	const told = { slow, ...(isLimited && { limit: allowedHeld }) }
 	const text = JSON.stringify(told)
 	const now = readNow()
-	const isUnusual = text !== ORDINARY
-	if (text === teller.told && !(isUnusual && now - teller.toldAt > TELL_MS))
+	const isRepeated = text !== ORDINARY || teller.missed
+	if (text === teller.told && !(isRepeated && now - teller.toldAt > TELL_MS))
 		return
+	teller.missed = false
 	teller.told = text
 	teller.toldAt = now
 	for (const entry of teller.entries)
@@ -64,13 +76,16 @@
 	entry: string,
 	message: object,
 ): Promise<void> {
+	const known = teller.links.get(entry)
+	let link = known?.socket.destroyed === false ? known : undefined
 	try {
-		const known = teller.links.get(entry)
-		const isOpen = known !== undefined && !known.socket.destroyed
-		const link = isOpen ? known : await connectRpc(entry, {}, CONNECT_MS)
+		link ??= await connectRpc(entry, {}, CONNECT_MS)
 		teller.links.set(entry, link)
-		notify(link, 'paces', message)
+		await call(link, 'paces', message, CONFIRM_MS)
 	} catch (err) {
+		// Without a reset, only the missing answer tells of a link gone silent.
+		link?.socket.destroy()
+		teller.missed = true
 		teller.onUnreached(entry, messageOf(err))
 	}
 }
