--- a/packages/core/src/core/groupPlan.ts
+++ b/packages/core/src/core/groupPlan.ts
@@ -56,14 +56,22 @@
 	}
 }
 
-/** Load of the most loaded rank over the mean. */
+/** Load of the most loaded rank over the mean; many times a second. */
 export function skewOfSet(
 	placement: SetPlacement,
 	share: Float64Array,
-	layout: ExpertLayout,
+	layout: Pick<ExpertLayout, 'experts'>,
 	paces: readonly number[] = [],
 ): number {
-	return maxOf(createSearch(placement, share, layout, paces).loads)
+	const copies = new Int16Array(layout.experts)
+	for (const own of placement) for (const expert of own) copies[expert]!++
+	let most = 0
+	for (const [rank, own] of placement.entries()) {
+		let load = 0
+		for (const expert of own) load += share[expert]! / copies[expert]!
+		most = Math.max(most, load * (paces[rank] ?? 1))
+	}
+	return most * placement.length
 }
 
 /** Time of a pass over that of one with balanced ranks. */
--- a/packages/groups/src/passWatch.ts
+++ b/packages/groups/src/passWatch.ts
@@ -17,6 +17,9 @@
 /** A mean beyond this is of a group that stood still, not of passes, ms. */
 const MAX_PASS_MS = 1_000
 
+/** Factors this far apart count as the same conditions. */
+const SAME_FACTOR = 0.15
+
 /** Passes that are being timed under the same conditions. */
 export interface PassWatch {
 	since: { readonly report: RankReport; readonly at: number } | undefined
@@ -57,9 +60,6 @@
 	passes.factor = factor
 }
 
-/** Factors this far apart count as the same conditions. */
-const SAME_FACTOR = 0.15
-
 function takePasses(
 	co: Coordinator,
 	group: PublishedGroup,
--- a/packages/groups/src/rankService.ts
+++ b/packages/groups/src/rankService.ts
@@ -17,7 +17,7 @@
 
 /** Between looks at an engine that copies experts, ms. */
 const COPY_LOOK_MS = 25
-/** Copying takes 39 ms an expert; longer than this counts as unanswered, ms. */
+/** An engine that copies for longer counts as one that does not answer, ms. */
 const COPY_MS = 2_500
 
 /** Passes an order to an engine and tells what became of it. */
--- a/packages/groups/src/roundRunner.ts
+++ b/packages/groups/src/roundRunner.ts
@@ -53,6 +53,9 @@
 /** After a failed round, ms. */
 const FAILED_PAUSE_MS = 200
 
+/** Weight of a new round in what rounds take besides copying. */
+const OVERHEAD_WEIGHT = 0.3
+
 /** A round under way. */
 interface Run {
 	readonly round: GroupRound
@@ -254,9 +257,6 @@
 	return undefined
 }
 
-/** Weight of a new round in what rounds take besides copying. */
-const OVERHEAD_WEIGHT = 0.3
-
 function noteOverhead(co: Coordinator, tookMs: number): void {
 	co.overheadMs += OVERHEAD_WEIGHT * (Math.max(0, tookMs) - co.overheadMs)
 }
