--- a/packages/entry/src/commands.ts
+++ b/packages/entry/src/commands.ts
@@ -3,6 +3,7 @@
 import { Check } from './commands/check.ts'
 import { Diff } from './commands/diff.ts'
 import { Entry } from './commands/entry.ts'
+import { Report } from './commands/report.ts'
 import { Status } from './commands/status.ts'
 
 /** Commands by name. */
@@ -10,5 +11,6 @@
 	check: Check,
 	diff: Diff,
 	entry: Entry,
+	report: Report,
 	status: Status,
 }
--- /dev/null
+++ b/packages/entry/src/commands/report.ts
@@ -0,0 +1,34 @@
+import { readFileSync } from 'node:fs'
+import { Args, Command } from '@oclif/core'
+import { formatReport, makeReport } from '../report.ts'
+
+/** `juniperhook report LOG…`: what bound a run. */
+export class Report extends Command {
+	static override summary = 'Show what bound a run, from its logs.'
+	static override description = `Reads the logs of any number of processes and
+prints a row a second, the causes that cost most requests, and how well passes
+were predicted. Exit code 0; 1: no file holds a log line; 2: wrong arguments.`
+	static override examples = [
+		'<%= config.bin %> report entry-*.log agent-*.log',
+	]
+	static override strict = false
+	static override args = {
+		log: Args.file({ description: 'a log file', required: true, exists: true }),
+	}
+
+	/** Reads the files and prints. */
+	async run(): Promise<void> {
+		const { argv } = await this.parse(Report)
+		const lines = argv.flatMap(path =>
+			readFileSync(String(path), 'utf8')
+				.split('\n')
+				.filter(line => line !== ''),
+		)
+		const report = makeReport(lines)
+		if (report.rows.length === 0) {
+			this.logToStderr('no log line in these files')
+			this.exit(1)
+		}
+		for (const line of formatReport(report)) this.log(line)
+	}
+}
--- /dev/null
+++ b/packages/entry/test/report.test.ts
@@ -0,0 +1,65 @@
+/** Reports of what bound a run. */
+
+import { test } from 'uvu'
+import * as assert from 'uvu/assert'
+import { formatReport, makeReport } from '../src/report.ts'
+
+const START = 1_786_000_000_000
+
+function line(atMs: number, event: string, fields: object): string {
+	return JSON.stringify({ level: 30, time: START + atMs, event, ...fields })
+}
+
+const LINES = [
+	line(0, 'entry started', { name: 'e' }),
+	line(100, 'attempt', { outcome: 'answered', reason: '200' }),
+	line(200, 'attempt', { outcome: 'notRun', reason: '503 i-1' }),
+	line(300, 'attempt', { outcome: 'notRun', reason: '503 i-2' }),
+	line(400, 'request failed', { error: 'overloaded', tookMs: 3 }),
+	`  1.2 side-1 ${line(1_200, 'paces told', { limit: 4.5 })}`,
+	line(1_300, 'paces told', { limit: 6 }),
+	line(1_400, 'demand shifted', { agreement: 0.2 }),
+	line(1_500, 'map planned', { copies: 12 }),
+	line(1_900, 'round over', { phase: 'done' }),
+	line(1_950, 'passes seen', { passMs: 100, predictedMs: 90 }),
+	line(2_950, 'passes seen', { passMs: 50, predictedMs: 60 }),
+	'not a log line',
+	'{ "time": ',
+	'{"time":"yesterday","event":"attempt"}',
+]
+
+test('report: a row a second', () => {
+	const { rows, unread } = makeReport(LINES)
+	const [first, second, third] = rows
+	assert.is(rows.length, 3)
+	assert.is(first!.answered, 1)
+	assert.is(first!.failedSends, 2)
+	assert.is(first!.refused, 1)
+	assert.is(second!.limit, 4.5)
+	assert.is(second!.shifts, 1)
+	assert.is(second!.copies, 12)
+	assert.is(second!.rounds, 1)
+	assert.is(third!.passMs, 50)
+	assert.is(unread, 3)
+})
+
+test('report: causes, the costliest first, whatever server they name', () => {
+	assert.equal(makeReport(LINES).causes, [
+		{ cause: 'send notRun: 503', count: 2 },
+		{ cause: 'request failed: overloaded', count: 1 },
+	])
+})
+
+test('report: how well passes were predicted', () => {
+	const { passError } = makeReport(LINES)
+	assert.is(Number(passError!.p50.toFixed(2)), 0.1)
+	assert.is(makeReport([]).passError, undefined)
+})
+
+test('report: as text', () => {
+	const text = formatReport(makeReport(LINES)).join('\n')
+	assert.match(text, 'causes that cost most')
+	assert.match(text, '3 lines are no log lines')
+})
+
+test.run()
