--- /dev/null
+++ b/packages/gateway/test/pressure.test.ts
@@ -0,0 +1,99 @@
+/** Requests before a full service: queued, refused at once, told when to return. */
+
+import { readNow } from '@juniperhook/runtime'
+import { test } from 'uvu'
+import * as assert from 'uvu/assert'
+import type { Pressure } from '../src/pressure.ts'
+import { chooseComeBack, pressureOf, spareMs } from '../src/pressure.ts'
+import { awaitServer } from '../src/waiting.ts'
+import { createOpener } from './openGateway.ts'
+import { CONFIG, createCatalog, startBackends } from './standIns.ts'
+
+const backends = await startBackends(1)
+const openGateway = createOpener(21_740, backends.listed)
+const { ctx } = await openGateway(createCatalog(CONFIG, backends.listed))
+const SERVICE = backends.listed[0]!.service
+const NEVER = new AbortController().signal
+
+/** No server has room, and places come free `gapMs` apart. */
+function fill(gapMs: number): Pressure {
+	ctx.fleet.table.most.fill(0)
+	const pressure = pressureOf(ctx, SERVICE)
+	pressure.flow.gapMs = gapMs
+	pressure.flow.lastAt = readNow()
+	return pressure
+}
+
+function ask(waitMs: number, inTurn = true) {
+	return awaitServer(ctx, {
+		service: SERVICE,
+		team: 't',
+		priority: 1,
+		tried: new Set(),
+		waitMs,
+		inTurn,
+		signal: NEVER,
+	})
+}
+
+const ASKED = [
+	{ name: 'that no place comes for', gapMs: 900, waitMs: 400, inTurn: true },
+	{ name: 'without time to wait', gapMs: 10, waitMs: -1, inTurn: true },
+	{ name: 'while no group forms', gapMs: 10, waitMs: 0, inTurn: false },
+]
+
+for (const { name, gapMs, waitMs, inTurn } of ASKED)
+	test(`full service: a request ${name} does not wait`, async () => {
+		fill(gapMs)
+		const grant = ask(waitMs, inTurn)
+		assert.is(ctx.fleet.queues.get(SERVICE)!.waiting.length, 0)
+		assert.is((await grant).kind, 'full')
+	})
+
+test('full service: a request waits for a place that comes in time', async () => {
+	fill(5)
+	const grant = ask(2_000)
+	assert.is(ctx.fleet.queues.get(SERVICE)!.waiting.length, 1)
+	ctx.fleet.table.most.fill(1)
+	assert.is((await grant).kind, 'server')
+	ctx.fleet.held.clear()
+	ctx.fleet.table.sentSince.fill(0)
+})
+
+test('full service: each that waits makes the next wait longer', async () => {
+	fill(300)
+	const [first, second] = [ask(500), ask(500)]
+	assert.is(ctx.fleet.queues.get(SERVICE)!.waiting.length, 1)
+	assert.is((await second).kind, 'full')
+	ctx.fleet.table.most.fill(1)
+	assert.is((await first).kind, 'server')
+	ctx.fleet.held.clear()
+	ctx.fleet.table.sentSince.fill(0)
+})
+
+test('full service: callers are told to return one after the other', () => {
+	const pressure = fill(200)
+	pressure.full.since = readNow()
+	pressure.full.usualMs = 1_000
+	const told = [0, 1, 2].map(() => chooseComeBack(ctx, SERVICE, 8_000))
+	assert.ok(told[0]! >= 1_000, `${told}`)
+	assert.ok(told[2]! > told[0]!, `${told}`)
+	assert.ok(told[2]! <= 0.32 * 8_000, 'within what callers heed')
+})
+
+const SPARES = [
+	{ firstMs: 0, elapsedMs: 0, spare: 500 },
+	{ firstMs: 200, elapsedMs: 0, spare: 250 },
+	{ firstMs: 200, elapsedMs: 400, spare: -150 },
+]
+
+for (const { firstMs, elapsedMs, spare } of SPARES)
+	test(`time to wait: answers begin after ${firstMs} ms, ${elapsedMs} ms gone`, () => {
+		const pressure = { ...pressureOf(ctx, SERVICE), firstMs }
+		assert.is(spareMs(pressure, 500, elapsedMs), spare)
+	})
+
+test.after(() => {
+	setImmediate(() => process.exit())
+})
+test.run()
