--- a/packages/entry/src/commands.ts
+++ b/packages/entry/src/commands.ts
@@ -3,6 +3,7 @@
 import { Check } from './commands/check.ts'
 import { Diff } from './commands/diff.ts'
 import { Entry } from './commands/entry.ts'
+import { Explain } from './commands/explain.ts'
 import { Report } from './commands/report.ts'
 import { Status } from './commands/status.ts'
 
@@ -11,6 +12,7 @@
 	check: Check,
 	diff: Diff,
 	entry: Entry,
+	explain: Explain,
 	report: Report,
 	status: Status,
 }
--- a/packages/entry/src/commands/report.ts
+++ b/packages/entry/src/commands/report.ts
@@ -1,5 +1,5 @@
-import { readFileSync } from 'node:fs'
 import { Args, Command } from '@oclif/core'
+import { readLogFiles } from '../logLines.ts'
 import { formatReport, makeReport } from '../report.ts'
 
 /** `juniperhook report LOG…`: what bound a run. */
@@ -19,12 +19,7 @@
 	/** Reads the files and prints. */
 	async run(): Promise<void> {
 		const { argv } = await this.parse(Report)
-		const lines = argv.flatMap(path =>
-			readFileSync(String(path), 'utf8')
-				.split('\n')
-				.filter(line => line !== ''),
-		)
-		const report = makeReport(lines)
+		const report = makeReport(readLogFiles(argv.map(String)))
 		if (report.rows.length === 0) {
 			this.logToStderr('no log line in these files')
 			this.exit(1)
--- a/packages/entry/src/report.ts
+++ b/packages/entry/src/report.ts
@@ -3,29 +3,13 @@
  * passes were predicted, and the causes that cost most requests.
  */
 
-import * as v from 'valibot'
+import type { LogLine } from './logLines.ts'
+import { readLogLine } from './logLines.ts'
 
 const SECOND_MS = 1_000
 /** Causes that are shown. */
 const MAX_CAUSES = 10
 
-/** Fields of a line that a report uses; all others are left alone. */
-const LineSchema = v.object({
-	time: v.number(),
-	event: v.string(),
-	error: v.optional(v.string()),
-	outcome: v.optional(v.string()),
-	reason: v.optional(v.string()),
-	limit: v.optional(v.number()),
-	agreement: v.optional(v.number()),
-	copies: v.optional(v.number()),
-	phase: v.optional(v.string()),
-	tookMs: v.optional(v.number()),
-	passMs: v.optional(v.number()),
-	predictedMs: v.optional(v.number()),
-})
-type Line = v.InferOutput<typeof LineSchema>
-
 /** What one second of a run held. */
 export interface ReportRow {
 	/** Seconds since the first line. */
@@ -62,7 +46,7 @@
 
 /** Makes a report of log lines; text before a line's JSON is left out. */
 export function makeReport(lines: readonly string[]): Report {
-	const told = lines.map(readLine)
+	const told = lines.map(readLogLine)
 	const read = told.filter(line => line !== undefined)
 	const first = read.reduce((so, { time }) => Math.min(so, time), Infinity)
 	const rows = new Map<number, ReportRow>()
@@ -90,18 +74,6 @@
 	}
 }
 
-function readLine(text: string): Line | undefined {
-	const start = text.indexOf('{')
-	if (start < 0) return undefined
-	try {
-		const parsed = v.safeParse(LineSchema, JSON.parse(text.slice(start)))
-		return parsed.success ? parsed.output : undefined
-	} catch {
-		// Not a log line: counted as unread.
-		return undefined
-	}
-}
-
 function createRow(second: number): ReportRow {
 	return {
 		second,
@@ -116,7 +88,7 @@
 	}
 }
 
-function takeLine(row: ReportRow, line: Line): void {
+function takeLine(row: ReportRow, line: LogLine): void {
 	switch (line.event) {
 		case 'attempt':
 			if (line.outcome === 'answered') row.answered++
@@ -147,7 +119,12 @@
 }
 
 /** Why a line's request or send came to nothing. */
-function causeOf({ event, error, outcome, reason }: Line): string | undefined {
+function causeOf({
+	event,
+	error,
+	outcome,
+	reason,
+}: LogLine): string | undefined {
 	if (event === 'request failed') return `request failed: ${error}`
 	if (event !== 'attempt' || outcome === 'answered') return undefined
 	// The server at fault may follow the status: it would split the cause.
--- /dev/null
+++ b/packages/entry/test/explain.test.ts
@@ -0,0 +1,116 @@
+/** Requests' stories: what decided them, and the cause that is named. */
+
+import { test } from 'uvu'
+import * as assert from 'uvu/assert'
+import { explainRequest, formatStory } from '../src/explain.ts'
+
+const START = 1_786_000_000_000
+const ID = 'r1'
+
+function line(atMs: number, event: string, fields: object): string {
+	return JSON.stringify({ time: START + atMs, node: 'e1', event, ...fields })
+}
+
+const failed = (error: string, config = 4) =>
+	line(5_000, 'request failed', { req: ID, error, config, service: 's' })
+const sent = (server: string, outcome: string, reason: string) =>
+	line(4_500, 'attempt', { req: ID, server, outcome, reason })
+
+const STORIES: { name: string; lines: string[]; cause: string }[] = [
+	{
+		name: 'answered',
+		lines: [sent('i-1', 'answered', '200')],
+		cause: 'answered by its server',
+	},
+	{
+		name: 'a full group after a shift',
+		lines: [
+			line(4_200, 'demand shifted', { node: 'side-1', agreement: 0.2 }),
+			line(4_300, 'paces told', { group: 's/g', slow: [], limit: 4.5 }),
+			failed('overloaded'),
+		],
+		cause: 'hold 4.5 requests a rank: demand had shifted 800 ms before',
+	},
+	{
+		name: 'a group that refuses',
+		lines: [
+			line(3_000, 'group closed', { group: 's/g' }),
+			failed('overloaded'),
+		],
+		cause: 'refused at every rank for 2000 ms',
+	},
+	{
+		name: 'a group that was closed and opened',
+		lines: [
+			line(1_000, 'group closed', { group: 's/g' }),
+			line(2_000, 'group open', { group: 's/g', closedMs: 1_000 }),
+			failed('overloaded'),
+		],
+		cause: 'Every server held as many',
+	},
+	{
+		name: 'what another entry was told',
+		lines: [
+			line(4_300, 'paces told', { node: 'e2', group: 's/g', limit: 4 }),
+			failed('overloaded'),
+		],
+		cause: 'Every server held as many',
+	},
+	{
+		name: 'no answer in time',
+		lines: [sent('i-1', 'lost', 'no answer in time'), failed('noAnswer')],
+		cause: 'had not answered when its time was over (i-1 lost no answer',
+	},
+	{
+		name: 'no answer in time, the send logged after the end',
+		lines: [
+			failed('noAnswer'),
+			line(5_010, 'attempt', { req: ID, server: 'i-1', outcome: 'lost' }),
+		],
+		cause: 'had not answered when its time was over (i-1 lost)',
+	},
+	{
+		name: 'a connection that broke',
+		lines: [sent('i-1', 'lost', 'ECONNRESET'), failed('linkLost')],
+		cause: 'broke after it may have run (i-1 lost ECONNRESET)',
+	},
+	{
+		name: 'an unknown key',
+		lines: [
+			line(10, 'request refused', {
+				req: ID,
+				error: 'unauthorized',
+				config: 7,
+			}),
+		],
+		cause: 'Configuration 7 knows no such key',
+	},
+	{
+		name: 'no final word',
+		lines: [sent('i-1', 'notRun', '503')],
+		cause: 'No final word is logged',
+	},
+]
+
+for (const { name, lines, cause } of STORIES)
+	test(`explain: ${name}`, () => {
+		const story = explainRequest(ID, lines)
+		assert.ok(story)
+		assert.match(story.cause, cause)
+		assert.match(formatStory(story).join('\n'), 'likely cause')
+	})
+
+test('explain: lines of several logs are told in order', () => {
+	const lines = [failed('noAnswer'), 'noise', sent('i-1', 'lost', 'x')]
+	const story = explainRequest(ID, lines)
+	assert.equal(
+		story!.own.map(one => one.event),
+		['attempt', 'request failed'],
+	)
+})
+
+test('explain: an id that no line names', () => {
+	assert.is(explainRequest('other', [failed('noAnswer')]), undefined)
+})
+
+test.run()
