--- /dev/null
+++ b/packages/gateway/src/peerLinks.ts
@@ -0,0 +1,109 @@
+/** Links to other entries: which are kept, and that they come up again. */
+
+import type { Methods, RpcLink } from '@juniperhook/runtime'
+import { connectRpc, messageOf, notify, sleep } from '@juniperhook/runtime'
+import type { GatewayContext } from './context.ts'
+import { chooseLinks } from './peerMesh.ts'
+import type { GroupNews } from './toldGroups.ts'
+
+const RECONNECT_MS = 300
+const MAX_RECONNECT_MS = 1_500
+const CONNECT_MS = 500
+
+/** Links to other entries. */
+export interface PeerLinks {
+	/** Known addresses of entries, and the links to those that are kept. */
+	readonly links: Map<string, RpcLink | undefined>
+	/** Addresses that links are kept to. */
+	kept: ReadonlySet<string>
+	/** Known addresses when links were last chosen. */
+	chosenOf: number
+	/** What is served on links, and what follows when one comes up. */
+	readonly methods: Methods
+	onLink(link: RpcLink): void
+}
+
+/** Makes links to nobody yet. */
+export function createPeerLinks(
+	methods: Methods,
+	onLink: PeerLinks['onLink'],
+): PeerLinks {
+	return { links: new Map(), kept: new Set(), chosenOf: 0, methods, onLink }
+}
+
+/** Notes addresses of entries. */
+export function noteAddresses(
+	{ links }: PeerLinks,
+	addresses: readonly string[],
+): void {
+	for (const address of addresses)
+		if (!links.has(address)) links.set(address, undefined)
+}
+
+/** Links that are up. */
+export function listOpen({ links }: PeerLinks): RpcLink[] {
+	return [...links.values()].filter(link => link !== undefined)
+}
+
+/** Entries that are known and not linked to. */
+export function countUnlinked({ links, kept }: PeerLinks): number {
+	return links.size - kept.size
+}
+
+/** Chooses links anew when entries have become known. */
+export function keepLinks(ctx: GatewayContext, peers: PeerLinks): void {
+	const { links } = peers
+	const { control, seeds } = ctx.settings
+	noteAddresses(
+		peers,
+		seeds.filter(address => address !== control),
+	)
+	if (links.size === peers.chosenOf) return
+	peers.chosenOf = links.size
+	const before = peers.kept
+	peers.kept = new Set(chooseLinks(control, [...links.keys()]))
+	for (const address of peers.kept)
+		if (!before.has(address)) void keepLink(ctx, peers, address)
+	for (const address of before)
+		if (!peers.kept.has(address)) links.get(address)?.socket.destroy()
+}
+
+async function keepLink(
+	ctx: GatewayContext,
+	peers: PeerLinks,
+	address: string,
+): Promise<void> {
+	let pause = RECONNECT_MS
+	while (peers.kept.has(address)) {
+		try {
+			const link = await connectRpc(address, peers.methods, CONNECT_MS)
+			pause = RECONNECT_MS
+			peers.links.set(address, link)
+			ctx.log.write('peer linked', { peer: address })
+			peers.onLink(link)
+			await new Promise(resolve => link.socket.once('close', resolve))
+			peers.links.set(address, undefined)
+			ctx.log.write('peer lost', { peer: address })
+		} catch (err) {
+			if (pause === RECONNECT_MS)
+				ctx.log.write('peer not reached', {
+					peer: address,
+					reason: messageOf(err),
+				})
+		}
+		await sleep(pause * (0.5 + ctx.random()))
+		pause = Math.min(pause * 2, MAX_RECONNECT_MS)
+	}
+}
+
+/** Whether each entry hears every other one directly, as far as is known. */
+function isFullMesh({ kept, links }: PeerLinks): boolean {
+	return kept.size === links.size
+}
+
+/** Tells peers what a coordinator has told, unless it has reached them all. */
+export function tellOn(peers: PeerLinks, news: GroupNews, from: RpcLink): void {
+	if (news.hops > 1 && isFullMesh(peers)) return
+	for (const link of listOpen(peers))
+		if (link !== from) notify(link, 'paces', news)
+}
--- /dev/null
+++ b/packages/gateway/src/peerStates.ts
@@ -0,0 +1,218 @@
+/**
+ * What entries tell each other of themselves, and what they take of it: versions
+ * held, what comes to each, and how many requests each has at every server.
+ */
+
+import { splitAddress } from '@juniperhook/core'
+import type { RpcLink } from '@juniperhook/runtime'
+import { call, messageOf, notify, readNow } from '@juniperhook/runtime'
+import * as v from 'valibot'
+import type { GatewayContext } from './context.ts'
+import { settleDemand, tellFlows } from './entryDemand.ts'
+import { dropPeerLoad, notePeerLoad } from './fleet.ts'
+import type { PeerLinks } from './peerLinks.ts'
+import { countUnlinked, listOpen, noteAddresses } from './peerLinks.ts'
+import type { HeldNews, State } from './peerMessages.ts'
+import { HeldNewsSchema, StateSchema } from './peerMessages.ts'
+import type { PeerNews } from './peerNews.ts'
+import { heldVersion, takeNews } from './peerNews.ts'
+
+/**
+ * Between states told to peers while something changes, ms: so much at least, and
+ * so much for each link. A message to or from a peer takes a small entry some
+ * 0.2 ms of its core.
+ */
+const TELL_MS = 150
+const TELL_PER_LINK_MS = 6
+/** A whole state is told at least this often, ms; in between, what has changed. */
+const HEARTBEAT_MS = 500
+/** Addresses of all known entries are told this often, and when one is new, ms. */
+const ROSTER_MS = 5_000
+/** A peer that has been silent for this long holds nothing any more, ms. */
+const SILENT_MS = 2_000
+/** A peer counts as an entry for this long after its last word, ms. */
+const REMEMBERED_MS = 10_000
+/** A peer that has not confirmed a state by then is told on a new link, ms. */
+const CONFIRM_MS = 1_500
+
+/** What this entry has told, and when it heard of others. */
+export interface PeerStates {
+	/** When each peer, by name, was last heard, ms. */
+	readonly heardAt: Map<string, number>
+	readonly news: PeerNews
+	/** When what is held was last settled, and last told whole, ms. */
+	settledAt: number
+	heartbeatAt: number
+	rosterAt: number
+	/** Known addresses when they were last told. */
+	rosterOf: number
+	/** What peers were last told. */
+	told: ToldState
+}
+
+/** What a peer that has heard everything knows of this entry. */
+interface ToldState {
+	readonly config: number
+	readonly list: number
+	readonly held: ReadonlyMap<string, number>
+}
+
+/** Makes an entry's states, with nothing told or heard. */
+export function createPeerStates(news: PeerNews): PeerStates {
+	return {
+		heardAt: new Map(),
+		news,
+		settledAt: readNow(),
+		heartbeatAt: 0,
+		rosterAt: 0,
+		rosterOf: 0,
+		told: { config: -1, list: -1, held: new Map() },
+	}
+}
+
+/** Tells a peer everything, on a link that is new or behind. */
+export function tellAll(
+	ctx: GatewayContext,
+	peers: PeerLinks,
+	link: RpcLink,
+): void {
+	tell(ctx, link, { ...loadOf(ctx), peers: [...peers.links.keys()] })
+}
+
+/** What an entry tells each time: all of its state but its peers. */
+function loadOf(ctx: GatewayContext): Omit<State, 'peers'> {
+	return {
+		name: ctx.settings.name,
+		control: ctx.settings.control,
+		config: heldVersion(ctx),
+		list: ctx.list.revision,
+		held: Object.fromEntries(ctx.fleet.held),
+		dataCentre: ctx.settings.dataCentre,
+		flows: tellFlows(ctx.fleet),
+	}
+}
+
+/** Tells all peers what is new, if it is time. */
+export function tellPeers(
+	ctx: GatewayContext,
+	peers: PeerLinks,
+	states: PeerStates,
+): void {
+	const now = readNow()
+	const links = listOpen(peers)
+	const elapsedMs = now - states.settledAt
+	if (elapsedMs < Math.max(TELL_MS, TELL_PER_LINK_MS * links.length)) return
+	states.settledAt = now
+	settleDemand(ctx, elapsedMs, countUnlinked(peers), now)
+	const { told } = states
+	const state = loadOf(ctx)
+	states.told = {
+		config: state.config,
+		list: state.list,
+		held: new Map(ctx.fleet.held),
+	}
+	const isNews = state.config !== told.config || state.list !== told.list
+	if (isNews || now - states.heartbeatAt >= HEARTBEAT_MS) {
+		states.heartbeatAt = now
+		const whole = { ...state, peers: rosterNow(peers, states, now) }
+		for (const link of links) tell(ctx, link, whole)
+		return
+	}
+	const changed = findChanged(told.held, states.told.held)
+	if (Object.keys(changed).length === 0) return
+	const news: HeldNews = { name: state.name, changed }
+	for (const link of links) notify(link, 'held', news)
+}
+
+/** Addresses of known entries when they are to be told, none otherwise. */
+function rosterNow(
+	{ links }: PeerLinks,
+	states: PeerStates,
+	now: number,
+): string[] {
+	const isDue = now - states.rosterAt >= ROSTER_MS
+	if (links.size === states.rosterOf && !isDue) return []
+	states.rosterAt = now
+	states.rosterOf = links.size
+	return [...links.keys()]
+}
+
+/** Servers whose number of requests has changed; 0 for none any more. */
+function findChanged(
+	before: ReadonlyMap<string, number>,
+	after: ReadonlyMap<string, number>,
+): Record<string, number> {
+	const changed: Record<string, number> = {}
+	for (const [id, count] of after)
+		if (before.get(id) !== count) changed[id] = count
+	for (const id of before.keys()) if (!after.has(id)) changed[id] = 0
+	return changed
+}
+
+function tell(ctx: GatewayContext, link: RpcLink, state: State): void {
+	call(link, 'state', state, CONFIRM_MS).catch(err => {
+		if (link.socket.destroyed) return
+		// Without a reset, only the missing answer tells of a link gone silent.
+		ctx.log.write('peer silent', { reason: messageOf(err) })
+		link.socket.destroy()
+	})
+}
+
+/** Takes a peer's whole state, and asks for what this entry lacks. */
+export function takeState(
+	ctx: GatewayContext,
+	peers: PeerLinks,
+	states: PeerStates,
+	params: unknown,
+	link: RpcLink,
+): void {
+	const state = v.parse(StateSchema, params)
+	const now = readNow()
+	states.heardAt.set(state.name, now)
+	const addresses = [state.control, ...state.peers]
+	noteAddresses(
+		peers,
+		addresses.filter(address => isOtherEntry(ctx, address)),
+	)
+	const { dataCentre, flows } = state
+	const held = new Map(Object.entries(state.held))
+	ctx.fleet.peerDemand.set(state.name, { dataCentre, flows })
+	notePeerLoad(ctx.fleet, state.name, held, now)
+	ctx.toldVersion = Math.max(ctx.toldVersion, state.config)
+	// A peer that is behind may not be reached from here but by its own link.
+	const isBehind =
+		state.config < heldVersion(ctx) || state.list < ctx.list.revision
+	if (isBehind && link.opened === 'there') tellAll(ctx, peers, link)
+	takeNews(ctx, states.news, state, link)
+}
+
+/** Takes what has changed since a peer's last words. */
+export function takeHeld(ctx: GatewayContext, params: unknown): void {
+	const { name, changed } = v.parse(HeldNewsSchema, params)
+	const known = ctx.fleet.heldByPeer.get(name)
+	// Without a whole state before, the changes alone say nothing.
+	if (!known) return
+	const held = new Map(known)
+	for (const [id, count] of Object.entries(changed))
+		if (count > 0) held.set(id, count)
+		else held.delete(id)
+	notePeerLoad(ctx.fleet, name, held, readNow())
+}
+
+/** Peers listen on the same control port everywhere. */
+function isOtherEntry(ctx: GatewayContext, address: string): boolean {
+	const { control } = ctx.settings
+	const own = splitAddress(control).port
+	return address !== control && splitAddress(address).port === own
+}
+
+/** Forgets peers that have gone silent. */
+export function forgetSilent(ctx: GatewayContext, states: PeerStates): void {
+	const now = readNow()
+	for (const [name, heardAt] of states.heardAt) {
+		if (now - heardAt > SILENT_MS) dropPeerLoad(ctx.fleet, name, now)
+		if (now - heardAt > REMEMBERED_MS) states.heardAt.delete(name)
+	}
+	const seeds = ctx.settings.seeds.length
+	ctx.entries = Math.max(states.heardAt.size + 1, seeds)
+}
--- a/packages/gateway/test/gatewayState.test.ts
+++ b/packages/gateway/test/gatewayState.test.ts
@@ -4,11 +4,17 @@
 import type { AddressInfo } from 'node:net'
 import { createServer as createTcpServer } from 'node:net'
 import type { TrafficConfig } from '@juniperhook/core'
-import { call, serveRpc } from '@juniperhook/runtime'
+import { call, connectRpc, serveRpc } from '@juniperhook/runtime'
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
 import { endOpenRequests } from '../src/index.ts'
-import { CONTACT_MS, createOpener, until } from './openGateway.ts'
+import type { OpenGateway } from './openGateway.ts'
+import {
+	CONTACT_MS,
+	createOpener,
+	openGatewayAt,
+	until,
+} from './openGateway.ts'
 import type { Deed } from './standIns.ts'
 import {
 	CONFIG,
@@ -26,6 +32,8 @@
 const WATCH_GRACE_MS = 500
 /** A pause before the next call, ms. */
 const PAUSE_MS = 100
+/** Entries that find each other listen on the same ports. */
+const MESH_PORT = 21_700
 /** Far beyond what a forming takes, also on a busy machine, ms. */
 const LONG_MS = 8_000
 
@@ -206,6 +214,33 @@
 	broken.close()
 })
 
+test('gateway: what a coordinator tells one entry reaches all, and ends', async () => {
+	const seeds = [`127.0.0.31:${MESH_PORT + 2}`]
+	const all = await Promise.all(
+		['127.0.0.31', '127.0.0.32', '127.0.0.33'].map(ip => {
+			const catalog = createCatalog(CONFIG, backends.listed)
+			return openGatewayAt(MESH_PORT, catalog, seeds, ip)
+		}),
+	)
+	const told = all[0]!
+	await until(() => all.every(one => one.ctx.fleet.heldByPeer.size === 2))
+	const link = await connectRpc(told.control, {})
+	const limitOf = (entry: OpenGateway) =>
+		entry.ctx.fleet.toldGroups.get('s/g')?.limit
+	const tell = (by: string, number: number, limit: number) =>
+		call(link, 'paces', { group: 's/g', by, number, hops: 0, slow: {}, limit })
+	await tell('first', 1, 2.5)
+	await until(() => all.every(one => limitOf(one) === 2.5))
+	assert.equal(all.map(limitOf), [2.5, 2.5, 2.5])
+	await tell('second', 1, 3.5)
+	await until(() => all.every(one => limitOf(one) === 3.5))
+	// News that were overtaken on their way change nothing.
+	await tell('first', 1, 1.5)
+	await until(() => limitOf(told) === undefined)
+	assert.equal(all.map(limitOf), [undefined, undefined, undefined])
+	link.socket.destroy()
+})
+
 test('gateway: a watch whose answer is lost ends well within the contact time', async () => {
 	const catalog = createCatalog(CONFIG, backends.listed)
 	await openGateway(catalog)
--- a/packages/gateway/test/openGateway.ts
+++ b/packages/gateway/test/openGateway.ts
@@ -51,12 +51,13 @@
 	firstPort: number,
 	source: CatalogSource,
 	seeds: readonly string[],
+	ip = '127.0.0.1',
 ): Promise<OpenGateway> {
-	const address = (offset: number) => `127.0.0.1:${firstPort + offset}`
+	const address = (offset: number) => `${ip}:${firstPort + offset}`
 	const [callers, readiness, control] = [address(0), address(1), address(2)]
 	const settings = {
-		name: `entry-${firstPort}`,
-		ip: '127.0.0.1',
+		name: `entry-${ip}-${firstPort}`,
+		ip,
 		dataCentre: 'north',
 		callers,
 		readiness,
