--- a/packages/groups/src/roundRunner.ts
+++ b/packages/groups/src/roundRunner.ts
@@ -47,6 +47,12 @@
  * It covers an agent on the way that has gone silent and the way round it.
  */
 const STUCK_MS = 2_500
+/**
+ * Why a round is left while nothing is held by it: its plan followed the demand
+ * before, and one for the present demand would have to wait for its end, up to
+ * 1.3 s of the 3.6 s for which demand stays as it is.
+ */
+const OUTDATED = 'demand has shifted'
 /** After a failed round, ms. */
 const FAILED_PAUSE_MS = 200
 
@@ -112,6 +118,10 @@
 		shown = round.phase
 		if (readNow() - phaseAt > PROBE_MS + PROBE_TRIPS * trip)
 			giveUpProbing(round)
+		if (co.shiftedAt > startedAt && round.map && isHarmless(round)) {
+			round.reason = OUTDATED
+			break
+		}
 		const isStuck = readNow() - run.progressAt > STUCK_MS + copyingMsOf(co, run)
 		if (isStuck && isHarmless(round)) break
 	}
@@ -184,6 +194,7 @@
 	})
 	co.undo = round.reason === REFUSED_TO_ARM
 	if (round.phase !== 'done') {
+		if (round.reason === OUTDATED) return
 		// Another coordinator may have a higher counter than any report shows.
 		co.counter += 1 + Math.floor(co.random() * 8)
 		await pause(FAILED_PAUSE_MS * (0.5 + co.random()))
