--- a/packages/groups/src/coordinatorState.ts
+++ b/packages/groups/src/coordinatorState.ts
@@ -86,6 +86,8 @@
 	steadyMs: number
 	/** Passes over balanced ones right after shifts, smoothed. */
 	shiftedFactor: number
+	/** Passes over balanced ones while no shift is being cured, smoothed. */
+	calmFactor: number | undefined
 	/** When demand was last seen to shift, ms. */
 	shiftedAt: number
 	lastReport: { report: RankReport; at: number } | undefined
@@ -131,6 +133,7 @@
 		agreement: 1,
 		steadyMs: FIRST_STEADY_MS,
 		shiftedFactor: 1,
+		calmFactor: undefined,
 		shiftedAt: Number.NEGATIVE_INFINITY,
 		lastReport: undefined,
 		stopped: false,
--- a/packages/groups/src/demandWatch.ts
+++ b/packages/groups/src/demandWatch.ts
@@ -50,6 +50,10 @@
 const ONE_SHIFT_MS = 1_000
 /** Weight of a new interval between shifts. */
 const STEADY_WEIGHT = 0.4
+/** A shift is expected to be cured within so many times what rounds take. */
+const CURE_TIMES = 2
+/** What is kept of the factor of calm times at each reading. */
+const CALM_KEPT = 0.8
 /** Limits are told in steps of this, so that news of them stay rare. */
 const LIMIT_STEP = 0.25
 
@@ -172,13 +176,26 @@
 	)
 }
 
+/**
+ * The factor that a limit is for. Right after a shift passes are long until the new
+ * map is in use; the streams that live then are late already, and callers turned
+ * away would come back when the map is.
+ */
+function lastingFactor(co: Coordinator, factor: number): number {
+	const { calmFactor, shiftedAt, overheadMs } = co
+	const isCuring = readNow() - shiftedAt < CURE_TIMES * overheadMs
+	if (isCuring) return Math.min(factor, calmFactor ?? factor)
+	co.calmFactor = factor + CALM_KEPT * ((calmFactor ?? factor) - factor)
+	return factor
+}
+
 /** Requests that a rank may hold; undefined for as many as fit. */
 function letIn(co: Coordinator): number | undefined {
 	const { group, map, shiftedFactor, steadyMs, fitter } = co
 	if (!group || !map) return undefined
 	const slowest = Math.max(1, ...co.paces.values())
 	if (isBeyondLimits(group, group.cost, slowest)) return undefined
-	const factor = factorNow(co, group, map)
+	const factor = lastingFactor(co, factorNow(co, group, map))
 	const state = { factor, shiftedFactor, steadyMs, fit: fitter.fit }
 	const limit = allowedHeld(state, group, group.cost)
 	if (limit === undefined) return undefined
