--- a/packages/gateway/src/entryDemand.ts
+++ b/packages/gateway/src/entryDemand.ts
@@ -47,9 +47,16 @@
 	luck: number,
 ): boolean {
 	const [service = ''] = (fleet.groups[group] ?? '').split('/')
-	const intake = fleet.meters.get(service)?.intake
-	if (!intake) return room >= 1
-	return luck < partTaken(room, intake)
+	const meter = meterOf(fleet, service)
+	if (!meter.intake) return room >= 1
+	const part = partTaken(room, meter.intake)
+	meter.taken = Math.min(meter.taken, part)
+	return luck < part
+}
+
+/** Whether a service's groups take only a part of what comes. */
+export function isRationed(fleet: Fleet, service: string): boolean {
+	return meterOf(fleet, service).taken < 1
 }
 
 /**
@@ -83,6 +90,7 @@
 	}
 	meter.come = 0
 	meter.end = 0
+	meter.taken = 1
 }
 
 function settleService(
--- a/packages/gateway/src/fleet.ts
+++ b/packages/gateway/src/fleet.ts
@@ -54,6 +54,8 @@
 	flow: RequestFlow
 	/** All entries together. */
 	intake: GroupIntake | undefined
+	/** Least part of the requests that one of its groups took since the last turn. */
+	taken: number
 }
 
 /** Servers as rows, and requests that wait for one. */
@@ -158,7 +160,13 @@
 	const known = fleet.meters.get(service)
 	if (known) return known
 	const flow = { come: 0, end: 0 }
-	const meter: FlowMeter = { come: 0, end: 0, flow, intake: undefined }
+	const meter: FlowMeter = {
+		come: 0,
+		end: 0,
+		flow,
+		intake: undefined,
+		taken: 1,
+	}
 	fleet.meters.set(service, meter)
 	return meter
 }
--- a/packages/gateway/src/waiting.ts
+++ b/packages/gateway/src/waiting.ts
@@ -17,7 +17,7 @@
 } from '@juniperhook/core'
 import { readNow } from '@juniperhook/runtime'
 import type { GatewayContext } from './context.ts'
-import { isTaken } from './entryDemand.ts'
+import { isRationed, isTaken } from './entryDemand.ts'
 import { groupOf, noteHeld, queueOf } from './fleet.ts'
 import type { Pressure } from './pressure.ts'
 import { pressureOf } from './pressure.ts'
@@ -78,7 +78,8 @@
 		const grant = choose(ctx, wish.service, wish.tried, wish.luck)
 		if (grant.kind === 'server') {
 			notePlace(pressure.flow, now)
-			endSpell(pressure.full, now)
+			// One that is taken of many that are not does not end a full spell.
+			if (!isRationed(ctx.fleet, wish.service)) endSpell(pressure.full, now)
 		}
 		if (grant.kind !== 'full') return Promise.resolve(grant)
 	}
--- a/packages/gateway/test/pressure.test.ts
+++ b/packages/gateway/test/pressure.test.ts
@@ -3,6 +3,7 @@
 import { readNow } from '@juniperhook/runtime'
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
+import { meterOf } from '../src/fleet.ts'
 import type { Pressure } from '../src/pressure.ts'
 import { chooseComeBack, pressureOf, spareMs } from '../src/pressure.ts'
 import { awaitServer } from '../src/waiting.ts'
@@ -24,12 +25,12 @@
 	return pressure
 }
 
-function ask(waitMs: number, inTurn = true) {
+function ask(waitMs: number, inTurn = true, luck = 0) {
 	return awaitServer(ctx, {
 		service: SERVICE,
 		team: 't',
 		priority: 1,
-		luck: 0,
+		luck,
 		tried: new Set(),
 		waitMs,
 		inTurn,
@@ -94,6 +95,26 @@
 		assert.is(spareMs(pressure, 500, elapsedMs), spare)
 	})
 
+test('nearly full group: a part is taken, and that does not end the full spell', async () => {
+	const { fleet } = ctx
+	fleet.groups.push(`${SERVICE}/g`)
+	fleet.table.group.fill(0)
+	fleet.table.most.fill(2.5)
+	const meter = meterOf(fleet, SERVICE)
+	// 2.5 places within 50 ms, in which 5 requests come: half of them.
+	meter.intake = { perSecond: 100, endedPerSecond: 0, horizonMs: 50 }
+	const { full } = pressureOf(ctx, SERVICE)
+	full.since = undefined
+	assert.is((await ask(-1, true, 0.9)).kind, 'full')
+	assert.ok(full.since !== undefined)
+	assert.is((await ask(-1, true, 0.2)).kind, 'server')
+	assert.ok(full.since !== undefined, 'others are still turned away')
+	meter.taken = 1
+	meter.intake = { perSecond: 1, endedPerSecond: 0, horizonMs: 50 }
+	assert.is((await ask(-1, true, 0.9)).kind, 'server')
+	assert.is(full.since, undefined)
+})
+
 test.after(() => {
 	setImmediate(() => process.exit())
 })
