Lead and probes of a change follow what arming took, also after a probe that was missed

On links that lose 2.5 in 100 packets, as those of a data centre with 38 of 192 ranks, some answer comes a retransmission late in four trips of five, and a fixed limit of 210 ms gives most rounds up.

--- a/packages/groups/src/index.ts
+++ b/packages/groups/src/index.ts
@@ -1,6 +1,7 @@
 /** Keeps the expert map of a lock-step group, beside its engines. */
 
 export * from './agent.ts'
+export * from './armingTime.ts'
 export * from './choices.ts'
 export * from './coordinator.ts'
 export * from './coordinatorState.ts'
--- a/packages/groups/src/roundRunner.ts
+++ b/packages/groups/src/roundRunner.ts
@@ -14,6 +14,7 @@
 	takeAnchorReport,
 } from '@juniperhook/core'
 import { readNow } from '@juniperhook/runtime'
+import { leadMsOf, noteArmed, noteMissed, probeLimitMs } from './armingTime.ts'
 import type { Coordinator } from './coordinatorState.ts'
 import { FENCE_BITS, pause, readAnchor } from './coordinatorState.ts'
 import { setMap } from './mapWork.ts'
@@ -22,26 +23,6 @@
 
 /** Between steps of a round that waits for a report, ms. */
 const LOOK_MS = 20
-/**
- * A rank that does not answer a probe for this long cannot be armed, ms: so much,
- * and so many trips to all ranks and back, for those that share one small link.
- */
-const PROBE_MS = 60
-const PROBE_TRIPS = 3
-/**
- * Time from the hold until all ranks are armed, ms; passes meanwhile run. It
- * covers a hold by way of a VM that has stopped, and the trips of the probe and
- * of the order to arm, so that streams do not pause for it.
- */
-const LEAD_MS = 120
-const LEAD_TRIPS = 2
-/**
- * Where arming was seen to take longer, so many times that: a group of 192 ranks
- * whose lead was too short stood still for 0.11 s at each change of its map.
- */
-const LEAD_TIMES = 1.25
-/** What is kept at each round of the longest arming that was seen. */
-const ARMING_KEPT = 0.8
 /**
  * A round in which no rank has confirmed anything for this long is given up, ms.
  * It covers an agent on the way that has gone silent and the way round it.
@@ -99,8 +80,7 @@
 		if (needsReport(round)) {
 			const { phase } = round
 			const fresh = await readAnchor(co)
-			const leastMs = LEAD_MS + LEAD_TRIPS * trip
-			const leadMs = Math.max(leastMs, LEAD_TIMES * co.armingMs)
+			const leadMs = leadMsOf(co.armingMs, trip)
 			const lead = Math.max(1, Math.ceil(leadMs / co.passMs))
 			if (fresh && round.phase === phase) takeAnchorReport(round, fresh, lead)
 		}
@@ -108,7 +88,8 @@
 			const tookMs = readNow() - phaseAt
 			phases.push(`${shown} ${Math.round(tookMs)}`)
 			if (isUrgentPhase(shown)) urgentMs += tookMs
-			if (round.phase === 'releasing') noteArming(co, urgentMs)
+			if (shown === 'arming' && round.phase === 'releasing')
+				co.armingMs = noteArmed(co.armingMs, urgentMs)
 			phaseAt = readNow()
 			run.tries = 0
 			run.progressAt = phaseAt
@@ -116,8 +97,11 @@
 		co.copying = round.phase === 'preparing'
 		co.urgent = isUrgentPhase(round.phase)
 		shown = round.phase
-		if (readNow() - phaseAt > PROBE_MS + PROBE_TRIPS * trip)
+		const probeMs = probeLimitMs(co.armingMs, trip)
+		if (round.phase === 'probing' && readNow() - phaseAt > probeMs) {
+			co.armingMs = noteMissed(co.armingMs, probeMs)
 			giveUpProbing(round)
+		}
 		if (co.shiftedAt > startedAt && round.map && isHarmless(round)) {
 			round.reason = OUTDATED
 			break
@@ -162,11 +146,6 @@
 	)
 }
 
-/** Notes how long it took until a round had armed all ranks. */
-function noteArming(co: Coordinator, tookMs: number): void {
-	co.armingMs = Math.max(tookMs, co.armingMs * ARMING_KEPT)
-}
-
 /** Whether a round may be left where it is: nothing is held or armed by it. */
 function isHarmless({ phase }: GroupRound): boolean {
 	return phase === 'fencing' || phase === 'preparing' || phase === 'waiting'
