Callers' heed is the platform's to say; coordinators learn of entries; nobody takes over from who was not heard yet

- What is told of a group went to the three entries named at an agent's start and no further if those were stopped: entries name others, who are told instead.
- Time limits that did not follow the size: reading where all ranks' experts lie at once, and a whole map from a neighbour.

--- a/packages/core/src/core/comeBack.ts
+++ b/packages/core/src/core/comeBack.ts
@@ -5,11 +5,6 @@
 
 import type { Random } from '../internal.ts'
 
-/**
- * Callers come back when they are told to only if that is within a third of the
- * time they have left, by the platform's page.
- */
-const HEEDED_SHARE = 0.32
 /** The shortest time told, ms: a way there and back. */
 const MIN_MS = 50
 /** Callers of one moment come back spread over this part of a gap. */
@@ -32,18 +27,17 @@
 	readonly openInMs: number
 	/** Between two places that come free, ms. */
 	readonly gapMs: number
-	/** Until the caller's deadline, ms. */
-	readonly leftMs: number
+	/** The caller comes back when told to only within this time, ms. */
+	readonly heededMs: number
 }
 
 /** Books the next place for a caller, and gives the time to tell it, ms. */
 export function bookReturn(
 	returns: Returns,
-	{ openInMs, gapMs, leftMs }: ReturnForecast,
+	{ openInMs, gapMs, heededMs }: ReturnForecast,
 	now: number,
 	random: Random,
 ): number {
-	const heededMs = leftMs * HEEDED_SHARE
 	const afterOthers = Math.max(now + openInMs, returns.lastDueAt) + gapMs
 	const dueAt = Math.min(afterOthers, now + heededMs)
 	returns.lastDueAt = Math.max(returns.lastDueAt, dueAt)
--- a/packages/gateway/src/context.ts
+++ b/packages/gateway/src/context.ts
@@ -36,6 +36,11 @@
 	/** After trouble, a VM must be up to date again after this time, ms. */
 	readonly contactMs: number
 	readonly retries: RetryAllowance
+	/**
+	 * Part of the time that a caller has left within which it comes back when it is
+	 * told to; later, it gives the request up.
+	 */
+	readonly heededShare: number
 }
 
 /** A running gateway's state. */
--- a/packages/gateway/src/peerLinks.ts
+++ b/packages/gateway/src/peerLinks.ts
@@ -9,6 +9,8 @@
 const RECONNECT_MS = 300
 const MAX_RECONNECT_MS = 1_500
 const CONNECT_MS = 500
+/** Entries named to a coordinator, in case those that it knows are stopped. */
+const SOME = 6
 
 /** Links to other entries. */
 export interface PeerLinks {
@@ -45,6 +47,14 @@
 	return [...links.values()].filter(link => link !== undefined)
 }
 
+/** Addresses of some entries that are linked to, for who knows few. */
+export function listSome({ links }: PeerLinks): string[] {
+	return [...links]
+		.filter(([, link]) => link !== undefined)
+		.map(([address]) => address)
+		.slice(0, SOME)
+}
+
 /** Entries that are known and not linked to. */
 export function countUnlinked({ links, kept }: PeerLinks): number {
 	return links.size - kept.size
--- a/packages/gateway/src/peers.ts
+++ b/packages/gateway/src/peers.ts
@@ -8,7 +8,7 @@
 import * as v from 'valibot'
 import { answerPiece, createConfigServer } from './configTransfer.ts'
 import type { GatewayContext } from './context.ts'
-import { createPeerLinks, keepLinks, tellOn } from './peerLinks.ts'
+import { createPeerLinks, keepLinks, listSome, tellOn } from './peerLinks.ts'
 import { PieceRequestSchema } from './peerMessages.ts'
 import { answerRecords, createPeerNews } from './peerNews.ts'
 import {
@@ -53,7 +53,7 @@
 		paces: (params: unknown, link: RpcLink) => {
 			const news = takePaces(ctx, params)
 			if (news) tellOn(peers, news, link)
-			return true
+			return listSome(peers)
 		},
 	}
 	const peers = createPeerLinks(methods, link => tellAll(ctx, peers, link))
--- a/packages/gateway/src/pressure.ts
+++ b/packages/gateway/src/pressure.ts
@@ -20,6 +20,8 @@
 
 /** How long a service is assumed to stay full before a spell was seen, ms. */
 const FIRST_FULL_MS = 1_000
+/** For a refusal to reach its caller, who reckons from then on, ms. */
+const WAY_MS = 50
 /** Weight of a new answer in the usual time to its beginning. */
 const FIRST_WEIGHT = 0.1
 /** Answers begin later than usual by this factor often enough to count on it. */
@@ -75,5 +77,6 @@
 	const closedMs = expectOpenMs(ctx, service, now)
 	const openInMs = Math.max(closedMs, expectSpellEnd(full, now))
 	const gapMs = gapNow(flow, now)
-	return bookReturn(returns, { openInMs, gapMs, leftMs }, now, ctx.random)
+	const heededMs = leftMs * ctx.settings.heededShare - WAY_MS
+	return bookReturn(returns, { openInMs, gapMs, heededMs }, now, ctx.random)
 }
--- a/packages/gateway/test/openGateway.ts
+++ b/packages/gateway/test/openGateway.ts
@@ -67,6 +67,7 @@
 		stopMs: 2_000,
 		contactMs: CONTACT_MS,
 		retries: { ratio: 0.2, slack: 1_000, windowMs: 10_000 },
+		heededShare: 1 / 3,
 	}
 	const ctx = await startGateway(settings, WIRE, source, log)
 	return { ctx, callers, readiness, control }
--- a/packages/groups/src/agent.ts
+++ b/packages/groups/src/agent.ts
@@ -18,6 +18,7 @@
 import { runCoordinator, stopCoordinator } from './coordinator.ts'
 import type { Coordinator } from './coordinatorState.ts'
 import { bypassAgent, createCoordinator, fitGroup } from './coordinatorState.ts'
+import { judgeEarlier } from './earlierCandidate.ts'
 import type { PaceTeller } from './paceTeller.ts'
 import { createPaceTeller, tellPaces } from './paceTeller.ts'
 import type { EnginePort, GroupSource, PublishedGroup } from './ports.ts'
@@ -33,14 +34,6 @@
 const CANDIDATE_LOOK_MS = 80
 /** Between looks of agents that only serve, ms. */
 const LOOK_MS = 500
-/** An earlier candidate that is silent for this long is taken for dead, ms. */
-const SILENT_MS = 1_500
-/**
- * The same while the group is held. Taking over is safe at any time; a
- * coordinator that stops while it holds the group makes every stream wait, and
- * callers give a stream up after 2 s.
- */
-const SILENT_HELD_MS = 350
 /** Between readings of the published group, ms. */
 const READ_MS = 2_000
 const HELLO_MS = 150
@@ -68,6 +61,7 @@
 	readonly port: EnginePort
 	readonly source: GroupSource
 	readonly log: EventLog
+	readonly startedAt: number
 	readonly teller: PaceTeller
 	report: RankReport | undefined
 	group: PublishedGroup | undefined
@@ -92,6 +86,7 @@
 		port,
 		source,
 		log,
+		startedAt: readNow(),
 		teller: createPaceTeller(settings.entries, (entry, reason) =>
 			log.write('entry not reached', { entry, reason }),
 		),
@@ -164,10 +159,9 @@
 	for (const earlier of CANDIDATES.slice(0, CANDIDATES.indexOf(rank))) {
 		await greet(agent, earlier)
 		const heardAt = agent.heardAt.get(earlier)
-		if (heardAt === undefined) continue
-		const silentMs = readNow() - heardAt
-		if (silentMs < SILENT_HELD_MS) return earlier
-		if (silentMs < SILENT_MS && !(await isHeld(agent))) return earlier
+		const state = judgeEarlier(heardAt, agent.startedAt, readNow())
+		if (state === 'gone') continue
+		if (state === 'lives' || !(await isHeld(agent))) return earlier
 	}
 	return undefined
 }
--- a/packages/groups/src/mapWork.ts
+++ b/packages/groups/src/mapWork.ts
@@ -39,7 +39,7 @@
 	}
 	const ranks = await Promise.all(
 		Array.from({ length: report.size }, (_, rank) =>
-			placementOfRank(co.clients.get(rank)!),
+			placementOfRank(co.clients.get(rank)!, report.size),
 		),
 	)
 	const known = ranks.every(
--- a/packages/groups/src/paceTeller.ts
+++ b/packages/groups/src/paceTeller.ts
@@ -1,4 +1,8 @@
-/** Tells entries which ranks are slow and how much a group may hold. */
+/**
+ * Tells some entries which ranks are slow and how much a group may hold; they tell
+ * the others. Which entries there are it learns from those that it reaches: the ones
+ * named at its start may be gone.
+ */
 
 import { randomBytes } from 'node:crypto'
 import type { RpcLink } from '@juniperhook/runtime'
@@ -12,13 +16,18 @@
 /** An entry that has not confirmed by then is told again on a new link, ms. */
 const CONFIRM_MS = 500
 
+/** Entries that are told each time: any one of them passes it on to all. */
+const TOLD_AT_ONCE = 3
+/** Entries that are remembered; the ones that failed last are at the end. */
+const MOST_KNOWN = 24
+
 /** What is told of a group without slow ranks and limit. */
 const ORDINARY = JSON.stringify({ slow: {} })
 
 /** Links to entries and what they were told. */
 export interface PaceTeller {
-	/** Control addresses of some entries. */
-	readonly entries: readonly string[]
+	/** Control addresses of entries, those to tell first in front. */
+	entries: readonly string[]
 	readonly links: Map<string, RpcLink>
 	/** Tells this process's news from those of other coordinators. */
 	readonly by: string
@@ -77,7 +86,8 @@
 	teller.count++
 	const { by, count } = teller
 	const news = { group, by, number: count, hops: 0, ...told }
-	for (const entry of teller.entries) void tell(teller, entry, news)
+	for (const entry of teller.entries.slice(0, TOLD_AT_ONCE))
+		void tell(teller, entry, news)
 }
 
 async function tell(
@@ -90,11 +100,16 @@
 	try {
 		link ??= await connectRpc(entry, {}, CONNECT_MS)
 		teller.links.set(entry, link)
-		await call(link, 'paces', message, CONFIRM_MS)
+		const others = await call<string[]>(link, 'paces', message, CONFIRM_MS)
+		const unknown = others.filter(one => !teller.entries.includes(one))
+		teller.entries = [...teller.entries, ...unknown].slice(0, MOST_KNOWN)
 	} catch (err) {
 		// Without a reset, only the missing answer tells of a link gone silent.
 		link?.socket.destroy()
 		teller.missed = true
+		// Another one is told in its place, until that one fails too.
+		const rest = teller.entries.filter(one => one !== entry)
+		teller.entries = [...rest, entry]
 		teller.onUnreached(entry, messageOf(err))
 	}
 }
--- a/packages/groups/src/rankClient.ts
+++ b/packages/groups/src/rankClient.ts
@@ -32,6 +32,11 @@
 /** A prepare is answered once the experts are copied, ms. */
 const PREPARE_MS = 3_000
 const READ_MS = 250
+/**
+ * Besides, where all ranks are read at once: some 0.3 KB of a small VM's link and its
+ * part of a core for each, ms. One that is given up closes a link that was sound.
+ */
+const READ_PER_RANK_MS = 3
 /**
  * Readings of demand may queue behind a large map on a small link: only much
  * later does their silence speak of the agent, ms.
@@ -222,13 +227,15 @@
 	return (await ask(client, 'busy', {}, DEMAND_MS)) ?? undefined
 }
 
-/** The experts of a rank. */
+/** The experts of a rank; `together` ranks are read at the same time. */
 export async function placementOfRank(
 	client: RankClient,
+	together: number,
 ): Promise<RankPlacement | undefined> {
 	const { port, member } = client
 	if (isAlone(client)) return await port.placement(member.engine)
-	return (await ask(client, 'placement', {}, READ_MS)) ?? undefined
+	const timeoutMs = READ_MS + READ_PER_RANK_MS * together
+	return (await ask(client, 'placement', {}, timeoutMs)) ?? undefined
 }
 
 async function ask<M extends keyof RankAnswers>(
--- a/packages/groups/src/rankService.ts
+++ b/packages/groups/src/rankService.ts
@@ -25,8 +25,13 @@
  * on the same VM, where asking by way of the coordinator takes a trip of the tree.
  */
 const TRIES = 2
-/** A whole map comes from the neighbour that sent its changes, ms. */
+/**
+ * A whole map comes from the neighbour that sent its changes: so much time, and so
+ * much for each expert of each set: four bytes, over a tenth of a link that carries
+ * half a KB in a ms.
+ */
 const BASE_MAP_MS = 400
+const BASE_MAP_PER_EXPERT_MS = 1 / 12
 
 /** Passes an order to an engine and tells what became of it. */
 export async function giveOrder(
@@ -181,15 +186,11 @@
 	if (order || message.type !== 'prepare') return order
 	if (!('changes' in message.sent)) return undefined
 	const { epoch } = message
-	const version = message.sent.changes.base
+	const { base: version, sets, experts } = message.sent.changes
+	const timeoutMs = BASE_MAP_MS + BASE_MAP_PER_EXPERT_MS * sets * experts
 	try {
 		const wanted: BaseMapRequest = { epoch, version }
-		const packed = await call<string | null>(
-			link,
-			'baseMap',
-			wanted,
-			BASE_MAP_MS,
-		)
+		const packed = await call<string | null>(link, 'baseMap', wanted, timeoutMs)
 		if (packed === null) return undefined
 		noteMap(known, epoch, version, unpackMap(packed))
 	} catch {
