--- a/packages/gateway/src/entryDemand.ts
+++ b/packages/gateway/src/entryDemand.ts
@@ -8,7 +8,7 @@
 import { dealServers, partTaken } from '@juniperhook/core'
 import type { GatewayContext } from './context.ts'
 import type { Fleet, FlowMeter, RequestFlow } from './fleet.ts'
-import { meterOf, settlePeerLoads } from './fleet.ts'
+import { meterOf, serviceOfGroup, settlePeerLoads } from './fleet.ts'
 
 /**
  * Demand of the last second counts most: callers that move to another data centre
@@ -46,8 +46,7 @@
 	room: number,
 	luck: number,
 ): boolean {
-	const [service = ''] = (fleet.groups[group] ?? '').split('/')
-	const meter = meterOf(fleet, service)
+	const meter = meterOf(fleet, serviceOfGroup(fleet, group))
 	if (!meter.intake) return room >= 1
 	const part = partTaken(room, meter.intake)
 	meter.taken = Math.min(meter.taken, part)
--- a/packages/gateway/src/fleet.ts
+++ b/packages/gateway/src/fleet.ts
@@ -139,6 +139,12 @@
 	return `${service}/${group ?? ''}`
 }
 
+/** The service of a group, by the group's number. */
+export function serviceOfGroup({ groups }: Fleet, group: number): string {
+	const name = groups[group] ?? ''
+	return name.slice(0, name.lastIndexOf('/'))
+}
+
 function numberOf(fleet: Fleet, group: string): number {
 	const known = fleet.groups.indexOf(group)
 	return known >= 0 ? known : fleet.groups.push(group) - 1
--- a/packages/groups/src/orderGiver.ts
+++ b/packages/groups/src/orderGiver.ts
@@ -8,6 +8,7 @@
 import { readNow } from '@juniperhook/runtime'
 import type { Coordinator } from './coordinatorState.ts'
 import { baseOf, copyMsOf } from './mapWork.ts'
+import type { OrderMessage } from './orderMessage.ts'
 import { sizeOfMessage, toOrderMessage } from './orderMessage.ts'
 import type { TreeLoad } from './orderTree.ts'
 import {
@@ -69,10 +70,11 @@
 	const { asked } = run
 	const wanted = listWanted(run.round).filter(one => !asked.has(keyOf(one)))
 	if (wanted.length === 0) return
-	const alike = wanted.filter(one => isSpread(co, one))
-	const spread = alike.length < LEAST_SPREAD ? [] : alike
-	for (const one of wanted) if (!spread.includes(one)) void give(co, run, one)
-	giveByTree(co, run, spread)
+	const spread = wanted.filter(one => isSpread(co, one))
+	const isTree = spread.length >= LEAST_SPREAD
+	for (const one of wanted)
+		if (!isTree || !isSpread(co, one)) void give(co, run, one)
+	if (isTree) giveByTree(co, run, spread)
 }
 
 /** Whether an order goes the way that others like it go. */
@@ -146,11 +148,10 @@
 	run: Run,
 	spread: readonly WantedOrder[],
 ): void {
-	const [first] = spread
-	if (!first) return
+	const { order: wanted } = spread[0]!
 	const isAgain = run.tries % 2 === 1
 	run.tries++
-	const order = toOrderMessage(first.order, baseOf(co))
+	const order = toOrderMessage(wanted, baseOf(co))
 	const { bytesPerMs } = co
 	const load: TreeLoad = { orderBytes: sizeOfMessage(order), bytesPerMs }
 	const { length } = spread
@@ -158,7 +159,7 @@
 	const prepareMs = PREPARE_WORK_MS + COPYING_TIMES * copyingMsOf(co, run)
 	const terms: RelayTerms = {
 		fanOut,
-		workMs: first.order.type === 'prepare' ? prepareMs : WORK_MS,
+		workMs: wanted.type === 'prepare' ? prepareMs : WORK_MS,
 		hopMs: HOP_TIMES * longestHopMs(length, fanOut, load) + LOST_PACKET_MS,
 	}
 	const ordered = isAgain ? [...spread].reverse() : spread
@@ -170,7 +171,7 @@
 	co: Coordinator,
 	run: Run,
 	branch: readonly WantedOrder[],
-	order: Parameters<typeof orderBranch>[1],
+	order: OrderMessage,
 	terms: RelayTerms,
 ): Promise<void> {
 	const { asked } = run
