--- a/packages/groups/src/passWatch.ts
+++ b/packages/groups/src/passWatch.ts
@@ -6,7 +6,7 @@
 
 import type { PassSeen, RankReport } from '@juniperhook/core'
 import { notePasses, predictPassMs } from '@juniperhook/core'
-import { readNow } from '@juniperhook/runtime'
+import { readNow, rpcCounts } from '@juniperhook/runtime'
 import type { Coordinator } from './coordinatorState.ts'
 import { factorNow } from './mapWork.ts'
 import type { PublishedGroup } from './ports.ts'
@@ -27,11 +27,21 @@
 	copying: boolean
 	factor: number
 	loggedAt: number
+	/** What had gone over this process's links then. */
+	bytesIn: number
+	bytesOut: number
 }
 
 /** Makes a watch that has seen nothing. */
 export function createPassWatch(): PassWatch {
-	return { since: undefined, copying: false, factor: 1, loggedAt: 0 }
+	return {
+		since: undefined,
+		copying: false,
+		factor: 1,
+		loggedAt: 0,
+		bytesIn: 0,
+		bytesOut: 0,
+	}
 }
 
 /** Takes a fresh report of the engine beside this process. */
@@ -73,7 +83,14 @@
 	notePasses(fitter, group.cost, seen)
 	const now = readNow()
 	if (now - passes.loggedAt < LOG_MS) return
+	const sinceMs = now - passes.loggedAt
 	passes.loggedAt = now
+	const { bytesIn, bytesOut } = rpcCounts
+	const perSecond = (bytes: number) => Math.round((bytes * 1_000) / sinceMs)
+	const inPerSecond = perSecond(bytesIn - passes.bytesIn)
+	const outPerSecond = perSecond(bytesOut - passes.bytesOut)
+	passes.bytesIn = bytesIn
+	passes.bytesOut = bytesOut
 	co.log.write('passes seen', {
 		passMs: Math.round(seen.passMs),
 		predictedMs: Math.round(predicted),
@@ -83,6 +100,8 @@
 		base: Number(fit.base.toFixed(2)),
 		stepSkew: Number(fit.stepSkew.toFixed(2)),
 		agreement: Number(co.agreement.toFixed(3)),
+		inPerSecond,
+		outPerSecond,
 	})
 	co.agreement = 1
 }
