--- a/packages/agent/src/agent.ts
+++ b/packages/agent/src/agent.ts
@@ -33,14 +33,12 @@
 } from './io/group.ts'
 import type { GroupMember } from './io/groupMember.ts'
 import { createOfferApp } from './io/offers.ts'
+import { beatRequests, isIdle, tickRequests } from './io/openAnswers.ts'
 import type { RequestTable } from './io/requests.ts'
 import {
-	beatRequests,
 	cancelAttempt,
 	createRequestTable,
-	isIdle,
 	stepTable,
-	tickRequests,
 	voidAttempt,
 } from './io/requests.ts'
 import { pushReport, pushReports, reportChanges } from './reports.ts'
--- a/packages/agent/src/io/requests.ts
+++ b/packages/agent/src/io/requests.ts
@@ -20,7 +20,6 @@
 	answerVoid,
 	attemptKey,
 	createAdmission,
-	scopeKey,
 	stepAdmission,
 	unknown,
 } from '@juniperhook/core'
@@ -38,7 +37,6 @@
 	createAnswerLog,
 	MAX_KEPT_BYTES,
 	nextNumber,
-	sendBeat,
 } from './answerLog.ts'
 import type { RunEnd } from './backend.ts'
 import { cancelOnEngine } from './backend.ts'
@@ -46,17 +44,12 @@
 import type { RunRequest } from './runs.ts'
 import { runOnBackend } from './runs.ts'
 
-/** How long a finished answer stays for a reader who lost its link, in ms. */
-const KEEP_ANSWER_MS = 5_000
-/** How long work goes on although nobody reads its answer, in ms. */
-const UNREAD_MS = 10_000
 const MS = 1_000
-const BEAT = packFrame({ t: 'beat' })
 const ADMITTED = packFrame({ t: 'admitted' })
 const log = createLog('agent:request')
 
 /** One request that was admitted here. */
-interface OpenRequest extends RunRequest {
+export interface OpenRequest extends RunRequest {
 	/** Since when nobody reads, monotonic ms; `undefined` while one does. */
 	unreadSince: number | undefined
 	finishedAt: number | undefined
@@ -173,32 +166,6 @@
 	stepTable(table, { type: 'cancel', name })
 }
 
-/** Runs the periodic systems: time-outs, heartbeats, forgetting. */
-export function tickRequests(table: RequestTable): void {
-	stepTable(table, { type: 'tick' })
-	const { now } = readMoment()
-	for (const [id, request] of table.open) {
-		if (request.finishedAt !== undefined) dropFinished(table, id, request, now)
-		else if (request.answer.readers.size > 0) request.unreadSince = undefined
-		else cancelUnread(table, request, now)
-	}
-}
-
-/** Sends heartbeats on open answers. */
-export function beatRequests(table: RequestTable): void {
-	for (const request of table.open.values())
-		if (request.finishedAt === undefined) sendBeat(request.answer, BEAT)
-}
-
-/** Whether nothing runs, waits or is still being sent. */
-export function isIdle(table: RequestTable): boolean {
-	for (const request of table.open.values()) {
-		if (request.finishedAt === undefined) return false
-		if (request.answer.readers.size > 0) return false
-	}
-	return true
-}
-
 /** Lets an event happen and carries out its effects. */
 export function stepTable(table: RequestTable, event: AdmissionEvent): void {
 	const effects = stepAdmission(table.admission, event, readMoment())
@@ -306,28 +273,3 @@
 	const reqId = attemptKey(request.name)
 	cancelOnEngine(table.server.backend, reqId).catch(() => {})
 }
-
-function cancelUnread(
-	table: RequestTable,
-	request: OpenRequest,
-	now: number,
-): void {
-	request.unreadSince ??= now
-	if (now - request.unreadSince < UNREAD_MS) return
-	request.unreadSince = now
-	stepTable(table, { type: 'cancel', name: request.name })
-}
-
-function dropFinished(
-	table: RequestTable,
-	id: string,
-	request: OpenRequest,
-	now: number,
-): void {
-	const { key, team, service = '' } = request.meta
-	const { keys } = table.admission
-	if (key !== undefined && keys.has(scopeKey(team, service, key))) return
-	if (request.answer.readers.size > 0) return
-	const age = now - (request.finishedAt ?? now)
-	if (age > KEEP_ANSWER_MS) table.open.delete(id)
-}
--- a/packages/core/src/core/admission.ts
+++ b/packages/core/src/core/admission.ts
@@ -13,9 +13,7 @@
 	AdmissionState,
 	AttemptName,
 	AttemptRow,
-	ErrorKind,
 	FinishHow,
-	KeyClaim,
 	KeyRow,
 	Moment,
 	NotRun,
@@ -24,11 +22,19 @@
 	VoidAnswer,
 } from '../internal.ts'
 import {
+	ATTEMPT_MEMORY_MS,
+	attemptKey,
 	createFairQueue,
-	dequeue,
 	enqueue,
+	estimateWait,
+	judgeAge,
+	judgeClaim,
+	nameOf,
 	notRun,
-	removeWaiting,
+	refuseWaiting,
+	rememberKey,
+	shedHopeless,
+	startNext,
 	unknown,
 } from '../internal.ts'
 
@@ -36,12 +42,6 @@
 export const PAUSE_MS = 1_000
 /** After a pause, offers that may have waited in a socket are refused, in ms. */
 export const WAKE_GRACE_MS = 100
-/** How long a void order and a finished attempt are remembered, in ms. */
-export const ATTEMPT_MEMORY_MS = 120_000
-/** Stated bound on the difference between any two clocks, in ms. */
-export const CLOCK_BOUND_MS = 5_000
-/** Most keys that an agent remembers. */
-export const MAX_KEYS = 20_000
 /** Most requests that wait at an agent. */
 export const MAX_WAITING = 4_096
 const SERVICE_TIME_DECAY = 0.1
@@ -63,11 +63,6 @@
 	}
 }
 
-/** One string for a try, as a table key. */
-export function attemptKey(name: AttemptName): string {
-	return `${name.reqId}/${name.attempt}`
-}
-
 /** Lets `event` happen. */
 export function stepAdmission(
 	state: AdmissionState,
@@ -113,15 +108,6 @@
 	return state.voided.has(attemptKey(name)) ? 'void' : 'started'
 }
 
-/** How long a new request of this priority would wait, in ms. */
-export function estimateWait(state: AdmissionState, priority: number): number {
-	if (state.running < state.slots) return 0
-	const waiting = state.queue.waiting
-	let ahead = 0
-	while (ahead < waiting.length && waiting[ahead]!.priority <= priority) ahead++
-	return ((ahead + 1) / state.slots) * state.serviceMs
-}
-
 /**
  * Work that waited across a pause of this process may have been given up by its
  * entry; it is refused, never started late.
@@ -204,40 +190,6 @@
 	return notRun('overloaded', Math.ceil(wait))
 }
 
-/** Whether the key may be older than what this agent can remember. */
-function judgeAge(
-	state: AdmissionState,
-	claim: KeyClaim,
-	at: Moment,
-): Unknown | undefined {
-	if (claim.fresh || claim.homeSinceWall === undefined) return undefined
-	if (claim.wallTime <= at.wall - claim.windowMs) return unknown('keyForgotten')
-	const safeSince = Math.max(state.bornWall, claim.homeSinceWall)
-	const young = claim.wallTime > safeSince + CLOCK_BOUND_MS
-	return young ? undefined : unknown('keyForgotten')
-}
-
-/** Refuses a key that this agent must not run. */
-function judgeClaim(
-	state: AdmissionState,
-	claim: KeyClaim,
-	at: Moment,
-): NotRun | undefined {
-	if (claim.homeSinceWall === undefined) return notRun('notHome')
-	if (claim.wallTime > at.wall + CLOCK_BOUND_MS) return notRun('keyClock')
-	if (state.keys.size >= MAX_KEYS) return notRun('keyMemoryFull')
-	return undefined
-}
-
-function rememberKey(
-	state: AdmissionState,
-	offer: Offer,
-	claim: KeyClaim,
-): void {
-	const forgetWall = claim.wallTime + claim.windowMs + 2 * CLOCK_BOUND_MS
-	state.keys.set(claim.key, { first: nameOf(offer), forgetWall })
-}
-
 function voidAttempt(
 	state: AdmissionState,
 	name: AttemptName,
@@ -285,54 +237,6 @@
 	state.serviceMs += decay * (held - state.serviceMs)
 }
 
-/** Gives up, at once, what can no longer start in time. */
-function shedHopeless(state: AdmissionState, at: Moment): AdmissionEffect[] {
-	const effects: AdmissionEffect[] = []
-	let ahead = 0
-	for (const row of [...state.queue.waiting]) {
-		const full = state.running + ahead >= state.slots
-		const wait = full ? ((ahead + 1) / state.slots) * state.serviceMs : 0
-		const late = at.now >= row.startBy
-		const hopeless = at.now + wait > row.startBy
-		if (!late && !hopeless) {
-			ahead++
-			continue
-		}
-		const kind = late ? 'startBudget' : 'overloaded'
-		effects.push(refuseWaiting(state, row, kind, at, Math.ceil(wait)))
-	}
-	return effects
-}
-
-function startNext(state: AdmissionState, at: Moment): AdmissionEffect[] {
-	const effects: AdmissionEffect[] = []
-	while (state.running < state.slots) {
-		const row = dequeue(state.queue)
-		if (!row) break
-		row.phase = 'running'
-		row.startedAt = at.now
-		state.running++
-		effects.push({ do: 'start', name: nameOf(row) })
-	}
-	return effects
-}
-
-function refuseWaiting(
-	state: AdmissionState,
-	row: AttemptRow,
-	kind: ErrorKind,
-	at: Moment,
-	retryAfterMs = 0,
-): AdmissionEffect {
-	removeWaiting(state.queue, row)
-	row.phase = 'refused'
-	row.forgetAt = at.now + ATTEMPT_MEMORY_MS
-	// It never started, so its key is free for another try.
-	if (row.claim) state.keys.delete(row.claim.key)
-	const outcome = notRun(kind, retryAfterMs)
-	return { do: 'refuse', name: nameOf(row), outcome }
-}
-
 function forget(state: AdmissionState, at: Moment): void {
 	for (const [id, until] of state.voided)
 		if (until <= at.now) state.voided.delete(id)
@@ -343,7 +247,3 @@
 		if (row.forgetAt <= at.now && !kept) state.attempts.delete(id)
 	}
 }
-
-function nameOf(name: AttemptName): AttemptName {
-	return { reqId: name.reqId, attempt: name.attempt }
-}
--- a/packages/core/src/core/spread.ts
+++ b/packages/core/src/core/spread.ts
@@ -10,48 +10,29 @@
 import type {
 	GoodValue,
 	Held,
-	Member,
 	Random,
 	SpreadEffect,
 	SpreadMessage,
 	SpreadNode,
+	Topic,
 } from '../internal.ts'
 import {
-	applyPatch,
+	answerFetch,
 	drawIndex,
-	makePatch,
-	topByRendezvous,
+	hear,
+	hold,
+	READERS,
+	repeatFetch,
+	send,
+	TOPICS,
+	takePatches,
+	takeValue,
 } from '../internal.ts'
 
-/** Values that the platform publishes. */
-export const TOPICS = ['config', 'vms'] as const
-/** See {@link TOPICS}. */
-export type Topic = (typeof TOPICS)[number]
-
-/** Ring neighbours that hold the graph together. */
-const RING_DEGREE = 2
-/** Further neighbours that make it shallow. */
-const RANDOM_DEGREE = 4
-/** Processes a region that watch the platform. */
-export const READERS = 2
-/** Processes a region that step in when readers fall silent. */
-export const STANDBYS = 3
-/** Patches kept to bring others up to date. */
-const KEPT_PATCHES = 32
 /** Time between exchanges with a random member, ms. */
 export const EXCHANGE_MS = 10_000
 /** Time between a standby's looks at the readers, ms. */
 export const LOOK_MS = 1_500
-/** A fetch without answer is tried elsewhere after this, ms. */
-export const FETCH_MS = 1_000
-/**
- * Each further try waits twice as long, up to 2 to the power of this: the answer
- * may be a whole document on its way over a slow link, and each try sends it
- * once more over the same link.
- */
-const MAX_DOUBLINGS = 4
-/** A reader that has not answered a look for this long is silent, ms. */
-export const SILENT_MS = 3_500
 /** So is one whose watch, which waits 30 s, has not been answered, ms. */
 export const CONTACT_MS = 40_000
 
@@ -83,42 +64,6 @@
 	}
 }
 
-/** Takes the members in order of their names, which is the ring's order. */
-export function setMembers(
-	node: SpreadNode,
-	members: readonly Member[],
-	now: number,
-): void {
-	node.members = members
-	node.neighbours = pickNeighbours(node, members)
-	const regional = members
-		.filter(member => member.region === node.region)
-		.map(member => member.name)
-	node.readers = topByRendezvous(
-		`readers of ${node.region}`,
-		regional,
-		READERS + STANDBYS,
-	)
-	for (const reader of node.readers)
-		if (!node.readerSeen.has(reader)) node.readerSeen.set(reader, now)
-}
-
-/**
- * Whether this process watches the platform now: it is a reader, or a standby
- * who finds too few readers in contact, or it knows no members at all.
- */
-export function isReader(node: SpreadNode, now: number): boolean {
-	if (node.members.length === 0) return true
-	const place = node.readers.indexOf(node.self)
-	if (place < 0) return false
-	if (place < READERS) return true
-	const before = node.readers.slice(0, place)
-	const silent = before.filter(
-		reader => now - (node.readerSeen.get(reader) ?? 0) > SILENT_MS,
-	)
-	return before.length - silent.length < READERS
-}
-
 /** The platform answered, with a value or without news. */
 export function takePublished(
 	node: SpreadNode,
@@ -220,123 +165,11 @@
 	return [send(member.name, { type: 'fetch', topic, have: -1 })]
 }
 
-function takeValue(
-	node: SpreadNode,
-	from: string,
-	message: Extract<SpreadMessage, { type: 'value' }>,
-): SpreadEffect[] {
-	const { topic, revision, text, good } = message
-	const effects: SpreadEffect[] = good ? [{ do: 'adopt', topic, ...good }] : []
-	return [...effects, ...hold(node, topic, revision, text, from)]
-}
-
 /** Compares with one member what both hold. */
 export function greetMember(node: SpreadNode, name: string): SpreadEffect[] {
 	return [send(name, compareOf(node, true))]
 }
 
-function hold(
-	node: SpreadNode,
-	topic: Topic,
-	revision: number,
-	text: string,
-	from: string,
-): SpreadEffect[] {
-	const held = node.held[topic]
-	// Never backwards, whoever says so.
-	if (revision <= held.revision) return []
-	if (held.revision > 0) {
-		const patch = makePatch(held.text, text)
-		held.patches.push({ from: held.revision, to: revision, patch })
-		if (held.patches.length > KEPT_PATCHES) held.patches.shift()
-	}
-	held.revision = revision
-	held.text = text
-	held.heard = Math.max(held.heard, revision)
-	held.fetching = undefined
-	const notices = node.neighbours
-		.filter(name => name !== from)
-		.map(name => send(name, { type: 'notice', topic, revision }))
-	return [{ do: 'adopt', topic, revision, text }, ...notices]
-}
-
-function hear(
-	node: SpreadNode,
-	topic: Topic,
-	revision: number,
-	from: string,
-	now: number,
-): SpreadEffect[] {
-	const held = node.held[topic]
-	if (revision <= held.revision) return []
-	held.heard = Math.max(held.heard, revision)
-	if (held.fetching && now < held.fetching.until) return []
-	return startFetch(node, topic, from, now)
-}
-
-function startFetch(
-	node: SpreadNode,
-	topic: Topic,
-	from: string,
-	now: number,
-): SpreadEffect[] {
-	const held = node.held[topic]
-	const tries = held.fetching ? held.fetching.tries + 1 : 0
-	const waitMs = FETCH_MS * 2 ** Math.min(tries, MAX_DOUBLINGS)
-	held.fetching = { from, until: now + waitMs, tries }
-	return [send(from, { type: 'fetch', topic, have: held.revision })]
-}
-
-/** A fetch that was not answered goes to a neighbour or a random member. */
-function repeatFetch(
-	node: SpreadNode,
-	topic: Topic,
-	now: number,
-	random: Random,
-): SpreadEffect[] {
-	const held = node.held[topic]
-	if (held.heard <= held.revision) return []
-	if (!held.fetching || now < held.fetching.until) return []
-	const names =
-		random() < 0.5 ? node.neighbours : node.members.map(member => member.name)
-	const name = names[drawIndex(random, names.length)]
-	if (name === undefined || name === node.self) return []
-	return startFetch(node, topic, name, now)
-}
-
-function answerFetch(
-	node: SpreadNode,
-	topic: Topic,
-	have: number,
-): SpreadMessage {
-	const { revision, text, patches } = node.held[topic]
-	const start = patches.findIndex(step => step.from === have)
-	if (start < 0) {
-		const { good } = node.held[topic]
-		return { type: 'value', topic, revision, text, ...(good && { good }) }
-	}
-	const steps = patches.slice(start).map(step => step.patch)
-	return { type: 'patches', topic, revision, base: have, patches: steps }
-}
-
-function takePatches(
-	node: SpreadNode,
-	from: string,
-	message: Extract<SpreadMessage, { type: 'patches' }>,
-): SpreadEffect[] {
-	const { topic, revision, base, patches } = message
-	const held = node.held[topic]
-	if (revision <= held.revision) return []
-	const whole: SpreadMessage = { type: 'fetch', topic, have: -1 }
-	if (held.revision !== base) return [send(from, whole)]
-	let text: string | undefined = held.text
-	for (const patch of patches)
-		text = text === undefined ? undefined : applyPatch(text, patch)
-	// A base that does not fit: ask for the whole.
-	if (text === undefined) return [send(from, whole)]
-	return hold(node, topic, revision, text, from)
-}
-
 function compare(
 	node: SpreadNode,
 	from: string,
@@ -354,24 +187,3 @@
 	const revisions = TOPICS.map(topic => node.held[topic].revision)
 	return { type: 'compare', revisions, answer }
 }
-
-function pickNeighbours(
-	node: SpreadNode,
-	members: readonly Member[],
-): string[] {
-	const names = members.map(member => member.name)
-	const others = names.filter(name => name !== node.self)
-	const after = others.findIndex(name => name > node.self)
-	const picked = new Set<string>()
-	for (let n = 0; n < Math.min(RING_DEGREE, others.length); n++)
-		picked.add(others[(Math.max(after, 0) + n) % others.length]!)
-	const degree = RING_DEGREE + RANDOM_DEGREE
-	const key = `neighbours of ${node.self}`
-	for (const name of topByRendezvous(key, others, degree))
-		if (picked.size < degree) picked.add(name)
-	return [...picked]
-}
-
-function send(to: string, message: SpreadMessage): SpreadEffect {
-	return { do: 'send', to, message }
-}
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -33,12 +33,13 @@
 import { H3 } from 'h3'
 import { createCallerAnswer, failAnswer } from './io/caller.ts'
 import type { EntryContext } from './io/entryContext.ts'
-import { EXCHANGE_TICK_MS, serveRequest, tickExchanges } from './io/exchange.ts'
+import { EXCHANGE_TICK_MS, tickExchanges } from './io/exchangeSilence.ts'
 import {
 	indexTeams,
 	readModelRequest,
 	readServiceRequest,
 } from './io/intake.ts'
+import { serveRequest } from './io/serveRequest.ts'
 import {
 	applyConfig,
 	applyEntries,
--- a/packages/entry/src/io/exchange.ts
+++ b/packages/entry/src/io/exchange.ts
@@ -1,15 +1,12 @@
-/** Carries out the entry's decisions on one request, from intake to answer. */
+/** Carries out the entry's decisions on one request, from admission to answer. */
 
-import type { IncomingMessage, ServerResponse } from 'node:http'
 import type {
-	Config,
 	ErrorKind,
 	FateEffect,
 	FateEvent,
 	Outcome,
 } from '@juniperhook/core'
 import {
-	admitTeam,
 	chooseServer,
 	mayRetry,
 	noteFirstTry,
@@ -22,16 +19,9 @@
 	unknown,
 } from '@juniperhook/core'
 import type { OfferMeta } from '@juniperhook/runtime'
-import {
-	createLog,
-	JuniperhookError,
-	kindOf,
-	messageOf,
-	readNow,
-} from '@juniperhook/runtime'
+import { createLog, messageOf, readNow } from '@juniperhook/runtime'
 import { offerAttempt, resumeAttempt } from './attempt.ts'
 import {
-	createCallerAnswer,
 	endAnswer,
 	failAnswer,
 	isTold,
@@ -40,99 +30,37 @@
 	takeHead,
 } from './caller.ts'
 import type { EntryContext, Exchange } from './entryContext.ts'
-import { createExchange, refOf } from './entryContext.ts'
+import { refOf } from './entryContext.ts'
 import { createSink } from './exchangeSink.ts'
-import type { Intake, TeamIndex } from './intake.ts'
-import { KEY_HEADER } from './intake.ts'
-import { refuseLimited, refuseRequest } from './refusals.ts'
 import { candidateRows, createQuery, wakeOnly } from './routeQuery.ts'
 import { peerOfRow, sendCancel, sendVoid } from './servers.ts'
 
-/** An agent must say that it has an offer within this time, ms. */
-const SILENT_MS = 1_500
-/** An open answer without a frame for so long has lost its link, ms. */
-const STALL_MS = 4_000
-const CHECK_MS = 250
 /** Pause before the same server is tried again, ms; doubled each time. */
 const SAME_SERVER_MS = 50
 /** Time for a first link to a key's home, ms. */
 const WAKE_MS = 200
 const MS = 1_000
-/** Response header that names the request in logs. */
-export const REQUEST_ID_HEADER = 'x-request-id'
 const log = createLog('entry:request')
 
-/** Reads, admits and serves one request. */
-export async function serveRequest(
-	ctx: EntryContext,
-	read: (
-		req: IncomingMessage,
-		config: Config,
-		teams: TeamIndex,
-	) => Promise<Intake>,
-	req: IncomingMessage,
-	res: ServerResponse,
-): Promise<void> {
-	const answer = createCallerAnswer(res)
-	const reqId = makeRequestId(ctx)
-	res.setHeader(REQUEST_ID_HEADER, reqId)
-	const hasKey = req.headers[KEY_HEADER] !== undefined
-	const refuse = (kind: ErrorKind, detail?: string) =>
-		refuseRequest(ctx, answer, kind, hasKey, detail)
-	try {
-		if (ctx.leaving) return refuse('entryLeaving')
-		if (!ctx.config) return refuse('noConfig')
-		const intake = await read(req, ctx.config, ctx.teams)
-		const limited = admit(ctx, intake)
-		if (limited) return refuseLimited(ctx, answer, intake, limited)
-		if (intake.key) res.setHeader(KEY_HEADER, intake.key.value)
-		startExchange(ctx, createExchange(reqId, intake, answer))
-	} catch (err) {
-		// The caller went away while its body was read.
-		if (req.destroyed && !req.complete) return
-		const known = err instanceof JuniperhookError
-		if (!known) log({ msg: 'fault', reqId, detail: messageOf(err) })
-		refuse(kindOf(err), known ? err.detail : '')
-	}
-}
-
-/** Runs time-outs over all open requests. */
-export function tickExchanges(ctx: EntryContext): void {
-	const now = readNow()
-	for (const exchange of ctx.exchanges) {
-		if (now >= exchange.deadlineAt) {
-			step(ctx, exchange, { type: 'deadline' })
-			continue
-		}
-		checkSilence(ctx, exchange, now)
-	}
-}
-
-/** How often {@link tickExchanges} is to be called, ms. */
-export const EXCHANGE_TICK_MS = CHECK_MS
-
-function admit(ctx: EntryContext, intake: Intake) {
-	const { teamName, team, tokens } = intake
-	const entries = ctx.entryCount
-	return admitTeam(ctx.limits, teamName, team, tokens, entries, readNow())
-}
-
-function makeRequestId(ctx: EntryContext): string {
-	return `${ctx.incarnation}-${ctx.nextRequest++}`
-}
-
-function startExchange(ctx: EntryContext, exchange: Exchange): void {
+/** Begins to serve a request that was admitted. */
+export function startExchange(ctx: EntryContext, exchange: Exchange): void {
 	const { res } = exchange.answer
 	ctx.exchanges.add(exchange)
 	noteFirstTry(ctx.retries)
 	res.on('close', () => {
-		if (!res.writableFinished) step(ctx, exchange, { type: 'callerGone' })
+		if (!res.writableFinished)
+			stepExchange(ctx, exchange, { type: 'callerGone' })
 	})
 	res.on('drain', () => exchange.handle?.resume())
 	route(ctx, exchange, undefined)
 }
 
-function step(ctx: EntryContext, exchange: Exchange, event: FateEvent): void {
+/** Lets an event happen to a request and carries out what follows. */
+export function stepExchange(
+	ctx: EntryContext,
+	exchange: Exchange,
+	event: FateEvent,
+): void {
 	exchange.fate.told = isTold(exchange.answer)
 	const effects = stepFate(exchange.fate, event, mayRetry(ctx.retries))
 	try {
@@ -218,7 +146,7 @@
 	const now = readNow()
 	const row = chooseServer(ctx.servers.table, query, now, ctx.random)
 	if (row < 0) {
-		step(ctx, exchange, { type: 'noRoute', kind: 'noServer' })
+		stepExchange(ctx, exchange, { type: 'noRoute', kind: 'noServer' })
 		return
 	}
 	offer(ctx, exchange, row)
@@ -231,7 +159,7 @@
 	exchange.peer = peer
 	exchange.incarnation = peer.incarnation
 	exchange.heardAt = readNow()
-	step(ctx, exchange, { type: 'routed' })
+	stepExchange(ctx, exchange, { type: 'routed' })
 	noteSent(ctx.servers.table, row, 1)
 	exchange.counted = true
 	const left = exchange.deadlineAt - readNow()
@@ -252,7 +180,9 @@
 			freshKey: intake.key.fresh,
 		}),
 	}
-	const sink = createSink(ctx, exchange, event => step(ctx, exchange, event))
+	const sink = createSink(ctx, exchange, event =>
+		stepExchange(ctx, exchange, event),
+	)
 	exchange.handle = offerAttempt(peer.address, meta, intake.body, sink)
 }
 
@@ -272,7 +202,9 @@
 	if (fate.state.at === 'settled' || fate.attempt !== attempt) return
 	exchange.heardAt = readNow()
 	const meta = { ...refOf(exchange), from }
-	const sink = createSink(ctx, exchange, event => step(ctx, exchange, event))
+	const sink = createSink(ctx, exchange, event =>
+		stepExchange(ctx, exchange, event),
+	)
 	exchange.handle = resumeAttempt(peer.address, meta, sink)
 }
 
@@ -286,7 +218,7 @@
 	exchange.handle?.abandon()
 	noteResult(ctx.servers.table, exchange.row, false, readNow())
 	const answer = await sendVoid(peer, { ...refOf(exchange), attempt })
-	step(ctx, exchange, { type: 'voidAnswer', attempt, answer })
+	stepExchange(ctx, exchange, { type: 'voidAnswer', attempt, answer })
 }
 
 function forward(exchange: Exchange): void {
@@ -296,34 +228,6 @@
 	if (!takeChunk(answer, frame.data)) exchange.handle?.pause()
 }
 
-function checkSilence(
-	ctx: EntryContext,
-	exchange: Exchange,
-	now: number,
-): void {
-	const { fate } = exchange
-	const quiet = now - exchange.heardAt
-	const { attempt } = fate
-	switch (fate.state.at) {
-		case 'offered':
-			if (quiet > SILENT_MS) step(ctx, exchange, { type: 'silent', attempt })
-			break
-		case 'answering':
-			if (quiet <= STALL_MS || exchange.answer.res.writableNeedDrain) break
-			exchange.heardAt = now
-			exchange.handle?.abandon()
-			noteResult(ctx.servers.table, exchange.row, false, now)
-			step(ctx, exchange, { type: 'linkLost', attempt })
-			break
-		case 'routing':
-		case 'voiding':
-		case 'settled':
-			break
-		default:
-			fate.state satisfies never
-	}
-}
-
 function settle(ctx: EntryContext, exchange: Exchange, outcome: Outcome): void {
 	const { intake, answer, reqId } = exchange
 	ctx.exchanges.delete(exchange)
--- /dev/null
+++ b/packages/entry/src/io/serveRequest.ts
@@ -0,0 +1,67 @@
+/** Takes one request in: reads it, admits it, and begins to serve it. */
+
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import type { Config, ErrorKind } from '@juniperhook/core'
+import { admitTeam } from '@juniperhook/core'
+import {
+	createLog,
+	JuniperhookError,
+	kindOf,
+	messageOf,
+	readNow,
+} from '@juniperhook/runtime'
+import { createCallerAnswer } from './caller.ts'
+import type { EntryContext } from './entryContext.ts'
+import { createExchange } from './entryContext.ts'
+import { startExchange } from './exchange.ts'
+import type { Intake, TeamIndex } from './intake.ts'
+import { KEY_HEADER } from './intake.ts'
+import { refuseLimited, refuseRequest } from './refusals.ts'
+
+/** Response header that names the request in logs. */
+export const REQUEST_ID_HEADER = 'x-request-id'
+const log = createLog('entry:request')
+
+/** Reads, admits and serves one request. */
+export async function serveRequest(
+	ctx: EntryContext,
+	read: (
+		req: IncomingMessage,
+		config: Config,
+		teams: TeamIndex,
+	) => Promise<Intake>,
+	req: IncomingMessage,
+	res: ServerResponse,
+): Promise<void> {
+	const answer = createCallerAnswer(res)
+	const reqId = makeRequestId(ctx)
+	res.setHeader(REQUEST_ID_HEADER, reqId)
+	const hasKey = req.headers[KEY_HEADER] !== undefined
+	const refuse = (kind: ErrorKind, detail?: string) =>
+		refuseRequest(ctx, answer, kind, hasKey, detail)
+	try {
+		if (ctx.leaving) return refuse('entryLeaving')
+		if (!ctx.config) return refuse('noConfig')
+		const intake = await read(req, ctx.config, ctx.teams)
+		const limited = admit(ctx, intake)
+		if (limited) return refuseLimited(ctx, answer, intake, limited)
+		if (intake.key) res.setHeader(KEY_HEADER, intake.key.value)
+		startExchange(ctx, createExchange(reqId, intake, answer))
+	} catch (err) {
+		// The caller went away while its body was read.
+		if (req.destroyed && !req.complete) return
+		const known = err instanceof JuniperhookError
+		if (!known) log({ msg: 'fault', reqId, detail: messageOf(err) })
+		refuse(kindOf(err), known ? err.detail : '')
+	}
+}
+
+function admit(ctx: EntryContext, intake: Intake) {
+	const { teamName, team, tokens } = intake
+	const entries = ctx.entryCount
+	return admitTeam(ctx.limits, teamName, team, tokens, entries, readNow())
+}
+
+function makeRequestId(ctx: EntryContext): string {
+	return `${ctx.incarnation}-${ctx.nextRequest++}`
+}
