--- a/bench/model.ts
+++ b/bench/model.ts
@@ -5,8 +5,8 @@
  */
 
 import { explore } from '../packages/core/test/models/explore.ts'
-import type { MapBounds } from '../packages/core/test/models/mapModel.ts'
 import { createMapModel } from '../packages/core/test/models/mapModel.ts'
+import type { MapBounds } from '../packages/core/test/models/mapModelState.ts'
 import { isQuick, print } from './output.ts'
 
 const BASE: MapBounds = {
--- a/packages/core/test/groupRound.test.ts
+++ b/packages/core/test/groupRound.test.ts
@@ -8,8 +8,8 @@
 import * as assert from 'uvu/assert'
 import { createRound, listWanted, takeAnchorReport } from '../src/index.ts'
 import { explore } from './models/explore.ts'
-import type { RoundBounds, RoundMutant } from './models/groupRoundModel.ts'
 import { createRoundModel } from './models/groupRoundModel.ts'
+import type { RoundBounds, RoundMutant } from './models/groupRoundModelState.ts'
 
 const SEED = 20261202
 const SMALL: RoundBounds = {
--- a/packages/core/test/mapProtocol.test.ts
+++ b/packages/core/test/mapProtocol.test.ts
@@ -7,8 +7,8 @@
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
 import { explore } from './models/explore.ts'
-import type { MapBounds, Mutant } from './models/mapModel.ts'
 import { createMapModel } from './models/mapModel.ts'
+import type { MapBounds, Mutant } from './models/mapModelState.ts'
 
 const SMALL: MapBounds = {
 	ranks: 2,
--- a/packages/core/test/models/fateModel.ts
+++ b/packages/core/test/models/fateModel.ts
@@ -22,6 +22,14 @@
 	WAKE_GRACE_MS,
 } from '../../src/index.ts'
 import type { Model } from './explore.ts'
+import {
+	answerOne,
+	answerReaders,
+	dropFrames,
+	nameOf,
+	send,
+	sendAnswer,
+} from './fateModelLinks.ts'
 import type {
 	Draft,
 	FateBounds,
@@ -33,7 +41,6 @@
 } from './fateModelState.ts'
 import {
 	BORN_WALL,
-	CHUNKS,
 	createInitial,
 	findBrokenPromise,
 	KEY,
@@ -268,24 +275,6 @@
 	}
 }
 
-function answerReaders(draft: Draft, run: string): void {
-	const { state } = draft
-	for (const reader of [run, ...(state.attached[run] ?? [])])
-		sendAnswer(state, reader, 0)
-}
-
-function sendAnswer(state: FateModelState, reader: string, from: number): void {
-	for (let n = from; n < CHUNKS; n++)
-		answerOne(state, reader, { t: 'chunk', n, of: KEY })
-	answerOne(state, reader, { t: 'end', n: CHUNKS })
-}
-
-function answerOne(state: FateModelState, reader: string, frame: Frame): void {
-	const name = nameOf(reader)
-	const entry = Number(name.reqId.slice(1))
-	send(state, { kind: 'frame', entry, attempt: name.attempt, frame })
-}
-
 function takeFrame(
 	draft: Draft,
 	entry: number,
@@ -403,24 +392,3 @@
 			phase satisfies never
 	}
 }
-
-/** A connection that the entry has left brings nothing more. */
-function dropFrames(state: FateModelState, entry: number): void {
-	const kept = state.messages.filter(text => {
-		const message: Message = JSON.parse(text)
-		return message.kind !== 'frame' || message.entry !== entry
-	})
-	state.messages.splice(0, state.messages.length, ...kept)
-}
-
-function send(state: FateModelState, message: Message): void {
-	const text = JSON.stringify(message)
-	if (state.messages.includes(text)) return
-	state.messages.push(text)
-	state.messages.sort()
-}
-
-function nameOf(id: string): AttemptName {
-	const [reqId = '', attempt] = id.split('/')
-	return { reqId, attempt: Number(attempt) }
-}
--- a/packages/core/test/models/mapModel.ts
+++ b/packages/core/test/models/mapModel.ts
@@ -6,13 +6,7 @@
  * replies be late as well.
  */
 
-import type {
-	CoordinatorState,
-	RankOrder,
-	RankReply,
-	RankRequest,
-	RankState,
-} from '../../src/index.ts'
+import type { CoordinatorState, RankOrder, RankReply } from '../../src/index.ts'
 import {
 	beginStep,
 	createCoordinator,
@@ -26,79 +20,15 @@
 	takeRankRequest,
 } from '../../src/index.ts'
 import type { Model } from './explore.ts'
-
-/** Bounds of an exploration. */
-export interface MapBounds {
-	readonly ranks: number
-	readonly coordinators: number
-	/** Rounds that each coordinator may begin. */
-	readonly rounds: number
-	/** Last step explored. */
-	readonly steps: number
-	readonly restarts: number
-	/** Time-outs of coordinators. */
-	readonly timeouts: number
-	/** Requests delivered a second time. */
-	readonly doubles: number
-	/** Replies lost. */
-	readonly losses: number
-	/** Replies that come after any time, out of order. */
-	readonly late: number
-}
-
-/** A guard taken out, to see that the exploration finds the fault. */
-export type Mutant = 'none' | 'gate' | 'nOfN' | 'fence'
-
-interface Message {
-	readonly to: number
-	readonly from: number
-	readonly req: RankRequest
-}
-
-/** A state of the model; JSON-safe. */
-export interface MapModelState {
-	readonly ranks: RankState[]
-	readonly coordinators: CoordinatorJson[]
-	/** On the way; a message may stay there for ever. */
-	readonly messages: string[]
-	readonly doubles: number
-	readonly losses: number
-	readonly late: number
-	readonly lateReplies: LateReply[]
-	readonly rounds: number[]
-	readonly restarts: number
-	readonly timeouts: number
-	/** Map used in `generation/step`, with the ranks that began it. */
-	readonly used: Record<string, string>
-	/** Maps in the order in which whole steps used them. */
-	readonly history: string[]
-	readonly fault: string | null
-}
-
-interface LateReply {
-	readonly rank: number
-	readonly at: number
-	readonly reply: RankReply
-}
-
-type CoordinatorJson = Omit<CoordinatorState, 'open'> & {
-	readonly open: number[]
-}
-
-/** What may happen. */
-export type MapModelEvent =
-	| { readonly do: 'start'; readonly coordinator: number }
-	| { readonly do: 'timeout'; readonly coordinator: number }
-	| {
-			readonly do: 'deliver'
-			readonly message: string
-			readonly replyFate: 'prompt' | 'lost' | 'late'
-			/** It stays on the way, to be delivered once more. */
-			readonly again: boolean
-	  }
-	| { readonly do: 'lateReply'; readonly index: number }
-	| { readonly do: 'begin'; readonly rank: number }
-	| { readonly do: 'restart'; readonly rank: number }
+import type {
+	CoordinatorJson,
+	LateReply,
+	MapBounds,
+	MapModelEvent,
+	MapModelState,
+	Message,
+	Mutant,
+} from './mapModelState.ts'
 
 const FIRST_MAP = 'm0'
 
--- a/packages/entry/test/failures.process.test.ts
+++ b/packages/entry/test/failures.process.test.ts
@@ -109,32 +109,49 @@
 		}, 'all servers open')
 }
 
-const FAILURES: {
-	name: string
+/** What happens to the fleet, and how it is over. */
+interface Failure {
 	fail(): Promise<void>
 	heal(): Promise<void>
-	/** Share of bookings that must still be answered. */
-	answered: number
-}[] = [
-	{
-		name: 'an agent is killed and comes back',
+}
+
+function killed(process: string, ms: number): Failure {
+	return {
 		async fail() {
-			signal(fleet, 'service-0', 'SIGKILL')
+			signal(fleet, process, 'SIGKILL')
+			await wait(ms)
 		},
 		async heal() {
-			await restart(fleet, 'service-0')
+			await restart(fleet, process)
 		},
-		answered: 0.3,
-	},
-	{
-		name: 'an agent is frozen past every time-out and wakes',
+	}
+}
+
+function frozen(process: string, ms: number): Failure {
+	return {
 		async fail() {
-			signal(fleet, 'service-1', 'SIGSTOP')
-			await wait(5_000)
+			signal(fleet, process, 'SIGSTOP')
+			await wait(ms)
 		},
 		async heal() {
-			signal(fleet, 'service-1', 'SIGCONT')
+			signal(fleet, process, 'SIGCONT')
 		},
+	}
+}
+
+const FAILURES: (Failure & {
+	name: string
+	/** Share of bookings that must still be answered. */
+	answered: number
+})[] = [
+	{
+		name: 'an agent is killed and comes back',
+		...killed('service-0', 0),
+		answered: 0.3,
+	},
+	{
+		name: 'an agent is frozen past every time-out and wakes',
+		...frozen('service-1', 5_000),
 		answered: 0.3,
 	},
 	{
@@ -150,24 +167,12 @@
 	},
 	{
 		name: 'a backend server is killed under its agent and comes back',
-		async fail() {
-			signal(fleet, 'backend-0', 'SIGKILL')
-			await wait(1_000)
-		},
-		async heal() {
-			await restart(fleet, 'backend-0')
-		},
+		...killed('backend-0', 1_000),
 		answered: 0.3,
 	},
 	{
 		name: 'an entry is frozen and wakes',
-		async fail() {
-			signal(fleet, 'entry-1', 'SIGSTOP')
-			await wait(3_000)
-		},
-		async heal() {
-			signal(fleet, 'entry-1', 'SIGCONT')
-		},
+		...frozen('entry-1', 3_000),
 		answered: 0.3,
 	},
 	{
