--- a/scripts/ablation.ts
+++ b/scripts/ablation.ts
@@ -20,6 +20,8 @@
 const DEMAND = 'packages/groups/src/demand.ts'
 const ATTEMPT = 'packages/gateway/src/attempt.ts'
 const WAITING = 'packages/gateway/src/waiting.ts'
+const ENTRY_DEMAND = 'packages/gateway/src/entryDemand.ts'
+const DEMAND_WATCH = 'packages/groups/src/demandWatch.ts'
 
 /** All mechanisms that can be switched off. */
 export const SWITCHES: readonly Switch[] = [
@@ -122,8 +124,8 @@
 	{
 		name: 'peerCounts',
 		file: 'packages/gateway/src/fleet.ts',
-		on: '	fleet.heldByPeer.set(peer, held)',
-		off: '	fleet.heldByPeer.set(peer, held.size < 0 ? held : new Map())',
+		on: '		const sum = (heldByOthers.get(id) ?? 0) + sign * count',
+		off: '		const sum = (heldByOthers.get(id) ?? 0) + 0 * sign * count',
 	},
 	{
 		name: 'closures',
@@ -131,6 +133,84 @@
 		on: '	closures.set(group, { since, until: now + TRY_AGAIN_MS })',
 		off: '	closures.set(group, { since, until: since })\n	closures.delete(group)',
 	},
+	{
+		name: 'tree',
+		file: 'packages/groups/src/orderGiver.ts',
+		on: 'const LEAST_SPREAD = 4',
+		off: 'const LEAST_SPREAD = 100_000',
+	},
+	{
+		name: 'newsOfGroups',
+		file: 'packages/gateway/src/peerLinks.ts',
+		on: '	if (news.hops > 1 && isFullMesh(peers)) return',
+		off: '	if (news.hops > 0 || isFullMesh(peers)) return',
+	},
+	{
+		name: 'partTaken',
+		file: ENTRY_DEMAND,
+		on: '	if (!meter.intake) return room >= 1',
+		off: '	if (!meter.intake || meter.come >= 0) return room >= 1',
+	},
+	{
+		name: 'dealtServers',
+		file: ENTRY_DEMAND,
+		on: '		fleet.table.dealtElsewhere[row] = dealt.has(place) ? 0 : 1',
+		off: '		fleet.table.dealtElsewhere[row] = dealt.has(place) ? 0 : 0',
+	},
+	{
+		name: 'engineRoom',
+		file: WAITING,
+		on: 'const ENGINE_QUEUE_ROOM = 0',
+		off: 'const ENGINE_QUEUE_ROOM = 2',
+	},
+	{
+		name: 'fullSpells',
+		file: WAITING,
+		on: '			if (!isRationed(ctx.fleet, wish.service)) endSpell(pressure.full, now)',
+		off: '			if (isRationed(ctx.fleet, wish.service) || now) endSpell(pressure.full, now)',
+	},
+	{
+		name: 'shiftBounds',
+		file: DEMAND,
+		on: 'export const AGREES_NOT = 0.9',
+		off: 'export const AGREES_NOT = 0.8',
+	},
+	{
+		name: 'outdatedRounds',
+		file: 'packages/groups/src/roundRunner.ts',
+		on: '		if (co.shiftedAt > startedAt && round.map && isHarmless(round)) {',
+		off: '		if (co.shiftedAt > startedAt && round.map && round.fence < 0) {',
+	},
+	{
+		name: 'lastingFactor',
+		file: DEMAND_WATCH,
+		on: 'const CURE_TIMES = 2',
+		off: 'const CURE_TIMES = 0',
+	},
+	{
+		name: 'reserveCopying',
+		file: DEMAND_WATCH,
+		on: '	const copiesLong = co.copyingMs === undefined || co.copyingMs > co.passMs',
+		off: '	const copiesLong = co.copyingMs === undefined || co.copyingMs >= 0',
+	},
+	{
+		name: 'leadSeen',
+		file: 'packages/groups/src/armingTime.ts',
+		on: 'const LEAD_TIMES = 1.25',
+		off: 'const LEAD_TIMES = 0',
+	},
+	{
+		name: 'countsOnLink',
+		file: DEMAND_WATCH,
+		on: '		if (!co.urgent) await readDemand(co)',
+		off: '		await readDemand(co)',
+	},
+	{
+		name: 'gathering',
+		file: 'packages/gateway/src/catalog.ts',
+		on: '		gatherMs = now - begunAt < SERIES_MS ? gatherMs * 2 : GATHER_MS',
+		off: '		gatherMs = now - begunAt < SERIES_MS ? gatherMs : GATHER_MS',
+	},
 ]
 
 /** A source with a mechanism switched off; throws when its line is not there. */
