A restart under a name that was used is a new life; entries of other writers name no server

Ruled out: ordering lives by their time of birth (a clock that steps back would lock a server out; the store's revision orders them). Change: the id of a listed server is its name with its birth; the name is what it answers to. Displacement is worked out from the list, by known services only. Idle connections to a former life are closed. Counts and reports carry births.

--- a/packages/core/src/core/groupRound.ts
+++ b/packages/core/src/core/groupRound.ts
@@ -92,6 +92,8 @@
 	readonly waiting: number
 	/** Over 1: the engine is slow. */
 	readonly pace: number
+	/** When the engine started, Unix ms, if it tells. */
+	readonly bornAt?: number | undefined
 }
 
 /** Where a round stands. */
--- a/packages/core/src/core/serverList.ts
+++ b/packages/core/src/core/serverList.ts
@@ -6,22 +6,27 @@
 
 import type { ListedServer } from '../types/traffic.ts'
 
-/** What is known of one server id. */
+/** What is known of the server published under a name. */
 export interface ServerRecord {
-	readonly id: string
+	readonly name: string
 	/** Revision of the change that the record speaks of. */
 	readonly revision: number
-	/** Absent once the entry has been removed. */
+	/** Absent once the entry has been removed, and while it names no server. */
 	readonly server: ListedServer | undefined
+	/** Why an entry that is there names no server. */
+	readonly fault?: string | undefined
 }
 
 /** What a process believes of the list. */
 export interface ServerList {
+	/** By name. */
 	readonly records: Map<string, ServerRecord>
 	/** Removals that are not believed yet, and when they will be, ms. */
 	readonly doubted: Map<string, { record: ServerRecord; until: number }>
 	/** Ids whose address is known to belong to another server now. */
 	readonly displaced: Set<string>
+	/** Ids that have said that they leave. */
+	readonly left: Set<string>
 	/** Highest revision among the records that came. */
 	revision: number
 }
@@ -32,35 +37,38 @@
 		records: new Map(),
 		doubted: new Map(),
 		displaced: new Set(),
+		left: new Set(),
 		revision: 0,
 	}
 }
 
+/**
+ * Identifies one life of a server: after a restart under the same name nothing
+ * that was held, failed or promised before it counts. `bornAt` is the time of its
+ * start, Unix ms; undefined where a name belongs to one life alone.
+ */
+export function incarnationId(
+	name: string,
+	bornAt: number | undefined,
+): string {
+	return bornAt === undefined ? name : `${name}@${bornAt}`
+}
+
 /** Takes a record; true when it is news. */
 export function takeRecord(list: ServerList, record: ServerRecord): boolean {
-	const known = list.records.get(record.id)
+	const known = list.records.get(record.name)
 	if (known && known.revision >= record.revision) return false
 	// Also for a record that is passed over: else it is asked for for ever.
 	list.revision = Math.max(list.revision, record.revision)
-	// A server that leaves does not come back under the same id.
-	if (known?.server?.leaving && record.server && !record.server.leaving)
-		return false
-	list.records.set(record.id, record)
-	list.doubted.delete(record.id)
-	if (record.server && !known) displace(list, record.id, record.server.address)
+	const { server } = record
+	// An incarnation that leaves does not come back.
+	if (server && !server.leaving && list.left.has(server.id)) return false
+	if (server?.leaving) list.left.add(server.id)
+	list.records.set(record.name, record)
+	list.doubted.delete(record.name)
 	return true
 }
 
-/** A new server at an address shows that the one listed there has ended. */
-function displace(list: ServerList, id: string, address: string): void {
-	const revision = list.records.get(id)!.revision
-	for (const other of list.records.values()) {
-		if (other.id === id || other.server?.address !== address) continue
-		const older = other.revision < revision ? other.id : id
-		list.displaced.add(older)
-	}
-}
-
 /** Notes that a server itself has said that it is another one. */
 export function noteDisplaced(list: ServerList, id: string): void {
 	list.displaced.add(id)
@@ -75,31 +83,42 @@
 	record: ServerRecord,
 	until: number,
 ): void {
-	const known = list.records.get(record.id)
+	const known = list.records.get(record.name)
 	if (!known?.server || known.revision >= record.revision) return
 	if (known.server.leaving) takeRecord(list, record)
-	else if (!list.doubted.has(record.id))
-		list.doubted.set(record.id, { record, until })
+	else if (!list.doubted.has(record.name))
+		list.doubted.set(record.name, { record, until })
 }
 
-/** Believes the removals whose time has come; gives the ids removed. */
+/** Believes the removals whose time has come; gives the names removed. */
 export function settleRemovals(list: ServerList, now: number): string[] {
 	const settled: string[] = []
-	for (const [id, { record, until }] of list.doubted) {
+	for (const [name, { record, until }] of list.doubted) {
 		if (now < until) continue
-		list.doubted.delete(id)
-		if (takeRecord(list, record)) settled.push(id)
+		list.doubted.delete(name)
+		if (takeRecord(list, record)) settled.push(name)
 	}
 	return settled
 }
 
-/** Servers that are neither removed, displaced nor leaving. */
-export function listServing(list: ServerList): ListedServer[] {
-	const serving: ListedServer[] = []
-	for (const { id, server } of list.records.values())
-		if (server && !server.leaving && !list.displaced.has(id))
-			serving.push(server)
-	return serving
+/**
+ * Servers of known services that are neither removed, displaced nor leaving. An
+ * entry of an unknown service says nothing of whoever else has its address.
+ */
+export function listServing(
+	list: ServerList,
+	isKnown: (service: string) => boolean,
+): ListedServer[] {
+	const newest = new Map<string, ServerRecord & { server: ListedServer }>()
+	for (const { server, ...record } of list.records.values()) {
+		if (!server || !isKnown(server.service)) continue
+		// A new server at an address shows that the one listed there has ended.
+		const other = newest.get(server.address)
+		if (other && other.revision > record.revision) continue
+		newest.set(server.address, { ...record, server })
+	}
+	const there = [...newest.values()].map(({ server }) => server)
+	return there.filter(({ id, leaving }) => !leaving && !list.displaced.has(id))
 }
 
 /**
@@ -113,7 +132,7 @@
 ): ServerRecord[] {
 	const missing: ServerRecord[] = []
 	for (const record of list.records.values())
-		if (record.server && !present.has(record.id))
-			missing.push({ id: record.id, revision, server: undefined })
+		if (record.server && !present.has(record.name))
+			missing.push({ name: record.name, revision, server: undefined })
 	return missing
 }
--- a/packages/core/src/types/traffic.ts
+++ b/packages/core/src/types/traffic.ts
@@ -117,8 +117,10 @@
 
 /** One incarnation of a backend server, as published. */
 export interface ListedServer {
-	/** Belongs to this incarnation alone. */
+	/** Belongs to this incarnation alone; see `incarnationId`. */
 	readonly id: string
+	/** What it is published under and answers to; a restart may keep it. */
+	readonly name: string
 	readonly service: string
 	/** `IP:port`. */
 	readonly address: string
--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -150,7 +150,7 @@
 		address: server.address,
 		method: request.method,
 		path: request.path,
-		headers: buildServerHeaders(ctx, job, serverId, Math.floor(left)),
+		headers: buildServerHeaders(ctx, job, server.name, Math.floor(left)),
 		body: request.body,
 		id: request.id,
 		idHeader: wire.requestId,
--- a/packages/gateway/src/catalog.ts
+++ b/packages/gateway/src/catalog.ts
@@ -3,7 +3,7 @@
  * and by what peers pass on. What is newer wins, whoever tells it.
  */
 
-import type { ServerRecord } from '@juniperhook/core'
+import type { ListedServer, ServerRecord } from '@juniperhook/core'
 import {
 	createRouteTable,
 	doubtRemoval,
@@ -21,6 +21,7 @@
 	PublishedConfig,
 	SourceResult,
 } from './ports.ts'
+import { closeIdle } from './serverPool.ts'
 import { serveWaiting } from './waiting.ts'
 
 /**
@@ -162,7 +163,7 @@
 	if (snapshot.config) adoptConfig(ctx, snapshot.config, 'source')
 	const records = [...snapshot.servers]
 	if (whole) {
-		const present = new Set(records.map(record => record.id))
+		const present = new Set(records.map(record => record.name))
 		records.push(...findMissing(ctx.list, present, snapshot.revision))
 	}
 	takeRecords(
@@ -182,7 +183,8 @@
 ): void {
 	let changed = false
 	for (const record of records) {
-		if (!record.server && doubtUntil > 0) {
+		const mayHaveLapsed = !record.server && record.fault === undefined
+		if (mayHaveLapsed && doubtUntil > 0) {
 			doubtRemoval(ctx.list, record, doubtUntil)
 			continue
 		}
@@ -198,11 +200,12 @@
 	record: ServerRecord,
 	from: string,
 ): void {
-	const { server } = record
-	const state = server ? (server.leaving ? 'leaving' : 'serving') : 'gone'
+	const { server, fault } = record
+	if (fault !== undefined) ctx.metrics.unreadableEntries.inc()
 	ctx.log.write('server', {
-		server: record.id,
-		state,
+		server: server?.id ?? record.name,
+		state: stateOf(record),
+		fault,
 		service: server?.service,
 		address: server?.address,
 		revision: record.revision,
@@ -210,6 +213,12 @@
 	})
 }
 
+function stateOf({ server, fault }: ServerRecord): string {
+	if (fault !== undefined) return 'unreadable'
+	if (!server) return 'gone'
+	return server.leaving ? 'leaving' : 'serving'
+}
+
 /** Believes removals whose time has come. */
 export function tickCatalog(ctx: GatewayContext): void {
 	const settled = settleRemovals(ctx.list, readNow())
@@ -250,6 +259,25 @@
 
 function refreshFleet(ctx: GatewayContext): void {
 	const { fleet, list, routes, settings } = ctx
+	const before = fleet.servers
 	applyServerList(fleet, list, settings.dataCentre, routes)
+	closeEnded(ctx, before)
 	serveWaiting(ctx)
 }
+
+/**
+ * Closes idle connections to former lives of servers: behind a cut they stay open
+ * without a word, and what is sent on one is lost.
+ */
+function closeEnded(
+	{ fleet, list, pool, log }: GatewayContext,
+	before: readonly ListedServer[],
+): void {
+	for (const { id, name, address } of before) {
+		if (fleet.table.rowOf.has(id)) continue
+		closeIdle(pool, address)
+		const now = list.records.get(name)?.server
+		if (now && now.id !== id)
+			log.write('server started again', { server: now.id, before: id })
+	}
+}
--- a/packages/gateway/src/fleet.ts
+++ b/packages/gateway/src/fleet.ts
@@ -114,7 +114,10 @@
 	dataCentre: string,
 	routes: RouteTable | undefined,
 ): void {
-	const servers = listServing(list)
+	const servers = listServing(
+		list,
+		service => routes?.services.has(service) ?? false,
+	)
 	const table = createServerTable(servers.map(server => server.id))
 	fleet.rowsOf = new Map()
 	fleet.near = new Set()
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -26,6 +26,8 @@
 	readonly sourceCalls: Counter<'outcome'>
 	/** Bytes that came from the source, those of failed calls too. */
 	readonly sourceBytes: Counter
+	/** Entries of the list that named no server. */
+	readonly unreadableEntries: Counter
 	/** Questions to peers for what they have and this entry lacks. */
 	readonly pulls: Counter<'kind' | 'outcome'>
 	/** Packed bytes of configurations that peers handed over. */
@@ -93,6 +95,11 @@
 			help: 'Bytes that came from the configuration source',
 			registers,
 		}),
+		unreadableEntries: new Counter({
+			name: 'juniperhook_unreadable_entries_total',
+			help: 'Entries of the server list that named no server',
+			registers,
+		}),
 		pulls: new Counter({
 			name: 'juniperhook_peer_pulls_total',
 			help: 'Questions to peers for newer configurations and records',
--- a/packages/gateway/src/peerMessages.ts
+++ b/packages/gateway/src/peerMessages.ts
@@ -48,6 +48,7 @@
 
 const ServerSchema = v.object({
 	id: v.string(),
+	name: v.string(),
 	service: v.string(),
 	address: v.string(),
 	dataCentre: v.string(),
@@ -88,9 +89,10 @@
 	hasMore: v.boolean(),
 	records: v.array(
 		v.object({
-			id: v.string(),
+			name: v.string(),
 			revision: v.number(),
 			server: v.optional(ServerSchema),
+			fault: v.optional(v.string()),
 		}),
 	),
 })
--- a/packages/gateway/src/peerNews.ts
+++ b/packages/gateway/src/peerNews.ts
@@ -159,10 +159,11 @@
 	for (;;) {
 		const reply = await call(link, 'records', { after })
 		const page = v.parse(RecordsSchema, reply)
-		const records = page.records.map(({ id, revision, server }) => ({
-			id,
+		const records = page.records.map(({ name, revision, server, fault }) => ({
+			name,
 			revision,
 			server,
+			fault,
 		}))
 		takeRecords(ctx, records, peer)
 		count += records.length
--- a/packages/gateway/src/serverHeaders.ts
+++ b/packages/gateway/src/serverHeaders.ts
@@ -14,7 +14,7 @@
 export function buildServerHeaders(
 	ctx: GatewayContext,
 	job: Job,
-	serverId: string,
+	serverName: string,
 	leftMs: number,
 ): string[] {
 	const { wire } = ctx
@@ -30,7 +30,7 @@
 	])
 	const headers = listEndToEndHeaders(request.rawHeaders, own)
 	headers.push(wire.deadlineMs, String(leftMs))
-	headers.push(wire.expectServer, serverId)
+	headers.push(wire.expectServer, serverName)
 	headers.push(wire.priority, String(Math.min(LAST_PRIORITY, request.priority)))
 	if (request.team) headers.push(wire.team, request.team.name)
 	if (job.lastEventId !== undefined)
--- a/packages/gateway/src/serverPool.ts
+++ b/packages/gateway/src/serverPool.ts
@@ -27,3 +27,10 @@
 		single: new Agent({ keepAlive: false }),
 	}
 }
+
+/** Closes the idle connections to a server that has ended, by its `IP:port`. */
+export function closeIdle({ kept }: ServerPool, address: string): void {
+	const [host, port] = address.split(':')
+	const idle = kept.freeSockets[kept.getName({ host, port: Number(port) })]
+	for (const socket of idle ?? []) socket.destroy()
+}
--- a/packages/gateway/test/gatewayState.test.ts
+++ b/packages/gateway/test/gatewayState.test.ts
@@ -3,7 +3,8 @@
 import { createServer } from 'node:http'
 import type { AddressInfo } from 'node:net'
 import { createServer as createTcpServer } from 'node:net'
-import type { TrafficConfig } from '@juniperhook/core'
+import type { ListedServer, TrafficConfig } from '@juniperhook/core'
+import { incarnationId } from '@juniperhook/core'
 import { call, connectRpc, serveRpc } from '@juniperhook/runtime'
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
@@ -56,7 +57,7 @@
 	const [first] = backends.listed
 	const leaving = { ...first!, leaving: true }
 	catalog.tell({
-		servers: [{ id: first!.id, revision: 2, server: leaving }],
+		servers: [{ name: first!.name, revision: 2, server: leaving }],
 	})
 	await until(() => other.ctx.fleet.servers.length === 1)
 	for (let count = 0; count < 8; count++)
@@ -98,13 +99,66 @@
 	silent.close()
 })
 
+test('gateway: nothing of a former life is held against a server', async () => {
+	reset(['reset', 'reset', 'reset', 'reset', 'hang'])
+	const [first] = backends.listed
+	const born = (bornAt: number): ListedServer => ({
+		...first!,
+		id: incarnationId(first!.name, bornAt),
+	})
+	const catalog = createCatalog(CONFIG, [born(10)])
+	const other = await openGateway(catalog)
+	const { fleet } = other.ctx
+	const ask = (id: string) =>
+		callGateway(other.callers, '/o/x', { [WIRE.requestId]: id }, 'POST')
+	for (let at = 0; at < 4; at++) await ask(`former-${at}`)
+	const lost = ask('former-open')
+	await until(() => fleet.held.get(born(10).id) === 1)
+	assert.ok(fleet.table.failureRate[0]! > 0)
+	catalog.tell({
+		servers: [{ name: first!.name, revision: 2, server: born(20) }],
+	})
+	await until(() => fleet.table.rowOf.has(born(20).id))
+	assert.is(fleet.table.failureRate[0], 0)
+	assert.is(fleet.table.sentSince[0], 0)
+	const answer = await ask('new-life')
+	assert.is(answer.status, 200)
+	const expected = backends.arrivals.at(-1)?.headers[WIRE.expectServer]
+	assert.is(expected, first!.name, 'it answers to its name')
+	backends.servers[0]!.closeAllConnections()
+	assert.is((await lost).status, 502)
+	assert.not(fleet.held.has(born(10).id))
+})
+
+test('gateway: an entry that cannot be read takes its server out of use at once', async () => {
+	const catalog = createCatalog(CONFIG, backends.listed)
+	const other = await openGateway(catalog)
+	const [first] = backends.listed
+	const { name } = first!
+	// Removals are doubted after an outage; what was written is not.
+	catalog.down = true
+	await new Promise(resolve => setTimeout(resolve, 1_500))
+	catalog.tell({
+		servers: [{ name, revision: 2, server: undefined, fault: 'not JSON' }],
+	})
+	catalog.down = false
+	await until(() => other.ctx.fleet.servers.length === 2)
+	assert.is(other.ctx.fleet.servers.length, 2)
+	assert.is(other.ctx.list.doubted.size, 0)
+	catalog.tell({ servers: [{ name, revision: 3, server: first }] })
+	await until(() => other.ctx.fleet.servers.length === 3)
+	assert.is(other.ctx.fleet.servers.length, 3)
+})
+
 test('gateway: a source that comes back tells what changed, not everything', async () => {
 	const catalog = createCatalog(CONFIG, backends.listed)
 	const entry = await openGateway(catalog)
 	catalog.down = true
 	await new Promise(resolve => setTimeout(resolve, 1_500))
 	const [first] = backends.listed
-	catalog.tell({ servers: [{ id: first!.id, revision: 2, server: undefined }] })
+	catalog.tell({
+		servers: [{ name: first!.name, revision: 2, server: undefined }],
+	})
 	catalog.down = false
 	await until(() => entry.ctx.fleet.servers.length === 2)
 	assert.is(entry.ctx.fleet.servers.length, 2)
--- a/packages/gateway/test/standIns.ts
+++ b/packages/gateway/test/standIns.ts
@@ -91,6 +91,7 @@
 		backends.servers.push(server)
 		backends.listed.push({
 			id: `s${at}`,
+			name: `s${at}`,
 			service: 'plain',
 			address: `127.0.0.1:${port}`,
 			dataCentre: 'north',
@@ -298,7 +299,11 @@
 		snapshot: {
 			revision: 1,
 			config: config && published(config),
-			servers: listed.map(server => ({ id: server.id, revision: 1, server })),
+			servers: listed.map(server => ({
+				name: server.name,
+				revision: 1,
+				server,
+			})),
 			faults: [],
 		},
 		tell(told) {
--- a/packages/groups/src/agent.ts
+++ b/packages/groups/src/agent.ts
@@ -125,7 +125,7 @@
 
 async function look(agent: Agent): Promise<void> {
 	const report = await agent.port.report(agent.settings.engine)
-	if (report) agent.report = report
+	if (report) takeReport(agent, report)
 	if (!agent.report || !isCandidate(agent.report)) {
 		stepDown(agent, 'not a candidate')
 		return
@@ -136,6 +136,18 @@
 	else stepUp(agent, agent.report)
 }
 
+function takeReport(agent: Agent, report: RankReport): void {
+	const before = agent.report
+	agent.report = report
+	if (!before || before.bornAt === report.bornAt) return
+	agent.log.write('engine started again', {
+		bornAt: report.bornAt,
+		before: before.bornAt,
+		epoch: report.epoch,
+		open: report.open,
+	})
+}
+
 function isCandidate(report: RankReport | undefined): boolean {
 	return report !== undefined && CANDIDATES.includes(report.rank)
 }
--- a/packages/groups/src/choices.ts
+++ b/packages/groups/src/choices.ts
@@ -45,13 +45,15 @@
 	return { epoch: counts.epoch, chosen, running, waiting, pace }
 }
 
-/** Choices since the last counts; none where those are of another epoch. */
+/** Choices since the last counts; none where those are of another life or epoch. */
 function takeNew(reader: ChoiceReader, counts: RankCounts): number[] {
 	const { last } = reader
 	reader.last = counts
 	// A rank that has started anew counts from nought.
 	const isSame =
-		last?.epoch === counts.epoch && last.counts.length === counts.counts.length
+		last?.epoch === counts.epoch &&
+		last.bornAt === counts.bornAt &&
+		last.counts.length === counts.counts.length
 	if (!isSame) return []
 	return counts.counts.map((count, at) => Math.max(0, count - last.counts[at]!))
 }
--- a/packages/groups/src/ports.ts
+++ b/packages/groups/src/ports.ts
@@ -13,6 +13,8 @@
 	readonly epoch: number
 	/** Set by set, one number an expert. */
 	readonly counts: readonly number[]
+	/** When the engine started, Unix ms, if it tells. */
+	readonly bornAt?: number | undefined
 }
 
 /** How busy a rank is. */
--- a/packages/groups/test/choices.test.ts
+++ b/packages/groups/test/choices.test.ts
@@ -44,6 +44,12 @@
 		second: { epoch: 2, counts: [6, 8] },
 		chosen: [],
 	},
+	{
+		name: 'nothing of a new life in the same epoch at first',
+		first: { epoch: 1, counts: [5, 7], bornAt: 10 },
+		second: { epoch: 1, counts: [6, 8], bornAt: 20 },
+		chosen: [],
+	},
 	{
 		name: 'nothing below nought',
 		first: { epoch: 1, counts: [5, 7] },
