Report: how each route's requests ended, in time, late by beginning or by pause, refused, lost

Cause: logs could not tell why an answer earned less than its credit, so a run's worst seconds could not be profiled. The line of an answer now has its route, when it began, its longest pause and whether that is in time; the report has a row a second and a route by these ends.

--- a/packages/entry/src/logLines.ts
+++ b/packages/entry/src/logLines.ts
@@ -22,11 +22,16 @@
 	state: text,
 	error: text,
 	outcome: text,
+	/** Whether an answer came in time; `inTime` or which part was late. */
+	timeliness: text,
 	reason: text,
 	host: text,
 	phase: text,
 	send: number,
 	sends: number,
+	/** From a request's arrival to its answer's first byte, ms. */
+	startMs: number,
+	longestPauseMs: number,
 	/** Versions that a decision was made by. */
 	config: number,
 	list: number,
--- a/packages/entry/src/report.ts
+++ b/packages/entry/src/report.ts
@@ -1,12 +1,22 @@
 /**
- * What bound a run, from the logs of all its processes: a row a second, how well
- * passes were predicted, and the causes that cost most requests.
+ * What bound a run, from the logs of all its processes: a row a second and a route
+ * of how requests ended, how well passes were predicted, and the causes that cost
+ * most requests.
  */
 
 import type { LogLine } from './logLines.ts'
 import { readLogLine } from './logLines.ts'
 import type { RoundReport } from './roundReport.ts'
 import { formatRounds, reportRounds } from './roundReport.ts'
+import type { EndCounts, RouteReport } from './routeReport.ts'
+import {
+	createEndCounts,
+	endOfLine,
+	formatCells,
+	formatRoutes,
+	REQUEST_ENDS,
+	reportRoutes,
+} from './routeReport.ts'
 
 const SECOND_MS = 1_000
 /** Causes that are shown. */
@@ -16,11 +26,10 @@
 export interface ReportRow {
 	/** Seconds since the first line. */
 	readonly second: number
-	answered: number
+	/** How requests ended that ended in it. */
+	readonly ends: EndCounts
 	/** Sends that failed or broke off. */
 	failedSends: number
-	/** Requests that ended without a server's answer. */
-	refused: number
 	/** Least limit told to entries; undefined when none was. */
 	limit: number | undefined
 	shifts: number
@@ -41,6 +50,7 @@
 	readonly rows: readonly ReportRow[]
 	readonly causes: readonly ReportCause[]
 	readonly rounds: RoundReport
+	readonly routes: readonly RouteReport[]
 	/** Relative errors of predicted passes; undefined without any. */
 	readonly passError: { readonly p50: number; readonly p90: number } | undefined
 	/** Lines that are no log lines of ours. */
@@ -73,6 +83,7 @@
 			.sort((a, b) => b.count - a.count)
 			.slice(0, MAX_CAUSES),
 		rounds: reportRounds(read),
+		routes: reportRoutes(read),
 		passError: spreadOf(errors),
 		unread: told.length - read.length,
 	}
@@ -81,9 +92,8 @@
 function createRow(second: number): ReportRow {
 	return {
 		second,
-		answered: 0,
+		ends: createEndCounts(),
 		failedSends: 0,
-		refused: 0,
 		limit: undefined,
 		shifts: 0,
 		copies: 0,
@@ -93,13 +103,11 @@
 }
 
 function takeLine(row: ReportRow, line: LogLine): void {
+	const end = endOfLine(line)
+	if (end) row.ends[end]++
 	switch (line.event) {
 		case 'attempt':
-			if (line.outcome === 'answered') row.answered++
-			else row.failedSends++
-			return
-		case 'request failed':
-			row.refused++
+			if (line.outcome !== 'answered') row.failedSends++
 			return
 		case 'paces told':
 			if (line.limit !== undefined)
@@ -142,26 +150,35 @@
 	return { p50: at(0.5), p90: at(0.9) }
 }
 
+const HEAD = [
+	'second',
+	...REQUEST_ENDS,
+	'sends lost',
+	'limit',
+	'shifts',
+	'copies',
+	'rounds',
+	'pass ms',
+]
+
 /** The report as text, for a terminal. */
 export function formatReport(report: Report): string[] {
-	const { rows, causes, rounds, passError, unread } = report
-	const out = [
-		'second answered failed sends refused  limit shifts copies rounds pass ms',
-	]
+	const { rows, causes, rounds, routes, passError, unread } = report
+	const out = [formatCells(HEAD)]
 	for (const row of rows)
 		out.push(
-			[
-				String(row.second).padStart(6),
-				String(row.answered).padStart(8),
-				String(row.failedSends).padStart(12),
-				String(row.refused).padStart(7),
-				String(row.limit ?? '').padStart(6),
-				String(row.shifts || '').padStart(6),
-				String(row.copies || '').padStart(6),
-				String(row.rounds || '').padStart(6),
-				String(row.passMs ?? '').padStart(7),
-			].join(' '),
+			formatCells([
+				row.second,
+				...REQUEST_ENDS.map(end => row.ends[end] || ''),
+				row.failedSends || '',
+				row.limit ?? '',
+				row.shifts || '',
+				row.copies || '',
+				row.rounds || '',
+				row.passMs ?? '',
+			]),
 		)
+	out.push(...formatRoutes(routes))
 	out.push('', 'causes that cost most')
 	for (const { cause, count } of causes)
 		out.push(`${String(count).padStart(6)}  ${cause}`)
--- a/packages/entry/test/report.test.ts
+++ b/packages/entry/test/report.test.ts
@@ -12,11 +12,24 @@
 
 const LINES = [
 	line(0, 'entry started', { name: 'e' }),
-	line(100, 'attempt', { outcome: 'answered', reason: '200' }),
+	line(100, 'attempt', {
+		outcome: 'answered',
+		reason: '200',
+		route: 'r',
+		timeliness: 'inTime',
+		startMs: 90,
+	}),
 	line(200, 'attempt', { outcome: 'notRun', reason: '503 i-1' }),
 	line(300, 'attempt', { outcome: 'notRun', reason: '503 i-2' }),
-	line(400, 'request failed', { error: 'overloaded', tookMs: 3 }),
+	line(400, 'request failed', { error: 'overloaded', route: 'r', tookMs: 3 }),
 	`  1.2 side-1 ${line(1_200, 'paces told', { limit: 4.5 })}`,
+	line(1_250, 'attempt', {
+		outcome: 'answered',
+		route: 'r',
+		timeliness: 'latePause',
+		startMs: 190,
+	}),
+	line(1_260, 'request failed', { error: 'linkLost', route: 's' }),
 	line(1_300, 'paces told', { limit: 6 }),
 	line(1_400, 'demand shifted', { agreement: 0.2 }),
 	line(1_500, 'map planned', { copies: 12 }),
@@ -37,9 +50,11 @@
 	const { rows, unread } = makeReport(LINES)
 	const [first, second, third] = rows
 	assert.is(rows.length, 3)
-	assert.is(first!.answered, 1)
+	assert.is(first!.ends.inTime, 1)
 	assert.is(first!.failedSends, 2)
-	assert.is(first!.refused, 1)
+	assert.is(first!.ends.refused, 1)
+	assert.is(second!.ends.latePause, 1)
+	assert.is(second!.ends.lost, 1)
 	assert.is(second!.limit, 4.5)
 	assert.is(second!.shifts, 1)
 	assert.is(second!.copies, 12)
@@ -52,6 +67,20 @@
 	assert.equal(makeReport(LINES).causes, [
 		{ cause: 'send notRun: 503', count: 2 },
 		{ cause: 'request failed: overloaded', count: 1 },
+		{ cause: 'request failed: linkLost', count: 1 },
+	])
+})
+
+test('report: how the requests of each route ended', () => {
+	const { routes } = makeReport(LINES)
+	const none = { inTime: 0, lateStart: 0, latePause: 0, refused: 0, lost: 0 }
+	assert.equal(routes, [
+		{
+			route: 'r',
+			ends: { ...none, inTime: 1, latePause: 1, refused: 1 },
+			startMs: { p50: 90, p95: 90 },
+		},
+		{ route: 's', ends: { ...none, lost: 1 }, startMs: undefined },
 	])
 })
 
--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -19,6 +19,8 @@
 import type { ServerAnswer } from './serverCall.ts'
 import { callServer } from './serverCall.ts'
 import { buildServerHeaders } from './serverHeaders.ts'
+import type { AnswerTimes } from './timeliness.ts'
+import { judgeTimes } from './timeliness.ts'
 import type { ServerWish } from './waiting.ts'
 import { awaitServer, serveWaiting } from './waiting.ts'
 
@@ -59,6 +61,8 @@
 	mayHaveRun: boolean
 	/** Where a stream goes on; the caller's own value at first. */
 	lastEventId: string | undefined
+	/** Of the answer that its caller is given. */
+	readonly times: AnswerTimes
 }
 
 /** What an attempt came to. */
@@ -258,6 +262,7 @@
 	serverId: string,
 	outcome: string,
 	reason: string,
+	inputs: object = {},
 ): void {
 	const { request } = job
 	ctx.log.write('attempt', {
@@ -270,5 +275,25 @@
 		tookMs: Math.round(readNow() - request.arrivedAt),
 		config: request.routes.config.version,
 		list: ctx.list.revision,
+		...inputs,
+	})
+}
+
+/** Writes and counts that a request was answered, and whether in time. */
+export function logAnswer(
+	ctx: GatewayContext,
+	job: Job,
+	serverId: string,
+	reason: string,
+): void {
+	const { route } = job.request
+	const { startMs, longestPauseMs } = job.times
+	const timeliness = judgeTimes(route, job.times)
+	ctx.metrics.served.inc({ kind: route.kind, timeliness })
+	logAttempt(ctx, job, serverId, 'answered', reason, {
+		route: route.name,
+		timeliness,
+		startMs: Math.round(startMs),
+		longestPauseMs: Math.round(longestPauseMs),
 	})
 }
--- a/packages/gateway/src/forward.ts
+++ b/packages/gateway/src/forward.ts
@@ -5,7 +5,13 @@
 import { drawService, ERRORS, noteRequest } from '@juniperhook/core'
 import { readNow } from '@juniperhook/runtime'
 import type { AttemptResult, Job } from './attempt.ts'
-import { logAttempt, makeAttempt, mayTryAgain, retriesOf } from './attempt.ts'
+import {
+	logAnswer,
+	logAttempt,
+	makeAttempt,
+	mayTryAgain,
+	retriesOf,
+} from './attempt.ts'
 import type { CallerRequest } from './callerRequest.ts'
 import { readCallerRequest } from './callerRequest.ts'
 import type { GatewayContext } from './context.ts'
@@ -80,6 +86,7 @@
 		refusedSends: 0,
 		mayHaveRun: false,
 		lastEventId: request.lastEventId,
+		times: { startMs: 0, longestPauseMs: 0 },
 	}
 	const left = request.givenUpAt - readNow()
 	const giveUp = () => {
@@ -202,9 +209,10 @@
 		if (mayTryAgain(ctx, job)) return { kind: 'again', reason: 'failed' }
 	}
 	if (!usable) return { kind: 'failed', error: 'truncated' }
-	logAttempt(ctx, job, serverId, 'answered', String(status))
 	const { arrivedAt, method } = job.request
-	ctx.metrics.firstByte.observe((readNow() - arrivedAt) / 1_000)
+	job.times.startMs = readNow() - arrivedAt
+	ctx.metrics.firstByte.observe(job.times.startMs / 1_000)
+	logAnswer(ctx, job, serverId, String(status))
 	writeWhole(ctx, res, message, body.body, method)
 	return { kind: 'done' }
 }
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -13,6 +13,8 @@
 export interface GatewayMetrics {
 	readonly registry: Registry
 	readonly answers: Counter<'status'>
+	/** Requests that a server answered, and whether in time. */
+	readonly served: Counter<'kind' | 'timeliness'>
 	/** Requests refused or given up, by error kind. */
 	readonly refusals: Counter<'kind'>
 	/** Sends after the first, by the reason of the one before. */
@@ -58,6 +60,12 @@
 			labelNames: ['status'],
 			registers,
 		}),
+		served: new Counter({
+			name: 'juniperhook_served_total',
+			help: 'Requests that a server answered, by whether in time',
+			labelNames: ['kind', 'timeliness'],
+			registers,
+		}),
 		retries: new Counter({
 			name: 'juniperhook_retries_total',
 			help: 'Sends after the first',
--- a/packages/gateway/src/streamRelay.ts
+++ b/packages/gateway/src/streamRelay.ts
@@ -6,7 +6,7 @@
 import type { ServerResponse } from 'node:http'
 import { readNow } from '@juniperhook/runtime'
 import type { AttemptResult, Job } from './attempt.ts'
-import { logAttempt, mayTryAgain } from './attempt.ts'
+import { logAnswer, logAttempt, mayTryAgain } from './attempt.ts'
 import type { GatewayContext } from './context.ts'
 import type { StreamEvent } from './eventSplitter.ts'
 import { createEventSplitter, splitEvents } from './eventSplitter.ts'
@@ -25,6 +25,10 @@
 	const splitter = createEventSplitter()
 	let lastAt = readNow()
 	let sound = true
+	const notePause = (ms: number) => {
+		ctx.metrics.pauses.observe(ms / 1_000)
+		job.times.longestPauseMs = Math.max(job.times.longestPauseMs, ms)
+	}
 	const pass = (event: StreamEvent) => {
 		if (!isNext(job.lastEventId, event.id)) {
 			sound = false
@@ -32,10 +36,11 @@
 			return
 		}
 		const now = readNow()
-		if (res.headersSent) ctx.metrics.pauses.observe((now - lastAt) / 1_000)
+		if (res.headersSent) notePause(now - lastAt)
 		else {
 			writeStreamHead(ctx, res, message)
-			ctx.metrics.firstByte.observe((now - job.request.arrivedAt) / 1_000)
+			job.times.startMs = now - job.request.arrivedAt
+			ctx.metrics.firstByte.observe(job.times.startMs / 1_000)
 		}
 		lastAt = now
 		res.write(event.bytes)
@@ -55,7 +60,7 @@
 			if (whole) {
 				if (!res.headersSent) writeStreamHead(ctx, res, message)
 				res.end()
-				logAttempt(ctx, job, serverId, 'answered', 'stream ended')
+				logAnswer(ctx, job, serverId, 'stream ended')
 				resolve({ kind: 'done' })
 				return
 			}
