--- a/soak/src/faults.ts
+++ b/soak/src/faults.ts
@@ -282,11 +282,11 @@
 ): Promise<void> {
 	if (!backend.server) return
 	const { servers } = world
-	const { id } = backend
+	const { id, name } = backend
 	crashServer(backend)
 	if (backend.rank !== undefined) servers.groupOpen = false
 	await sleep(Math.min(downMs, LAPSE_MS))
-	unlistServer(world, id)
+	unlistServer(world, { id, name })
 	await sleep(Math.max(0, downMs - LAPSE_MS))
 	if (world.over) return
 	await startServer(servers, backend)
@@ -307,13 +307,13 @@
 /** A server says that it leaves, serves on for a while, ends, and is replaced. */
 async function replace(world: World, backend: BackendServer): Promise<void> {
 	if (!backend.server || backend.leaving) return
-	const { id } = backend
+	const { id, name } = backend
 	backend.leaving = true
 	listServer(world, backend)
 	await sleep(SERVES_ON_MS)
 	if (world.over || backend.id !== id || !backend.server) return
 	crashServer(backend)
-	unlistServer(world, id)
+	unlistServer(world, { id, name })
 	await startServer(world.servers, backend)
 	listServer(world, backend)
 }
--- a/soak/src/servers.ts
+++ b/soak/src/servers.ts
@@ -7,6 +7,7 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import { createServer } from 'node:http'
 import type { Random } from '@juniperhook/core'
+import { incarnationId } from '@juniperhook/core'
 import type { StandInGroup } from '../../packages/groups/test/standInGroup.ts'
 import { addressOf } from '../../packages/groups/test/standInGroup.ts'
 import { WIRE } from '../../platform/src/index.ts'
@@ -56,6 +57,10 @@
 	/** As it is listed. */
 	readonly address: string
 	server: Server | undefined
+	/** What it is listed under and answers to; every second restart keeps it. */
+	name: string
+	/** Start of the present incarnation, Unix ms. */
+	bornAt: number
 	/** Of the present incarnation. */
 	id: string
 	/** Whether it has said that it leaves. */
@@ -80,11 +85,15 @@
 	servers: Servers,
 	backend: BackendServer,
 ): Promise<void> {
-	backend.id = `i-${backend.index}-${++servers.incarnations}`
+	const number = ++servers.incarnations
+	const keepsName = backend.name !== '' && number % 2 === 0
+	if (!keepsName) backend.name = `i-${backend.index}-${number}`
+	backend.bornAt = Date.now()
+	backend.id = incarnationId(backend.name, backend.bornAt)
 	backend.leaving = false
-	const { id } = backend
+	const { id, name } = backend
 	const server = createServer((req, res) => {
-		answer(servers, backend, id, req, res).catch(err => {
+		answer(servers, backend, { id, name }, req, res).catch(err => {
 			servers.record.broken.push(`SOAK: ${String(err?.stack ?? err)}`)
 		})
 	})
@@ -112,7 +121,7 @@
 async function answer(
 	servers: Servers,
 	backend: BackendServer,
-	id: string,
+	{ id, name }: Pick<BackendServer, 'id' | 'name'>,
 	req: IncomingMessage,
 	res: ServerResponse,
 ): Promise<void> {
@@ -124,13 +133,13 @@
 		return
 	}
 	const expected = req.headers[WIRE.expectServer]
-	if (expected !== undefined && expected !== id) {
-		res.writeHead(421, { [WIRE.notRun]: '1', [WIRE.atFault]: id }).end()
+	if (expected !== undefined && expected !== name) {
+		res.writeHead(421, { [WIRE.notRun]: '1', [WIRE.atFault]: name }).end()
 		return
 	}
 	if (backend.rank !== undefined && !servers.groupOpen) {
 		await sleep(STALL_MS)
-		res.writeHead(503, { [WIRE.notRun]: '1', [WIRE.atFault]: id }).end()
+		res.writeHead(503, { [WIRE.notRun]: '1', [WIRE.atFault]: name }).end()
 		return
 	}
 	const run = judgeRun(servers.record, id, req, body)
--- a/soak/src/world.ts
+++ b/soak/src/world.ts
@@ -116,6 +116,8 @@
 		rank,
 		address: listedAddress(net, index),
 		server: undefined,
+		name: '',
+		bornAt: 0,
 		id: '',
 		leaving: false,
 		misbehaviour: behave(),
@@ -135,24 +137,33 @@
 
 /** Writes a server's entry. */
 export function listServer(world: World, backend: BackendServer): void {
-	const { id, service, address, rank, leaving, index } = backend
+	const { id, name, service, address, rank, leaving, index } = backend
+	const { epoch } = world.servers.group
+	const phase = world.servers.groupOpen ? 'open' : 'broken'
 	const entry = {
 		service,
 		address,
 		zone: `zone-${index % 2}`,
+		config_version: 'v1',
 		slots: SLOTS,
+		cold_remaining_ms: 0,
+		sequence: 1,
+		born: backend.bornAt,
 		phase: leaving ? 'draining' : 'ready',
 		...(rank !== undefined && {
-			group: { name: 'g', rank, epoch: world.servers.group.epoch },
+			group: { name: 'g', rank, epoch, phase },
 		}),
 	}
-	world.store.put(`servers/${id}`, JSON.stringify(entry))
+	world.store.put(`servers/${name}`, JSON.stringify(entry))
 	if (leaving) world.leftAt.set(id, performance.now())
 }
 
 /** Takes a server's entry away. */
-export function unlistServer(world: World, id: string): void {
-	world.store.put(`servers/${id}`, undefined)
+export function unlistServer(
+	world: World,
+	{ id, name }: Pick<BackendServer, 'id' | 'name'>,
+): void {
+	world.store.put(`servers/${name}`, undefined)
 	if (!world.leftAt.has(id)) world.leftAt.set(id, performance.now())
 }
 
