--- a/packages/core/src/core/dispatch.ts
+++ b/packages/core/src/core/dispatch.ts
@@ -208,8 +208,8 @@
  * first, and a few of the others. What entries know of each other is up to a fifth of
  * a second old; if all compared all, all would send to the same emptiest ones. Of
  * requests at 64 ranks whose places are half taken, 2.5% got behind slots so and 0.0%
- * get there now; of those at 192 ranks that are nearly full, 23% and 1.8% (worked out
- * in virtual time). Behind slots they wait for a stream to end.
+ * get there now; at 192 ranks with 0.77 of their places taken, 23% and 1.8% (worked
+ * out in virtual time). Behind slots they wait for a stream to end.
  */
 function drawCompared(
 	table: ServerTable,
--- a/soak/src/soak.ts
+++ b/soak/src/soak.ts
@@ -3,6 +3,7 @@
 import { rmSync } from 'node:fs'
 import { runCaller } from './callers.ts'
 import { playFaults } from './faults.ts'
+import { watchStalls } from './stalls.ts'
 import type { Record, SoakOptions } from './types.ts'
 import { sleep } from './types.ts'
 import { judgeWhole } from './verdict.ts'
@@ -35,10 +36,11 @@
 	await playFaults(world)
 	await sleep(RECOVERY_MS)
 	const calmSince = performance.now()
+	const stall = watchStalls()
 	await sleep(JUDGED_MS)
 	world.over = true
 	await Promise.race([Promise.all(callers), sleep(LAST_ANSWERS_MS)])
-	judgeWhole(world, calmSince)
+	judgeWhole(world, calmSince, stall.end())
 	stopWorld(world)
 	for (const signal of SIGNALS) process.removeListener(signal, interrupt)
 	if (world.record.broken.length === 0)
--- a/soak/src/verdict.ts
+++ b/soak/src/verdict.ts
@@ -19,8 +19,15 @@
 /** Fewer requests than this say nothing about recovery. */
 const FEW = 30
 
-/** Judges the whole record; `calmSince` is when recovery was due. */
-export function judgeWhole(world: World, calmSince: number): void {
+/**
+ * Judges the whole record; `calmSince` is when recovery was due, `stalledMs` how long
+ * this process stood still at most since then.
+ */
+export function judgeWhole(
+	world: World,
+	calmSince: number,
+	stalledMs: number,
+): void {
 	const { record, servers } = world
 	for (const mixed of servers.group.mixed) breakPromise(record, 'MAP', mixed)
 	if (servers.group.held !== undefined)
@@ -31,7 +38,7 @@
 	}
 	judgeRefusals(world)
 	judgeRetries(world)
-	judgeRecovery(world, calmSince)
+	judgeRecovery(world, calmSince, stalledMs)
 }
 
 /** A refusal counts for whatever ran before or after it. */
@@ -97,7 +104,11 @@
 	}
 }
 
-function judgeRecovery(world: World, calmSince: number): void {
+function judgeRecovery(
+	world: World,
+	calmSince: number,
+	stalledMs: number,
+): void {
 	const { record } = world
 	const late = [...record.asked.values()].filter(
 		one =>
@@ -109,7 +120,18 @@
 	count(record, 'requests after recovery', late.length)
 	count(record, 'served after recovery', served)
 	if (late.length < FEW)
-		breakPromise(record, 'RECOVER', `only ${late.length} requests ended`)
+		breakPromise(
+			record,
+			'RECOVER',
+			`only ${late.length} requests ended, ${countOpen(world)} open, stalled ${stalledMs} ms`,
+		)
 	else if (served < RECOVERED_PART * late.length)
 		breakPromise(record, 'RECOVER', `${served} of ${late.length} served`)
 }
+
+/** Requests without an end, whose callers still wait. */
+function countOpen({ record }: World): number {
+	return [...record.asked.values()].filter(
+		one => one.answeredAt === undefined && one.leftAt === undefined,
+	).length
+}
