--- a/packages/groups/src/agent.ts
+++ b/packages/groups/src/agent.ts
@@ -22,7 +22,7 @@
 import type { PaceTeller } from './paceTeller.ts'
 import { createPaceTeller, tellPaces } from './paceTeller.ts'
 import type { EnginePort, GroupSource, PublishedGroup } from './ports.ts'
-import type { AgentHello } from './rankService.ts'
+import type { AgentHello } from './rankMessages.ts'
 import { createRankMethods } from './rankService.ts'
 
 /**
--- a/packages/groups/src/coordinatorState.ts
+++ b/packages/groups/src/coordinatorState.ts
@@ -16,8 +16,6 @@
 import type { Demand } from './demand.ts'
 import { createDemand } from './demand.ts'
 import { packMap } from './orderMessage.ts'
-import type { PassWatch } from './passWatch.ts'
-import { createPassWatch } from './passWatch.ts'
 import type { EnginePort, PublishedGroup } from './ports.ts'
 import type { RankClient } from './rankClient.ts'
 import {
@@ -26,7 +24,9 @@
 	openRankClient,
 	reportRank,
 } from './rankClient.ts'
-import type { BaseMapRequest } from './rankService.ts'
+import type { BaseMapRequest } from './rankMessages.ts'
+import type { PassWatch } from './timedPasses.ts'
+import { createPassWatch } from './timedPasses.ts'
 
 /** Fences are a counter and this many random low bits, so that none is doubled. */
 export const FENCE_BITS = 12
--- a/packages/groups/src/orderRelay.ts
+++ b/packages/groups/src/orderRelay.ts
@@ -8,7 +8,7 @@
 import { call, connectRpc } from '@juniperhook/runtime'
 import type { OrderMessage } from './orderMessage.ts'
 import { countHops, splitBranches } from './orderTree.ts'
-import type { RankAnswer } from './rankService.ts'
+import type { RankAnswer } from './rankMessages.ts'
 
 const CONNECT_MS = 200
 
--- a/packages/groups/src/passWatch.ts
+++ b/packages/groups/src/passWatch.ts
@@ -21,29 +21,6 @@
 /** Factors this far apart count as the same conditions. */
 const SAME_FACTOR = 0.15
 
-/** Passes that are being timed under the same conditions. */
-export interface PassWatch {
-	since: { readonly report: RankReport; readonly at: number } | undefined
-	copying: boolean
-	factor: number
-	loggedAt: number
-	/** What had gone over this process's links then. */
-	bytesIn: number
-	bytesOut: number
-}
-
-/** Makes a watch that has seen nothing. */
-export function createPassWatch(): PassWatch {
-	return {
-		since: undefined,
-		copying: false,
-		factor: 1,
-		loggedAt: 0,
-		bytesIn: 0,
-		bytesOut: 0,
-	}
-}
-
 /** Takes a fresh report of the engine beside this process. */
 export function watchPasses(co: Coordinator, report: RankReport): void {
 	const { group, map, passes, copying } = co
--- a/packages/groups/src/rankClient.ts
+++ b/packages/groups/src/rankClient.ts
@@ -21,7 +21,7 @@
 	RankPlacement,
 	RankSample,
 } from './ports.ts'
-import type { RankAnswers } from './rankService.ts'
+import type { RankAnswers } from './rankMessages.ts'
 import { giveOrder, isCarriedOut } from './rankService.ts'
 
 const CONNECT_MS = 300
--- a/packages/groups/src/rankService.ts
+++ b/packages/groups/src/rankService.ts
@@ -14,7 +14,13 @@
 import { fromOrderMessage, packMap, unpackMap } from './orderMessage.ts'
 import type { RelayRequest } from './orderRelay.ts'
 import { createOrderRelay, relayOrder } from './orderRelay.ts'
-import type { EnginePort, RankBusy, RankPlacement } from './ports.ts'
+import type { EnginePort, RankBusy } from './ports.ts'
+import type {
+	AgentHello,
+	BaseMapRequest,
+	OrderElsewhere,
+	RankAnswer,
+} from './rankMessages.ts'
 
 /** Between looks at an engine that copies experts, ms. */
 const COPY_LOOK_MS = 25
@@ -99,20 +105,6 @@
 	}
 }
 
-/** An order that an agent gives to the engine of another VM. */
-export interface OrderElsewhere {
-	/** `IP:port`. */
-	readonly engine: string
-	readonly order: EngineOrder
-}
-
-/** The last word of an agent on itself. */
-export interface AgentHello {
-	readonly rank: number
-	/** Whether it coordinates its group. */
-	readonly active: boolean
-}
-
 /** Methods that an agent serves. */
 export function createRankMethods(
 	port: EnginePort,
@@ -161,12 +153,6 @@
 	}
 }
 
-/** Asks for a map that changes were told of. */
-export interface BaseMapRequest {
-	readonly epoch: number
-	readonly version: number
-}
-
 /** A known map, packed, for an agent that lacks it; null when it is not known. */
 function packKnown(
 	known: KnownMaps,
@@ -221,17 +207,3 @@
 async function orNull<T>(value: Promise<T | undefined>): Promise<T | null> {
 	return (await value) ?? null
 }
-
-/** An engine's answer, or that an agent lacks the map that is to change. */
-export type RankAnswer = OrderAnswer | 'unknownBase'
-
-/** What the methods answer. */
-export interface RankAnswers {
-	readonly report: RankReport | null
-	readonly busy: RankBusy | null
-	readonly sample: SampleMessage | null
-	readonly placement: RankPlacement | null
-	readonly order: RankAnswer
-	readonly relay: readonly (RankAnswer | null)[]
-	readonly orderElsewhere: OrderAnswer
-}
