--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -96,11 +96,17 @@
 ): Promise<AttemptResult> {
 	const { request } = job
 	const { fleet, wire } = ctx
-	const server = fleet.servers[fleet.table.rowOf.get(serverId)!]!
+	const row = fleet.table.rowOf.get(serverId)
+	const server = row === undefined ? undefined : fleet.servers[row]
 	const free = () => {
 		noteHeld(fleet, serverId, -1)
 		serveWaiting(ctx)
 	}
+	if (!server) {
+		// It was granted in the turn in which news took the server out.
+		free()
+		return { kind: 'notRun', reason: 'server gone' }
+	}
 	const left = request.deadlineAt - readNow()
 	const untilGivenUp = request.givenUpAt - readNow()
 	if (untilGivenUp < MIN_LEFT_MS || job.signal.aborted) {
--- a/packages/gateway/test/gatewayState.test.ts
+++ b/packages/gateway/test/gatewayState.test.ts
@@ -132,6 +132,32 @@
 	assert.not(fleet.held.has(born(10).id))
 })
 
+test('gateway: a server that is granted and gone in one turn is not sent to', async () => {
+	const [first, second] = backends.listed
+	const catalog = createCatalog(CONFIG, [first!])
+	const other = await openGateway(catalog)
+	reset(new Array<Deed>(10).fill('hang'))
+	const open = Array.from({ length: 11 }, (_, at) =>
+		callGateway(other.callers, `/r/${at}`, { [WIRE.requestId]: `turn-${at}` }),
+	)
+	await until(() => queueOf(other.ctx.fleet, 'plain').waiting.length === 1)
+	// More slots grant what waits; the same news take the server out.
+	const engine = { ...ENGINE, slots: 64, experts: undefined }
+	const services = CONFIG.services.map(service => ({ ...service, engine }))
+	const config = { ...CONFIG, version: 5, services }
+	catalog.tell({
+		config: { config, text: JSON.stringify(config) },
+		servers: [
+			{ name: first!.name, revision: 2, server: undefined },
+			{ name: second!.name, revision: 2, server: second },
+		],
+	})
+	const answers = await Promise.all(open)
+	const statuses = answers.map(answer => answer.status)
+	assert.not(statuses.includes(0), statuses.join())
+	assert.ok(statuses.includes(200), statuses.join())
+})
+
 test('gateway: an entry that cannot be read takes its server out of use at once', async () => {
 	const catalog = createCatalog(CONFIG, backends.listed)
 	const other = await openGateway(catalog)
