A group waits for its slowest rank: all its ranks seem loaded by that one

The other group had room for what came. Ruled out: entries stopped in turn, plain servers, maps. Change: load of 0.6 for twice as slow, at most 1, on all ranks of the group. Groups alike: no change.

--- a/packages/core/src/core/dispatch.ts
+++ b/packages/core/src/core/dispatch.ts
@@ -59,6 +59,13 @@
  * lengthen every pass of its group, not its own alone.
  */
 const PACE_LOAD = 0.5
+/**
+ * Load that all ranks of a group seem to have for one that is twice as slow as usual,
+ * and the most: every pass waits for it. From 2.5 times on no stream of the group is
+ * in time, whatever it holds, and another group is better as long as it has room.
+ */
+const GROUP_PACE_LOAD = 0.6
+const MOST_GROUP_LOAD = 1
 /** A server counts as at most this many times slower. */
 const MAX_SLOW = 6
 /** Failures in a row that one connection which never came up stands for. */
@@ -166,7 +173,7 @@
 	let bestLoad = Number.POSITIVE_INFINITY
 	for (const row of drawCompared(table, withRoom, random)) {
 		const far = query.near.has(row) ? 0 : FAR_LOAD
-		const slow = PACE_LOAD * (table.pace[row]! - 1)
+		const slow = slownessOfRank(table, row)
 		const held = heldBy(table, row) + elsewhere * table.dealtElsewhere[row]!
 		const load = held / table.slots[row]! + far + slow + penalties.get(row)!
 		if (load >= bestLoad) continue
@@ -176,6 +183,11 @@
 	return { kind: 'row', row: best }
 }
 
+function slownessOfRank(table: ServerTable, row: number): number {
+	const ofGroup = GROUP_PACE_LOAD * (table.groupPace[row]! - 1)
+	return PACE_LOAD * (table.pace[row]! - 1) + Math.min(MOST_GROUP_LOAD, ofGroup)
+}
+
 /** Servers that the request has not been to, without those left alone. */
 function listSound(
 	table: ServerTable,
--- a/packages/core/src/core/routing.ts
+++ b/packages/core/src/core/routing.ts
@@ -36,6 +36,8 @@
 	readonly ratedAt: Float64Array
 	/** How slow the server says it is; 1 is its usual speed. */
 	readonly pace: Float64Array
+	/** How slow the slowest rank of its lock-step group is. */
+	readonly groupPace: Float64Array
 	/** Requests that it may hold whatever its slots. */
 	readonly most: Float64Array
 	/** 1 where another entry turns to the server first. */
@@ -73,6 +75,7 @@
 		failureRate: new Float64Array(size),
 		ratedAt: new Float64Array(size),
 		pace: new Float64Array(size).fill(1),
+		groupPace: new Float64Array(size).fill(1),
 		most: new Float64Array(size).fill(Number.POSITIVE_INFINITY),
 		dealtElsewhere: new Uint8Array(size),
 	}
@@ -97,6 +100,7 @@
 	to.failureRate[row] = from.failureRate[old]!
 	to.ratedAt[row] = from.ratedAt[old]!
 	to.pace[row] = from.pace[old]!
+	to.groupPace[row] = from.groupPace[old]!
 	to.most[row] = from.most[old]!
 	to.dealtElsewhere[row] = from.dealtElsewhere[old]!
 }
--- a/packages/core/test/dispatch.test.ts
+++ b/packages/core/test/dispatch.test.ts
@@ -143,6 +143,65 @@
 	assert.is(chooseRow(table, shut(0, 1), 0, random).kind, 'full')
 })
 
+const SLOW_GROUPS: {
+	name: string
+	/** Of each of two groups of four ranks with four places. */
+	paces: readonly [number, number]
+	/** Requests before which no place comes free, and those at the first group. */
+	requests: number
+	first: readonly [number, number]
+}[] = [
+	{ name: 'both sound', paces: [1, 1], requests: 12, first: [4, 8] },
+	{
+		name: 'a rank of the first 14 times slower, room at the other',
+		paces: [14, 1],
+		requests: 12,
+		first: [0, 0],
+	},
+	{
+		name: 'the same, more than the other has room for',
+		paces: [14, 1],
+		requests: 20,
+		first: [4, 4],
+	},
+	{
+		name: 'a rank of each as slow',
+		paces: [14, 14],
+		requests: 12,
+		first: [4, 8],
+	},
+	{
+		name: 'a rank of the first a quarter slower',
+		paces: [1.25, 1],
+		requests: 12,
+		first: [3, 6],
+	},
+]
+
+for (const { name, paces, requests, first } of SLOW_GROUPS)
+	test(`choice between groups that wait for their slowest rank: ${name}`, () => {
+		const rows = [0, 1, 2, 3, 4, 5, 6, 7]
+		const table = createServerTable(rows.map(String))
+		table.open.fill(1)
+		table.slots.fill(4)
+		for (const row of rows) {
+			table.group[row] = row < 4 ? 0 : 1
+			table.groupPace[row] = paces[table.group[row]!]!
+		}
+		const query = { ...QUERY, rows, near: new Set(rows) }
+		const random = createRandom(1)
+		let atFirst = 0
+		for (let sent = 0; sent < requests; sent++) {
+			const choice = chooseRow(table, query, 0, random)
+			assert.is(choice.kind, 'row')
+			if (choice.kind !== 'row') return
+			table.sentSince[choice.row]!++
+			if (choice.row < 4) atFirst++
+		}
+		const [least, most] = first
+		assert.ok(atFirst >= least && atFirst <= most, `${atFirst} at the first`)
+	})
+
 test('a closed group takes one try at a time', () => {
 	const closures = new Map()
 	noteClosed(closures, 's', 0)
--- a/packages/gateway/src/fleet.ts
+++ b/packages/gateway/src/fleet.ts
@@ -211,8 +211,11 @@
 export function applyToldGroups(fleet: Fleet): void {
 	for (const [row, server] of fleet.servers.entries()) {
 		const told = fleet.toldGroups.get(groupOf(server))
-		fleet.table.pace[row] = Math.max(1, told?.slow[server.address] ?? 1)
-		fleet.table.most[row] = told?.limit ?? Number.POSITIVE_INFINITY
+		const { table } = fleet
+		const paces = Object.values(told?.slow ?? {})
+		table.pace[row] = Math.max(1, told?.slow[server.address] ?? 1)
+		table.groupPace[row] = Math.max(1, ...paces)
+		table.most[row] = told?.limit ?? Number.POSITIVE_INFINITY
 	}
 }
 
--- a/scripts/ablation.ts
+++ b/scripts/ablation.ts
@@ -97,6 +97,12 @@
 		on: 'const PACE_LOAD = 0.5',
 		off: 'const PACE_LOAD = 0',
 	},
+	{
+		name: 'groupPace',
+		file: DISPATCH,
+		on: 'const GROUP_PACE_LOAD = 0.6',
+		off: 'const GROUP_PACE_LOAD = 0',
+	},
 	{
 		name: 'ejection',
 		file: 'packages/core/src/core/routing.ts',
