--- a/packages/gateway/src/comeBack.ts
+++ b/packages/gateway/src/comeBack.ts
@@ -8,6 +8,7 @@
 
 /** For a refusal to reach its caller, who reckons from then on, ms. */
 const WAY_MS = 50
+
 /** Time to tell a refused caller that has `leftMs` until its deadline, ms. */
 export function chooseComeBack(
 	ctx: GatewayContext,
--- a/packages/gateway/src/toldGroups.ts
+++ b/packages/gateway/src/toldGroups.ts
@@ -1,6 +1,6 @@
 /**
- * Lock-step groups that are broken, or have slow ranks or a limit. A coordinator tells some
- * entries, and news go on from entry to entry until all know them: a limit that
+ * Lock-step groups that are broken, have slow ranks or a limit. A coordinator tells
+ * some entries, and news go on from entry to entry until all know them: a limit that
  * some keep and others do not turns callers away for nothing.
  */
 
--- a/packages/groups/src/paceTeller.ts
+++ b/packages/groups/src/paceTeller.ts
@@ -1,7 +1,7 @@
 /**
  * Tells some entries whether a group runs, which ranks are slow and how much it may
- * hold; they tell the others. Which entries there are it learns from those that it reaches: the ones
- * named at its start may be gone.
+ * hold; they tell the others. Which entries there are it learns from those that it
+ * reaches: the ones named at its start may be gone.
  */
 
 import { randomBytes } from 'node:crypto'
