Sight: a line for each server that ended, with what it was running

The record cannot tell a request that ends servers from a group that breaks under its opening: no line says which requests were running when a server ended. Nothing is decided by it yet. Log: 'server ended' with requests and fingerprints (method, path, team, body); counter juniperhook_server_ends_total.

--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -1,6 +1,6 @@
 /** One attempt: a server with room, a call to it, and what its head proves. */
 
-import type { TryResult } from '@juniperhook/core'
+import type { ListedServer, TryResult } from '@juniperhook/core'
 import { createRetryWindow, noteTry, takeRetry } from '@juniperhook/core'
 import { readNow } from '@juniperhook/runtime'
 import { dropDisplaced } from './catalog.ts'
@@ -16,7 +16,10 @@
 import { groupOf, noteHeld, noteToldLoad } from './fleet.ts'
 import type { AttemptResult, Job } from './job.ts'
 import { noteFirst, pressureOf, spareMs } from './pressure.ts'
+import type { Run } from './runs.ts'
+import { beginRun, endRun, leaveRun } from './runs.ts'
 import { callServer } from './serverCall.ts'
+import { noteBroken } from './serverEnds.ts'
 import { buildServerHeaders } from './serverHeaders.ts'
 import { judgeTimes } from './timeliness.ts'
 import { awaitServer, serveWaiting } from './waiting.ts'
@@ -35,6 +38,8 @@
 const AFTER_GIVEN_UP_MS = 500
 /** How a call fails when no process listens at the address. */
 const REFUSED = 'ECONNREFUSED'
+/** How a call fails when the server closes its connection. */
+const CLOSED_THERE: ReadonlySet<string> = new Set(['ECONNRESET', 'EPIPE'])
 /** A repeatable request is tried elsewhere after this part of its target. */
 const PATIENCE_SHARE = 0.5
 /** Or after so many times what its server usually takes, if that is longer. */
@@ -98,7 +103,9 @@
 	const { fleet, wire } = ctx
 	const row = fleet.table.rowOf.get(serverId)
 	const server = row === undefined ? undefined : fleet.servers[row]
+	let run: Run | undefined
 	const free = () => {
+		if (run) endRun(ctx.runs, serverId, run)
 		noteHeld(fleet, serverId, -1)
 		serveWaiting(ctx)
 	}
@@ -119,6 +126,7 @@
 	const mayHaveRunBefore = job.mayHaveRun
 	job.mayHaveRun = true
 	const sentAt = readNow()
+	run = beginRun(ctx.runs, serverId, request)
 	const result = await callServer({
 		address: server.address,
 		method: request.method,
@@ -136,6 +144,7 @@
 		if (row !== undefined) noteTry(fleet.table, row, result, readNow())
 	}
 	if (result.kind !== 'answer') {
+		if (result.kind === 'lost') noteLost(ctx, server, run, result.reason)
 		free()
 		const reached = result.kind === 'lost'
 		if (!job.signal.aborted) note({ kind: reached ? 'failed' : 'unreached' })
@@ -171,11 +180,14 @@
 		kind: 'answer',
 		answer,
 		serverId,
-		release: good => {
+		release: end => {
+			if (end === 'broken') noteBroken(ctx, server)
+			if (end === 'left') leaveRun(ctx.runs, serverId, run)
 			free()
 			const isPlain = request.route.kind !== 'stream'
 			const tookMs = isPlain ? readNow() - sentAt : undefined
-			note(good ? { kind: 'good', tookMs } : { kind: 'failed' })
+			const isSound = end === 'good' || end === 'left'
+			note(isSound ? { kind: 'good', tookMs } : { kind: 'failed' })
 		},
 	}
 }
@@ -193,6 +205,17 @@
 	return Math.max(route.targetMs * PATIENCE_SHARE, usual * PATIENCE_TIMES)
 }
 
+/** A connection that the server closed, or that this entry did. */
+function noteLost(
+	ctx: GatewayContext,
+	server: ListedServer,
+	run: Run,
+	reason: string,
+): void {
+	if (CLOSED_THERE.has(reason)) noteBroken(ctx, server)
+	else leaveRun(ctx.runs, server.id, run)
+}
+
 function noteNotRun(job: Job, mayHaveRunBefore: boolean): void {
 	job.mayHaveRun = mayHaveRunBefore
 	job.refusedSends++
--- a/packages/gateway/src/catalog.ts
+++ b/packages/gateway/src/catalog.ts
@@ -21,6 +21,7 @@
 	PublishedConfig,
 	SourceResult,
 } from './ports.ts'
+import { settleByList } from './serverEnds.ts'
 import { closeIdle } from './serverPool.ts'
 import { serveWaiting } from './waiting.ts'
 
@@ -262,6 +263,7 @@
 	const before = fleet.servers
 	applyServerList(fleet, list, settings.dataCentre, routes)
 	closeEnded(ctx, before)
+	settleByList(ctx)
 	serveWaiting(ctx)
 }
 
--- a/packages/gateway/src/context.ts
+++ b/packages/gateway/src/context.ts
@@ -14,6 +14,8 @@
 import type { GatewayMetrics } from './metrics.ts'
 import type { CallerPatience, PublishedConfig, WireNames } from './ports.ts'
 import type { Pressure } from './pressure.ts'
+import type { Runs } from './runs.ts'
+import type { EndWatch } from './serverEnds.ts'
 import type { ServerPool } from './serverPool.ts'
 
 /** What a gateway is told of its VM. */
@@ -77,6 +79,10 @@
 	readonly retries: Map<string, RetryWindow>
 	/** Entries that are believed to live, with this one. */
 	entries: number
+	/** What servers run for this entry. */
+	readonly runs: Runs
+	/** Servers that may have ended. */
+	readonly ends: EndWatch
 	/** Requests being served. */
 	open: number
 	/** Gives each request that has no final answer one at once. */
--- a/packages/gateway/src/forward.ts
+++ b/packages/gateway/src/forward.ts
@@ -15,7 +15,13 @@
 import { chooseComeBack } from './comeBack.ts'
 import type { GatewayContext } from './context.ts'
 import { countRequest } from './entryDemand.ts'
-import type { AttemptResult, CallerRequest, Job, Next } from './job.ts'
+import type {
+	AnswerEnd,
+	AttemptResult,
+	CallerRequest,
+	Job,
+	Next,
+} from './job.ts'
 import { writeFailure, writeWhole } from './reply.ts'
 import { readAnswerBody } from './serverCall.ts'
 import { relayStream } from './streamRelay.ts'
@@ -138,7 +144,7 @@
 		const result = await makeAttempt(ctx, job)
 		if (job.signal.aborted) {
 			if (result.kind === 'answer') result.answer.cut()
-			if (result.kind === 'answer') result.release(true)
+			if (result.kind === 'answer') result.release('left')
 			return
 		}
 		const next = await settle(ctx, job, res, result)
@@ -195,7 +201,7 @@
 	const sealed = message.headers[ctx.wire.seal] !== undefined
 	const usable = body.kind === 'whole' && (sealed || status >= 300)
 	const good = usable && status < SERVER_ERROR
-	result.release(good)
+	result.release(judgeEnd(job, good, body.kind === 'whole'))
 	if (job.signal.aborted) return { kind: 'done' }
 	if (!good) {
 		const reason = body.kind === 'broken' ? body.reason : `status ${status}`
@@ -210,3 +216,9 @@
 	writeWhole(ctx, res, message, body.body, method)
 	return { kind: 'done' }
 }
+
+function judgeEnd(job: Job, isGood: boolean, isWhole: boolean): AnswerEnd {
+	if (job.signal.aborted) return 'left'
+	if (isGood) return 'good'
+	return isWhole ? 'failed' : 'broken'
+}
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -19,6 +19,8 @@
 import { createGatewayMetrics } from './metrics.ts'
 import { startPeers } from './peers.ts'
 import type { CatalogSource, WireNames } from './ports.ts'
+import { createRuns, forgetLeft } from './runs.ts'
+import { createEndWatch, forgetDoubts } from './serverEnds.ts'
 import { createServerPool } from './serverPool.ts'
 import { serveWaiting } from './waiting.ts'
 
@@ -65,6 +67,8 @@
 		pressures: new Map(),
 		retries: new Map(),
 		entries: Math.max(1, settings.seeds.length),
+		runs: createRuns(),
+		ends: createEndWatch(),
 		open: 0,
 		giveUps: new Set(),
 		stopping: false,
@@ -88,6 +92,8 @@
 
 function tick(ctx: GatewayContext, callers: Server): void {
 	tickCatalog(ctx)
+	forgetDoubts(ctx)
+	forgetLeft(ctx.runs)
 	serveWaiting(ctx)
 	const limits = ctx.routes?.config.limits
 	if (!limits) return
--- a/packages/gateway/src/job.ts
+++ b/packages/gateway/src/job.ts
@@ -61,6 +61,17 @@
 	readonly times: AnswerTimes
 }
 
+/** How the answer of a server ended. */
+export type AnswerEnd =
+	/** Whole, and the server did its work. */
+	| 'good'
+	/** Whole, and says that the server failed. */
+	| 'failed'
+	/** The server broke it off or spoilt it. */
+	| 'broken'
+	/** This entry closed the connection. */
+	| 'left'
+
 /** What an attempt came to. */
 export type AttemptResult =
 	| {
@@ -68,7 +79,7 @@
 			readonly answer: ServerAnswer
 			readonly serverId: string
 			/** Ends the attempt; to be called once. */
-			release(good: boolean): void
+			release(end: AnswerEnd): void
 	  }
 	/** The server says, or it is proved, that it did not run. */
 	| { readonly kind: 'notRun'; readonly reason: string }
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -21,6 +21,8 @@
 	readonly retries: Counter<'reason'>
 	/** Streams that went on at another server. */
 	readonly resumes: Counter
+	/** Servers that ended while they ran something, by how that is known. */
+	readonly serverEnds: Counter<'witness'>
 	readonly firstByte: Histogram
 	readonly pauses: Histogram
 	readonly waiting: Histogram
@@ -77,6 +79,12 @@
 			help: 'Streams that went on at another server',
 			registers,
 		}),
+		serverEnds: new Counter({
+			name: 'juniperhook_server_ends_total',
+			help: 'Servers that ended while they ran something',
+			labelNames: ['witness'],
+			registers,
+		}),
 		firstByte: histogram(registry, 'first_byte', LATENCY_BUCKETS),
 		pauses: histogram(registry, 'event_pause', PAUSE_BUCKETS),
 		waiting: histogram(registry, 'queue', LATENCY_BUCKETS),
--- /dev/null
+++ b/packages/gateway/src/serverEnds.ts
@@ -0,0 +1,173 @@
+/**
+ * Notices that a server has ended, and which requests it was running. A connection
+ * that breaks says little: servers also break off single answers, and the ranks of a
+ * group that stands still cut theirs. Whether a process still listens there tells.
+ */
+
+import { connect } from 'node:net'
+import type { ListedServer } from '@juniperhook/core'
+import { splitAddress } from '@juniperhook/core'
+import { readNow } from '@juniperhook/runtime'
+import type { GatewayContext } from './context.ts'
+import type { RunningRequest } from './runs.ts'
+import { listRunning } from './runs.ts'
+
+/** Servers that are asked at the same time; each takes one round trip. */
+const MAX_PROBES = 4
+/** A server that does not say whether a process listens is asked again, ms. */
+const PROBE_MS = 250
+const MAX_TRIES = 3
+/**
+ * What stays unclear is settled by the list, in which a server that has ended
+ * stays for three of its heartbeats; some seconds, ms.
+ */
+const DOUBT_MS = 6_000
+/** Servers in doubt at the same time; more than fail with a data centre. */
+const MAX_DOUBTS = 512
+/** Requests that are named for one server: those sent last. */
+const MAX_NAMED = 32
+
+/** How it is known that a server has ended. */
+export type EndWitness = 'refused' | 'list'
+
+/** A server whose connections broke. */
+export interface Doubt {
+	readonly server: ListedServer
+	/** When the first one broke, ms. */
+	readonly at: number
+	/** What it was running then, by request id. */
+	readonly running: Map<string, RunningRequest>
+	tries: number
+}
+
+/** A server that has ended, with what it was running. */
+export interface SeenEnd {
+	readonly server: ListedServer
+	readonly at: number
+	readonly running: readonly RunningRequest[]
+}
+
+/** Servers in doubt. */
+export interface EndWatch {
+	/** By server id. */
+	readonly doubts: Map<string, Doubt>
+	/** Ids that wait to be asked. */
+	readonly queue: string[]
+	probing: number
+}
+
+/** Makes a watch with no doubts. */
+export function createEndWatch(): EndWatch {
+	return { doubts: new Map(), queue: [], probing: 0 }
+}
+
+/** Notes that a server closed a connection before its answer was whole. */
+export function noteBroken(ctx: GatewayContext, server: ListedServer): void {
+	const { doubts, queue } = ctx.ends
+	const running = listRunning(ctx.runs, server.id)
+	const known = doubts.get(server.id)
+	if (!known && doubts.size >= MAX_DOUBTS) return
+	const doubt = known ?? {
+		server,
+		at: readNow(),
+		running: new Map(),
+		tries: 0,
+	}
+	for (const one of running) doubt.running.set(one.id, one)
+	if (known) return
+	doubts.set(server.id, doubt)
+	queue.push(server.id)
+	askNext(ctx)
+}
+
+function askNext(ctx: GatewayContext): void {
+	const { ends } = ctx
+	while (ends.probing < MAX_PROBES) {
+		const id = ends.queue.shift()
+		if (id === undefined) return
+		const doubt = ends.doubts.get(id)
+		if (!doubt) continue
+		ends.probing++
+		void probe(doubt.server.address).then(listens => {
+			ends.probing--
+			settle(ctx, doubt, listens)
+			askNext(ctx)
+		})
+	}
+}
+
+/** Whether a process listens at an address. */
+type Listens = 'yes' | 'no' | 'unclear'
+
+function probe(address: string): Promise<Listens> {
+	const { ip, port } = splitAddress(address)
+	return new Promise(resolve => {
+		const socket = connect({ host: ip, port })
+		const settleWith = (listens: Listens) => {
+			clearTimeout(timer)
+			socket.destroy()
+			resolve(listens)
+		}
+		const timer = setTimeout(() => settleWith('unclear'), PROBE_MS)
+		socket.on('connect', () => settleWith('yes'))
+		socket.on('error', (err: NodeJS.ErrnoException) =>
+			settleWith(err.code === 'ECONNREFUSED' ? 'no' : 'unclear'),
+		)
+	})
+}
+
+function settle(ctx: GatewayContext, doubt: Doubt, listens: Listens): void {
+	const { doubts, queue } = ctx.ends
+	const { id } = doubt.server
+	if (doubts.get(id) !== doubt) return
+	switch (listens) {
+		case 'yes':
+			doubts.delete(id)
+			return
+		case 'no':
+			believeEnd(ctx, doubt, 'refused')
+			return
+		case 'unclear':
+			doubt.tries++
+			if (doubt.tries < MAX_TRIES) queue.push(id)
+			return
+		default:
+			listens satisfies never
+	}
+}
+
+/** Settles doubts by a list that no longer names a server's life. */
+export function settleByList(ctx: GatewayContext): void {
+	for (const [id, doubt] of ctx.ends.doubts) {
+		const listed = ctx.list.records.get(doubt.server.name)?.server
+		if (listed?.id !== id) believeEnd(ctx, doubt, 'list')
+	}
+}
+
+/** Forgets doubts that nothing has settled. */
+export function forgetDoubts(ctx: GatewayContext): void {
+	const now = readNow()
+	for (const [id, { at }] of ctx.ends.doubts)
+		if (now - at >= DOUBT_MS) ctx.ends.doubts.delete(id)
+}
+
+function believeEnd(
+	ctx: GatewayContext,
+	doubt: Doubt,
+	witness: EndWitness,
+): void {
+	const { server, at } = doubt
+	ctx.ends.doubts.delete(server.id)
+	const running = [...doubt.running.values()]
+		.sort((a, b) => b.since - a.since)
+		.slice(0, MAX_NAMED)
+	ctx.metrics.serverEnds.inc({ witness })
+	ctx.log.write('server ended', {
+		server: server.id,
+		address: server.address,
+		witness,
+		agoMs: Math.round(readNow() - at),
+		requests: running.map(one => one.id),
+		fingerprints: [...new Set(running.map(one => one.fingerprint))],
+	})
+}
--- a/packages/gateway/src/streamRelay.ts
+++ b/packages/gateway/src/streamRelay.ts
@@ -9,7 +9,7 @@
 import type { GatewayContext } from './context.ts'
 import type { StreamEvent } from './eventSplitter.ts'
 import { createEventSplitter, splitEvents } from './eventSplitter.ts'
-import type { AttemptResult, Job, Next } from './job.ts'
+import type { AnswerEnd, AttemptResult, Job, Next } from './job.ts'
 import { writeStreamHead } from './reply.ts'
 
 /** Relays one server's part of a stream. */
@@ -51,7 +51,7 @@
 		})
 		message.on('close', () => {
 			const whole = answer.isWhole() && sound && splitter.held.length === 0
-			result.release(whole || job.signal.aborted)
+			result.release(judgeEnd(job, whole, answer.isWhole()))
 			if (job.signal.aborted) {
 				resolve({ kind: 'done' })
 				return
@@ -74,6 +74,13 @@
 	})
 }
 
+/** How a stream's connection ended. */
+function judgeEnd(job: Job, isWhole: boolean, isFramed: boolean): AnswerEnd {
+	if (job.signal.aborted) return 'left'
+	if (isWhole) return 'good'
+	return isFramed ? 'failed' : 'broken'
+}
+
 /** Whether an event's id follows the last one; ids are rising numbers. */
 function isNext(last: string | undefined, id: string | undefined): boolean {
 	if (last === undefined || id === undefined) return true
