--- /dev/null
+++ b/packages/gateway/test/deadlyRequests.test.ts
@@ -0,0 +1,148 @@
+/**
+ * Requests under which servers end.
+ *
+ * Seen: a request ended eight servers, one each time its caller asked again, by
+ * whichever entry. How: a broken connection was a failure of its server; the request
+ * itself was sent on, and nobody remembered it when it came again. Cause: what was
+ * running when a server ended was neither kept nor told to other entries. Proof: the
+ * same request at three entries in turn ends a server at each try.
+ */
+
+import { test } from 'uvu'
+import * as assert from 'uvu/assert'
+import type { MortalServers } from './mortalServers.ts'
+import { DEADLY, startMortals } from './mortalServers.ts'
+import type { TestGateway } from './openGateway.ts'
+import { CONTACT_MS, createOpener } from './openGateway.ts'
+import { CONFIG, callGateway, createCatalog, WIRE } from './standIns.ts'
+
+/** Sends after the third end that are allowed, once the contact time is over. */
+const MOST_AFTER = 3
+const MOST_ENDS = 3
+/** Tries of a deadly request: while entries learn, and after the contact time. */
+const TRIES = 12
+/** Between two tries, ms: servers are back by then. */
+const PAUSE_MS = 250
+
+const LIMITS = { ...CONFIG.limits, maxBodyBytes: 2_000_000 }
+let nextPort = 23_300
+let nextId = 1
+
+/** Entries that know each other, before servers that end and come back. */
+interface World {
+	readonly servers: MortalServers
+	readonly entries: TestGateway[]
+}
+
+async function openWorld(entryCount: number, servers = 6): Promise<World> {
+	const mortals = await startMortals(servers)
+	const listed = mortals.mortals.map(one => one.listed)
+	const entries: TestGateway[] = []
+	for (let at = 0; at < entryCount; at++) {
+		const catalog = createCatalog({ ...CONFIG, limits: LIMITS }, listed)
+		mortals.catalogs.push(catalog)
+		const open = createOpener(nextPort, listed)
+		nextPort += 4
+		entries.push(await open(catalog, entries[0] ? [entries[0].control] : []))
+	}
+	await pause(PAUSE_MS)
+	return { servers: mortals, entries }
+}
+
+function pause(ms: number): Promise<void> {
+	return new Promise(resolve => setTimeout(resolve, ms))
+}
+
+function ask(entry: TestGateway, path: string, body: string, headers = {}) {
+	const id = `d${nextId++}`
+	return callGateway(
+		entry.callers,
+		path,
+		{ [WIRE.requestId]: id, ...headers },
+		'POST',
+		body,
+	)
+}
+
+/** Asks again and again, at one entry after the other. */
+async function askAgain(
+	{ entries }: World,
+	path: string,
+	body: string,
+	tries: number,
+	headers: (attempt: number) => object = () => ({}),
+): Promise<number[]> {
+	const statuses: number[] = []
+	for (let at = 0; at < tries; at++) {
+		const entry = entries[at % entries.length]!
+		const got = await ask(entry, path, body, headers(at))
+		statuses.push(got.status)
+		await pause(PAUSE_MS)
+	}
+	return statuses
+}
+
+const BIG = `${'x'.repeat(300_000)} ${DEADLY}`
+interface DeadlyCase {
+	readonly name: string
+	readonly entries: number
+	readonly path: string
+	readonly body: string
+	readonly headers?: (attempt: number) => object
+}
+const CASES: readonly DeadlyCase[] = [
+	{ name: 'one entry', entries: 1, path: '/o/x', body: DEADLY },
+	{ name: 'three entries', entries: 3, path: '/o/x', body: DEADLY },
+	{ name: 'repeated by entries', entries: 3, path: '/r/x', body: DEADLY },
+	{
+		name: 'a stream that is resumed by entries and by its caller',
+		entries: 3,
+		path: '/s/x',
+		body: DEADLY,
+		headers: at => (at % 2 === 0 ? {} : { [WIRE.lastEventId]: '1' }),
+	},
+	{
+		name: 'a large body in chunks or with a length',
+		entries: 3,
+		path: '/o/x',
+		body: BIG,
+		headers: at =>
+			at % 2 === 0
+				? { 'transfer-encoding': 'chunked' }
+				: { 'content-length': String(BIG.length) },
+	},
+]
+
+/** What a case shows that must not be; empty for nothing. */
+async function findFault({
+	name,
+	entries,
+	path,
+	body,
+	headers,
+}: DeadlyCase): Promise<string[]> {
+	const world = await openWorld(entries)
+	const { ends, runs } = world.servers
+	const early = await askAgain(world, path, body, TRIES / 2, headers)
+	await pause(CONTACT_MS)
+	const late = await askAgain(world, path, body, TRIES / 2, headers)
+	world.servers.close()
+	const judgedFrom = ends[MOST_ENDS - 1]!.at + CONTACT_MS
+	const after = runs.filter(run => run.at > judgedFrom)
+	if (after.length <= MOST_AFTER && ends.length === MOST_ENDS) return []
+	const statuses = [...early, ...late].join()
+	return [
+		`${name}: ${ends.length} ends, ${after.length} sends late, statuses ${statuses}`,
+	]
+}
+
+test('a deadly request ends three servers and no more', async () => {
+	const faults = await Promise.all(CASES.map(findFault))
+	assert.equal(faults.flat(), [])
+})
+
+test.after(() => {
+	setImmediate(() => process.exit())
+})
+
+test.run()
--- /dev/null
+++ b/packages/gateway/test/mortalServers.ts
@@ -0,0 +1,173 @@
+/** Servers that end under some requests and start again as others. */
+
+import type { IncomingMessage, Server, ServerResponse } from 'node:http'
+import { createServer } from 'node:http'
+import type { AddressInfo, Socket } from 'node:net'
+import type { ListedServer } from '@juniperhook/core'
+import type { StandInCatalog } from './standIns.ts'
+import { WIRE } from './standIns.ts'
+
+/** A body with this in it ends the server that begins to run it. */
+export const DEADLY = 'deadly'
+/** A body with this in it is run until its server ends or `release` is called. */
+export const SLOW = 'slow'
+/** From the beginning of a deadly run to the end of its server, ms. */
+const ENDS_AFTER_MS = 20
+/** Until a server that has ended is there again, ms. */
+const BACK_AFTER_MS = 150
+
+/** A run of a request. */
+export interface MortalRun {
+	readonly body: string
+	readonly server: string
+	readonly at: number
+}
+
+/** Servers that run, end and come back. */
+export interface MortalServers {
+	/** What is told of changes. */
+	readonly catalogs: StandInCatalog[]
+	readonly runs: MortalRun[]
+	/** When servers ended, ms. */
+	readonly ends: { readonly server: string; readonly at: number }[]
+	readonly mortals: Mortal[]
+	/** Lets all slow requests end well. */
+	release(): void
+	close(): void
+}
+
+/** One server, in whichever life. */
+interface Mortal {
+	readonly port: number
+	life: number
+	server: Server
+	listed: ListedServer
+	readonly sockets: Set<Socket>
+	readonly slow: Set<() => void>
+}
+
+/** Starts `count` servers of the service `plain`. */
+export async function startMortals(
+	count: number,
+	service = 'plain',
+): Promise<MortalServers> {
+	const all: MortalServers = {
+		catalogs: [],
+		runs: [],
+		ends: [],
+		mortals: [],
+		release: () => {
+			for (const { slow } of all.mortals) for (const finish of slow) finish()
+		},
+		close: () => {
+			for (const one of all.mortals) stop(one)
+		},
+	}
+	for (let at = 0; at < count; at++)
+		all.mortals.push(await startMortal(all, at, service))
+	return all
+}
+
+async function startMortal(
+	all: MortalServers,
+	at: number,
+	service: string,
+): Promise<Mortal> {
+	const server = createServer()
+	await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve))
+	const { port } = server.address() as AddressInfo
+	const listed: ListedServer = {
+		id: `m${at}`,
+		name: `m${at}`,
+		service,
+		address: `127.0.0.1:${port}`,
+		dataCentre: 'north',
+		slots: 8,
+		leaving: false,
+		coldMs: 0,
+	}
+	const mortal: Mortal = {
+		port,
+		life: 0,
+		server,
+		listed,
+		sockets: new Set(),
+		slow: new Set(),
+	}
+	serve(all, mortal)
+	return mortal
+}
+
+function serve(all: MortalServers, mortal: Mortal): void {
+	mortal.server.on('connection', socket => {
+		mortal.sockets.add(socket)
+		socket.on('close', () => mortal.sockets.delete(socket))
+	})
+	mortal.server.on('request', (req, res) => void run(all, mortal, req, res))
+}
+
+async function run(
+	all: MortalServers,
+	mortal: Mortal,
+	req: IncomingMessage,
+	res: ServerResponse,
+): Promise<void> {
+	const { name } = mortal.listed
+	const id = String(req.headers[WIRE.requestId])
+	if (req.headers[WIRE.expectServer] !== name) {
+		res.writeHead(421).end()
+		return
+	}
+	let body = ''
+	for await (const part of req) body += part
+	all.runs.push({ body, server: name, at: performance.now() })
+	const isStream = req.url?.startsWith('/s/') ?? false
+	const type = isStream ? { 'content-type': 'text/event-stream' } : {}
+	const head = { [WIRE.requestId]: id, [WIRE.seal]: 'sealed', ...type }
+	const answer = isStream ? 'id: 2\ndata: end\n\n' : `answer to ${id}`
+	if (isStream) res.writeHead(200, head).write('id: 1\ndata: begun\n\n')
+	if (body.includes(DEADLY)) {
+		setTimeout(() => end(all, mortal, name), ENDS_AFTER_MS)
+		return
+	}
+	const finish = () => {
+		mortal.slow.delete(finish)
+		if (!res.headersSent) res.writeHead(200, head)
+		res.end(answer)
+	}
+	if (body.includes(SLOW)) mortal.slow.add(finish)
+	else finish()
+}
+
+/** Ends a server as a crash does, if it still is in that life. */
+export function end(all: MortalServers, mortal: Mortal, name: string): void {
+	if (mortal.listed.name !== name || !mortal.server.listening) return
+	all.ends.push({ server: name, at: performance.now() })
+	stop(mortal)
+	setTimeout(() => comeBack(all, mortal), BACK_AFTER_MS)
+}
+
+function stop(mortal: Mortal): void {
+	mortal.server.close()
+	for (const socket of mortal.sockets) socket.resetAndDestroy()
+	mortal.slow.clear()
+}
+
+function comeBack(all: MortalServers, mortal: Mortal): void {
+	const before = mortal.listed.name
+	mortal.life++
+	const name = `${before.split('-')[0]}-${mortal.life}`
+	mortal.listed = { ...mortal.listed, id: name, name }
+	mortal.server = createServer()
+	serve(all, mortal)
+	mortal.server.listen(mortal.port, '127.0.0.1')
+	for (const catalog of all.catalogs) {
+		const revision = catalog.snapshot.revision + 1
+		catalog.tell({
+			servers: [
+				{ name: before, revision, server: undefined },
+				{ name, revision, server: mortal.listed },
+			],
+		})
+	}
+}
