Requests that end servers are sent to three and to no more

Cause: an entry took a broken connection for a fault of its server alone. The request was sent on, and when its caller asked again, by any entry, nobody remembered it: 12 to 14 servers ended in 12 tries. Change: a fingerprint (method, path, team, body) of what ran at a server that ended; ends are told to all entries and to each new link as a set that only grows, and are judged alike by all. Three ends bar a request; what was sent before the last end, what was answered since and what ended together with others (half) does not count in full. A barred request is refused at once and what of it is under way is ended; one that is suspected waits for the verdict before it is sent on. Bounds: 256 ends, 16 requests each, an hour.

--- a/packages/core/src/core/errors.ts
+++ b/packages/core/src/core/errors.ts
@@ -72,6 +72,13 @@
 	),
 	noServer: row(503, 'no', 2000, busy, 'No backend server is available.'),
 	noConfig: row(503, 'no', 2000, busy, 'No configuration is in force yet.'),
+	quarantined: row(
+		503,
+		'no',
+		0,
+		busy,
+		'Servers ended each time they ran this request; it is sent to none.',
+	),
 	configBehind: row(
 		503,
 		'no',
--- /dev/null
+++ b/packages/core/src/core/quarantine.ts
@@ -0,0 +1,242 @@
+/**
+ * Requests that end the servers that run them. A request that comes again is known by
+ * its fingerprint; under which ones a server has ended is shared by all entries, and
+ * one that has ended three is sent to none any more.
+ *
+ * Who only ran beside such a request must not be taken for it. So an end counts for a
+ * request only if it was sent there after the end that counted before, what was
+ * answered whole since starts anew, and servers that end together, as those of a rack
+ * or a data centre do, count half for requests that were not at all of them.
+ *
+ * Evidence is a set of ends that only grows, until it is old: entries that have heard
+ * the same, in whatever order and however often, judge the same.
+ */
+
+/** Points of a request from which on it is sent to no server: three ends by itself. */
+const BARRED_POINTS = 6
+/** Points of an end that no other end explains. */
+const LONE_POINTS = 2
+/** Points of an end beside others under other requests. */
+const SHARED_POINTS = 1
+/**
+ * Servers that end within this time have one cause, unless one request was at all of
+ * them, ms: a power switch ends a rack within ms, a supervisor within some hundreds.
+ */
+const TOGETHER_MS = 500
+/** Entries reckon the same end up to so much apart, ms: the way of the news. */
+const SKEW_MS = 50
+/**
+ * How long an end is remembered, ms; an hour. A request that is asked for again after
+ * it, by a caller that heeds what it was told, may end three servers more.
+ */
+const KEPT_MS = 3_600_000
+/**
+ * Ends that are remembered: those of a data centre of 230 servers. Beyond it the
+ * oldest is forgotten that bars nothing.
+ */
+const MAX_ENDS = 256
+/** Requests that are named for one end: engines run 4 to 12 at a time. */
+export const MAX_NAMED = 16
+
+/** The end of a server. */
+export interface ServerEnd {
+	/** Id of the server's life. */
+	readonly server: string
+	/** When it was first noticed, ms. */
+	readonly at: number
+	/** For how long each request had been there, ms, by fingerprint. */
+	readonly ran: ReadonlyMap<string, number>
+}
+
+/** An answer that a server gave whole to a request under which others had ended. */
+export interface ServedSince {
+	readonly fingerprint: string
+	/** ms */
+	readonly at: number
+}
+
+/** Evidence that one entry tells another. */
+export interface EndNews {
+	readonly ends: readonly ServerEnd[]
+	readonly served: readonly ServedSince[]
+}
+
+/** What an entry knows of requests under which servers ended. */
+export interface Quarantine {
+	readonly ends: Map<string, ServerEnd>
+	/** When each was last answered whole, ms, by fingerprint. */
+	readonly served: Map<string, number>
+	/** Points of requests under which servers ended and that were not served since. */
+	suspects: ReadonlyMap<string, Readonly<Suspicion>>
+}
+
+/** What speaks against a request. */
+export interface Suspicion {
+	points: number
+	/** Servers that ended under it, in order. */
+	readonly servers: string[]
+	/** When the last of them ended, ms. */
+	lastAt: number
+}
+
+/** Makes a quarantine that knows of no end. */
+export function createQuarantine(): Quarantine {
+	return { ends: new Map(), served: new Map(), suspects: new Map() }
+}
+
+/** Whether a request is sent to no server any more. */
+export function isBarred({ suspects }: Quarantine, fingerprint: string) {
+	return (suspects.get(fingerprint)?.points ?? 0) >= BARRED_POINTS
+}
+
+/** Fingerprints of requests that are sent to no server. */
+export function listBarred({ suspects }: Quarantine): string[] {
+	return [...suspects]
+		.filter(([, { points }]) => points >= BARRED_POINTS)
+		.map(([fingerprint]) => fingerprint)
+}
+
+/** How long a request is still sent to no server, ms; 0 if it is. */
+export function barredForMs(
+	quarantine: Quarantine,
+	fingerprint: string,
+	now: number,
+): number {
+	if (!isBarred(quarantine, fingerprint)) return 0
+	const { lastAt } = quarantine.suspects.get(fingerprint)!
+	return Math.max(0, lastAt + KEPT_MS - now)
+}
+
+/** Takes what was seen or told; gives what of it is new. */
+export function takeEndNews(
+	quarantine: Quarantine,
+	news: EndNews,
+	now: number,
+): EndNews {
+	forgetOld(quarantine, now)
+	const ends = news.ends.filter(
+		end => now - end.at < KEPT_MS && takeEnd(quarantine, end),
+	)
+	// Who is not suspected needs no defence.
+	if (ends.length > 0) judge(quarantine)
+	const served = news.served.filter(one => takeServed(quarantine, one))
+	if (served.length > 0) judge(quarantine)
+	return { ends, served }
+}
+
+/** All that is remembered, for an entry that may know nothing. */
+export function listEndNews({ ends, served }: Quarantine): EndNews {
+	return {
+		ends: [...ends.values()],
+		served: [...served].map(([fingerprint, at]) => ({ fingerprint, at })),
+	}
+}
+
+/** True when it is news. */
+function takeEnd({ ends }: Quarantine, end: ServerEnd): boolean {
+	const known = ends.get(end.server)
+	const ran = new Map(known?.ran)
+	for (const [fingerprint, ms] of end.ran) {
+		if (ran.size >= MAX_NAMED && !ran.has(fingerprint)) continue
+		ran.set(fingerprint, Math.min(ms, ran.get(fingerprint) ?? ms))
+	}
+	const isNews = !known || ran.size > known.ran.size
+	if (isNews) {
+		const at = Math.min(end.at, known?.at ?? end.at)
+		ends.set(end.server, { server: end.server, at, ran })
+	}
+	return isNews
+}
+
+/** True when it takes a suspicion back. */
+function takeServed(
+	{ served, suspects }: Quarantine,
+	{ fingerprint, at }: ServedSince,
+): boolean {
+	const suspicion = suspects.get(fingerprint)
+	if (!suspicion || at <= servedAt(served, fingerprint)) return false
+	served.set(fingerprint, at)
+	return true
+}
+
+function forgetOld(quarantine: Quarantine, now: number): void {
+	const { ends } = quarantine
+	for (const [server, { at }] of ends)
+		if (now - at >= KEPT_MS) ends.delete(server)
+}
+
+function judge(quarantine: Quarantine): void {
+	const { ends, served } = quarantine
+	const sorted = [...ends.values()].sort((a, b) => a.at - b.at)
+	quarantine.suspects = weigh(sorted, served)
+	if (ends.size > MAX_ENDS) forgetLeast(quarantine, sorted)
+	if (served.size === 0) return
+	const named = new Set(sorted.flatMap(({ ran }) => [...ran.keys()]))
+	for (const fingerprint of served.keys())
+		if (!named.has(fingerprint)) served.delete(fingerprint)
+}
+
+/** Forgets the oldest ends that bar nothing; if all do, the oldest. */
+function forgetLeast(
+	{ ends, suspects }: Quarantine,
+	sorted: readonly ServerEnd[],
+): void {
+	const bars = new Set<string>()
+	for (const { points, servers } of suspects.values())
+		if (points >= BARRED_POINTS) for (const server of servers) bars.add(server)
+	const idle = sorted.filter(({ server }) => !bars.has(server))
+	const order = [...idle, ...sorted.filter(({ server }) => bars.has(server))]
+	for (const { server } of order.slice(0, ends.size - MAX_ENDS))
+		ends.delete(server)
+}
+
+/** Weighs what speaks against each request, from ends in their order. */
+function weigh(
+	sorted: readonly ServerEnd[],
+	served: ReadonlyMap<string, number>,
+): Map<string, Suspicion> {
+	const suspects = new Map<string, Suspicion>()
+	for (const together of groupTogether(sorted))
+		for (const end of together) weighEnd(suspects, end, together, served)
+	return suspects
+}
+
+function weighEnd(
+	suspects: Map<string, Suspicion>,
+	{ server, at, ran }: ServerEnd,
+	together: readonly ServerEnd[],
+	served: ReadonlyMap<string, number>,
+): void {
+	for (const [fingerprint, ranMs] of ran) {
+		if (at <= servedAt(served, fingerprint)) continue
+		const suspicion = suspects.get(fingerprint) ?? {
+			points: 0,
+			servers: [],
+			lastAt: Number.NEGATIVE_INFINITY,
+		}
+		if (at - ranMs < suspicion.lastAt - SKEW_MS) continue
+		const isAtAll = together.every(one => one.ran.has(fingerprint))
+		suspicion.points += isAtAll ? LONE_POINTS : SHARED_POINTS
+		suspicion.servers.push(server)
+		suspicion.lastAt = at
+		suspects.set(fingerprint, suspicion)
+	}
+}
+
+function servedAt(
+	served: ReadonlyMap<string, number>,
+	fingerprint: string,
+): number {
+	return served.get(fingerprint) ?? Number.NEGATIVE_INFINITY
+}
+
+/** Ends that come so close that one cause is likely. */
+function groupTogether(sorted: readonly ServerEnd[]): ServerEnd[][] {
+	const groups: ServerEnd[][] = []
+	for (const end of sorted) {
+		const last = groups.at(-1)
+		if (last && end.at - last[0]!.at < TOGETHER_MS) last.push(end)
+		else groups.push([end])
+	}
+	return groups
+}
--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -16,10 +16,11 @@
 import { groupOf, noteHeld, noteToldLoad } from './fleet.ts'
 import type { AttemptResult, Job } from './job.ts'
 import { noteFirst, pressureOf, spareMs } from './pressure.ts'
+import { isSuspected, noteServed } from './quarantineGate.ts'
 import type { Run } from './runs.ts'
 import { beginRun, endRun, leaveRun } from './runs.ts'
 import { callServer } from './serverCall.ts'
-import { noteBroken } from './serverEnds.ts'
+import { noteBroken, watchLeft } from './serverEnds.ts'
 import { buildServerHeaders } from './serverHeaders.ts'
 import { judgeTimes } from './timeliness.ts'
 import { awaitServer, serveWaiting } from './waiting.ts'
@@ -182,7 +183,8 @@
 		serverId,
 		release: end => {
 			if (end === 'broken') noteBroken(ctx, server)
-			if (end === 'left') leaveRun(ctx.runs, serverId, run)
+			if (end === 'left') leave(ctx, server, run)
+			if (end === 'good') noteServed(ctx, request)
 			free()
 			const isPlain = request.route.kind !== 'stream'
 			const tookMs = isPlain ? readNow() - sentAt : undefined
@@ -213,7 +215,12 @@
 	reason: string,
 ): void {
 	if (CLOSED_THERE.has(reason)) noteBroken(ctx, server)
-	else leaveRun(ctx.runs, server.id, run)
+	else leave(ctx, server, run)
+}
+
+function leave(ctx: GatewayContext, server: ListedServer, run: Run): void {
+	leaveRun(ctx.runs, server.id, run)
+	if (isSuspected(ctx, run.request)) watchLeft(ctx, server)
 }
 
 function noteNotRun(job: Job, mayHaveRunBefore: boolean): void {
--- a/packages/gateway/src/callerRequest.ts
+++ b/packages/gateway/src/callerRequest.ts
@@ -62,6 +62,7 @@
 			priority: team?.priority ?? route.priority,
 			repeatable: isRepeatable(route),
 			lastEventId: typeof lastEventId === 'string' ? lastEventId : undefined,
+			fingerprint: undefined,
 		},
 	}
 }
--- a/packages/gateway/src/context.ts
+++ b/packages/gateway/src/context.ts
@@ -11,9 +11,11 @@
 } from '@juniperhook/core'
 import type { EventLog } from '@juniperhook/runtime'
 import type { Fleet } from './fleet.ts'
+import type { CallerRequest, GiveUp } from './job.ts'
 import type { GatewayMetrics } from './metrics.ts'
 import type { CallerPatience, PublishedConfig, WireNames } from './ports.ts'
 import type { Pressure } from './pressure.ts'
+import type { QuarantineGate } from './quarantineGate.ts'
 import type { Runs } from './runs.ts'
 import type { EndWatch } from './serverEnds.ts'
 import type { ServerPool } from './serverPool.ts'
@@ -83,9 +85,11 @@
 	readonly runs: Runs
 	/** Servers that may have ended. */
 	readonly ends: EndWatch
+	/** Requests under which servers ended. */
+	readonly gate: QuarantineGate
 	/** Requests being served. */
 	open: number
 	/** Gives each request that has no final answer one at once. */
-	readonly giveUps: Set<() => void>
+	readonly giveUps: Map<CallerRequest, GiveUp>
 	stopping: boolean
 }
--- a/packages/gateway/src/fingerprint.ts
+++ b/packages/gateway/src/fingerprint.ts
@@ -12,7 +12,12 @@
  * of other lengths need no digest to be told apart, and a digest of all. Where a
  * stream is to go on and how the body was framed make no other request of it.
  */
-export function fingerprintOf(
+export function fingerprintOf(request: CallerRequest): string {
+	request.fingerprint ??= computeFingerprint(request)
+	return request.fingerprint
+}
+
+function computeFingerprint(
 	request: Pick<CallerRequest, 'method' | 'path' | 'team' | 'body'>,
 ): string {
 	const { method, path, team, body } = request
--- a/packages/gateway/src/forward.ts
+++ b/packages/gateway/src/forward.ts
@@ -19,14 +19,26 @@
 	AnswerEnd,
 	AttemptResult,
 	CallerRequest,
+	GiveUp,
 	Job,
 	Next,
 } from './job.ts'
+import {
+	isQuarantined,
+	isSuspected,
+	quarantinedForMs,
+} from './quarantineGate.ts'
 import { writeFailure, writeWhole } from './reply.ts'
 import { readAnswerBody } from './serverCall.ts'
+import { awaitDoubt } from './serverEnds.ts'
 import { relayStream } from './streamRelay.ts'
 
 const SERVER_ERROR = 500
+/** What a request that is given up gets if it may have run, and if it has not. */
+const GIVEN_UP = {
+	timeOver: ['noAnswer', 'startBudget'],
+	quarantined: ['linkLost', 'quarantined'],
+} as const
 
 /** Serves one request of a caller. */
 export async function serveCaller(
@@ -95,14 +107,19 @@
 		times: { startMs: 0, longestPauseMs: 0 },
 	}
 	const left = request.givenUpAt - readNow()
-	const giveUp = () => {
-		finish(ctx, job, res, job.mayHaveRun ? 'noAnswer' : 'startBudget')
+	const giveUp: GiveUp = why => {
+		const [ran, notRun] = GIVEN_UP[why]
+		finish(ctx, job, res, job.mayHaveRun ? ran : notRun)
 		control.abort()
 	}
-	const timer = setTimeout(giveUp, left)
-	ctx.giveUps.add(giveUp)
+	if (isQuarantined(ctx, request)) {
+		giveUp('quarantined')
+		return
+	}
+	const timer = setTimeout(() => giveUp('timeOver'), left)
+	ctx.giveUps.set(request, giveUp)
 	res.on('close', () => {
-		ctx.giveUps.delete(giveUp)
+		ctx.giveUps.delete(request)
 		clearTimeout(timer)
 		if (!res.writableFinished) control.abort()
 	})
@@ -130,11 +147,22 @@
 		begun: res.headersSent,
 		config: request.routes.config.version,
 	})
-	const retryAfterMs =
-		ERRORS[error].ran === 'no' ? chooseComeBack(ctx, job.service, leftMs) : 0
+	const retryAfterMs = chooseRetryAfter(ctx, job, error, leftMs)
 	writeFailure(ctx, res, error, request.id, retryAfterMs)
 }
 
+function chooseRetryAfter(
+	ctx: GatewayContext,
+	job: Job,
+	error: ErrorKind,
+	leftMs: number,
+): number {
+	if (error === 'quarantined') return quarantinedForMs(ctx, job.request)
+	return ERRORS[error].ran === 'no'
+		? chooseComeBack(ctx, job.service, leftMs)
+		: 0
+}
+
 async function runAttempts(
 	ctx: GatewayContext,
 	job: Job,
@@ -150,6 +178,8 @@
 		const next = await settle(ctx, job, res, result)
 		if (next.kind === 'done') return
 		if (next.kind === 'again') {
+			await awaitVerdict(ctx, job)
+			if (job.signal.aborted) return
 			ctx.metrics.retries.inc({ reason: next.reason })
 			continue
 		}
@@ -158,6 +188,13 @@
 	}
 }
 
+/** A request under which servers ended before is not sent on in doubt. */
+async function awaitVerdict(ctx: GatewayContext, job: Job): Promise<void> {
+	const server = [...job.tried].at(-1)
+	if (server !== undefined && isSuspected(ctx, job.request))
+		await awaitDoubt(ctx, server)
+}
+
 async function settle(
 	ctx: GatewayContext,
 	job: Job,
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -19,6 +19,7 @@
 import { createGatewayMetrics } from './metrics.ts'
 import { startPeers } from './peers.ts'
 import type { CatalogSource, WireNames } from './ports.ts'
+import { createQuarantineGate } from './quarantineGate.ts'
 import { createRuns, forgetLeft } from './runs.ts'
 import { createEndWatch, forgetDoubts } from './serverEnds.ts'
 import { createServerPool } from './serverPool.ts'
@@ -70,7 +71,8 @@
 		runs: createRuns(),
 		ends: createEndWatch(),
 		open: 0,
-		giveUps: new Set(),
+		gate: createQuarantineGate(),
+		giveUps: new Map(),
 		stopping: false,
 	}
 	const callers = listenForCallers(ctx)
@@ -202,7 +204,7 @@
 /** Gives a final answer to all that are open, while there is time to send it. */
 export async function endOpenRequests(ctx: GatewayContext): Promise<void> {
 	ctx.log.write('open requests ended', { open: ctx.open })
-	for (const giveUp of [...ctx.giveUps]) giveUp()
+	for (const giveUp of [...ctx.giveUps.values()]) giveUp('timeOver')
 	await sleepHeld(LAST_ANSWERS_MS)
 }
 
--- a/packages/gateway/src/job.ts
+++ b/packages/gateway/src/job.ts
@@ -6,6 +6,7 @@
 	TrafficRoute,
 	TrafficTeam,
 } from '@juniperhook/core'
+import type { fingerprintOf } from './fingerprint.ts'
 import type { ServerAnswer } from './serverCall.ts'
 import type { AnswerTimes } from './timeliness.ts'
 import type { ServerWish } from './waiter.ts'
@@ -35,6 +36,8 @@
 	readonly repeatable: boolean
 	/** Last event that the caller has; undefined at the start of a stream. */
 	readonly lastEventId: string | undefined
+	/** Once it was asked for; see {@link fingerprintOf}. */
+	fingerprint: string | undefined
 }
 
 /** A request on its way through attempts. */
@@ -88,6 +91,12 @@
 	/** No server was asked. */
 	| { readonly kind: 'refused'; readonly error: ErrorKind }
 
+/**
+ * Ends a request without a server's answer: as one whose time is over, or as one that
+ * is sent to no server any more.
+ */
+export type GiveUp = (why: 'timeOver' | 'quarantined') => void
+
 /** What follows an attempt. */
 export type Next =
 	| { readonly kind: 'done' }
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -23,6 +23,8 @@
 	readonly resumes: Counter
 	/** Servers that ended while they ran something, by how that is known. */
 	readonly serverEnds: Counter<'witness'>
+	/** Requests that are sent to no server, for servers ended under them. */
+	readonly quarantined: Gauge
 	readonly firstByte: Histogram
 	readonly pauses: Histogram
 	readonly waiting: Histogram
@@ -85,6 +87,11 @@
 			labelNames: ['witness'],
 			registers,
 		}),
+		quarantined: new Gauge({
+			name: 'juniperhook_quarantined_requests',
+			help: 'Requests that are sent to no server, as servers ended under them',
+			registers,
+		}),
 		firstByte: histogram(registry, 'first_byte', LATENCY_BUCKETS),
 		pauses: histogram(registry, 'event_pause', PAUSE_BUCKETS),
 		waiting: histogram(registry, 'queue', LATENCY_BUCKETS),
--- a/packages/gateway/src/peerMessages.ts
+++ b/packages/gateway/src/peerMessages.ts
@@ -45,6 +45,22 @@
 	hops: v.number(),
 	...GroupStatusSchema.entries,
 })
+const CountSchema = v.pipe(v.number(), v.finite())
+/** What an entry knows of servers that ended; ages, for clocks differ. */
+export const EndNewsSchema = v.object({
+	ends: v.array(
+		v.object({
+			server: v.string(),
+			/** Since it ended, ms. */
+			agoMs: CountSchema,
+			/** For how long each request had been there, ms, by fingerprint. */
+			ran: v.record(v.string(), CountSchema),
+		}),
+	),
+	served: v.array(v.object({ fingerprint: v.string(), agoMs: CountSchema })),
+})
+/** See {@link EndNewsSchema}. */
+export type ToldEndNews = v.InferOutput<typeof EndNewsSchema>
 /** See {@link StateSchema}. */
 export type State = v.InferOutput<typeof StateSchema>
 
--- a/packages/gateway/src/peers.ts
+++ b/packages/gateway/src/peers.ts
@@ -4,11 +4,18 @@
  */
 
 import type { Methods, RpcLink } from '@juniperhook/runtime'
-import { messageOf, readNow, serveRpc } from '@juniperhook/runtime'
+import { messageOf, notify, readNow, serveRpc } from '@juniperhook/runtime'
 import * as v from 'valibot'
 import { answerPiece, createConfigServer } from './configTransfer.ts'
 import type { GatewayContext } from './context.ts'
-import { createPeerLinks, keepLinks, listSome, tellOn } from './peerLinks.ts'
+import type { PeerLinks } from './peerLinks.ts'
+import {
+	createPeerLinks,
+	keepLinks,
+	listOpen,
+	listSome,
+	tellOn,
+} from './peerLinks.ts'
 import { PieceRequestSchema } from './peerMessages.ts'
 import { answerRecords, createPeerNews } from './peerNews.ts'
 import {
@@ -20,6 +27,7 @@
 	tellPeers,
 } from './peerStates.ts'
 import type { CatalogSource } from './ports.ts'
+import { drainUntold, listKnownEnds, takeToldEnds } from './quarantineGate.ts'
 import { forgetGroups, takePaces } from './toldGroups.ts'
 
 /** Between looks at whether peers are to be told, ms. */
@@ -42,6 +50,7 @@
 			return true
 		},
 		held: (params: unknown) => takeHeld(ctx, params),
+		ends: (params: unknown) => takeToldEnds(ctx, params),
 		configPiece: (params: unknown, link: RpcLink) =>
 			answerPiece(
 				configs,
@@ -56,12 +65,24 @@
 			return listSome(peers)
 		},
 	}
-	const peers = createPeerLinks(methods, link => tellAll(ctx, peers, link))
+	const peers = createPeerLinks(methods, link => {
+		tellAll(ctx, peers, link)
+		const known = listKnownEnds(ctx)
+		if (known) notify(link, 'ends', known)
+	})
 	await serveRpc(ctx.settings.control, methods)
 	setInterval(() => {
 		keepLinks(ctx, peers)
+		tellEnds(ctx, peers)
 		tellPeers(ctx, peers, states)
 		forgetSilent(ctx, states)
 		forgetGroups(ctx, readNow())
 	}, LOOK_MS)
 }
+
+/** What is news to this entry is told to all, whoever it came from. */
+function tellEnds(ctx: GatewayContext, peers: PeerLinks): void {
+	const news = drainUntold(ctx)
+	if (!news) return
+	for (const link of listOpen(peers)) notify(link, 'ends', news)
+}
--- /dev/null
+++ b/packages/gateway/src/quarantineGate.ts
@@ -0,0 +1,185 @@
+/**
+ * Keeps requests that end servers from all servers: what this entry sees of them and
+ * hears from others, and whom it refuses.
+ */
+
+import type { EndNews, Quarantine } from '@juniperhook/core'
+import {
+	barredForMs,
+	createQuarantine,
+	isBarred,
+	listBarred,
+	listEndNews,
+	takeEndNews,
+} from '@juniperhook/core'
+import { readNow } from '@juniperhook/runtime'
+import * as v from 'valibot'
+import type { GatewayContext } from './context.ts'
+import { bodyLengthOf, fingerprintOf } from './fingerprint.ts'
+import type { CallerRequest } from './job.ts'
+import type { ToldEndNews } from './peerMessages.ts'
+import { EndNewsSchema } from './peerMessages.ts'
+import type { RunningRequest } from './runs.ts'
+
+/** What an entry knows of requests under which servers ended. */
+export interface QuarantineGate {
+	readonly quarantine: Quarantine
+	/** Lengths of their bodies: no other request needs a fingerprint. */
+	lengths: ReadonlySet<number>
+	barred: ReadonlySet<string>
+	/** What other entries are to be told. */
+	untold: EndNews
+}
+
+const NOTHING: EndNews = { ends: [], served: [] }
+
+/** Makes a gate that lets everything pass. */
+export function createQuarantineGate(): QuarantineGate {
+	return {
+		quarantine: createQuarantine(),
+		lengths: new Set(),
+		barred: new Set(),
+		untold: NOTHING,
+	}
+}
+
+/** Whether a request is to be sent to no server. */
+export function isQuarantined(
+	{ gate }: GatewayContext,
+	request: CallerRequest,
+): boolean {
+	if (gate.barred.size === 0 || !gate.lengths.has(request.body.length))
+		return false
+	return isBarred(gate.quarantine, fingerprintOf(request))
+}
+
+/** For how long it is, ms. */
+export function quarantinedForMs(
+	{ gate }: GatewayContext,
+	request: CallerRequest,
+): number {
+	return barredForMs(gate.quarantine, fingerprintOf(request), readNow())
+}
+
+/** Whether a server ended under a request that no other has answered since. */
+export function isSuspected(
+	{ gate }: GatewayContext,
+	request: CallerRequest,
+): boolean {
+	if (!gate.lengths.has(request.body.length)) return false
+	return gate.quarantine.suspects.has(fingerprintOf(request))
+}
+
+/** Notes that a server gave a request its whole answer. */
+export function noteServed(ctx: GatewayContext, request: CallerRequest): void {
+	if (!isSuspected(ctx, request)) return
+	const fingerprint = fingerprintOf(request)
+	takeNews(ctx, { ends: [], served: [{ fingerprint, at: readNow() }] }, 'here')
+}
+
+/** Notes that a server ended, and what it was running for this entry. */
+export function noteServerEnd(
+	ctx: GatewayContext,
+	server: string,
+	at: number,
+	running: readonly RunningRequest[],
+): void {
+	const ran = new Map<string, number>()
+	for (const { fingerprint, since } of running)
+		ran.set(fingerprint, Math.min(at - since, ran.get(fingerprint) ?? at))
+	takeNews(ctx, { ends: [{ server, at, ran }], served: [] }, 'here')
+}
+
+/** Takes what another entry tells. */
+export function takeToldEnds(ctx: GatewayContext, params: unknown): void {
+	const { ends, served } = v.parse(EndNewsSchema, params)
+	const now = readNow()
+	const news: EndNews = {
+		ends: ends.map(({ server, agoMs, ran }) => ({
+			server,
+			at: now - agoMs,
+			ran: new Map(Object.entries(ran)),
+		})),
+		served: served.map(({ fingerprint, agoMs }) => ({
+			fingerprint,
+			at: now - agoMs,
+		})),
+	}
+	takeNews(ctx, news, 'peer')
+}
+
+/** What peers are to be told since they were last; undefined for nothing. */
+export function drainUntold({ gate }: GatewayContext): ToldEndNews | undefined {
+	const { ends, served } = gate.untold
+	gate.untold = NOTHING
+	if (ends.length + served.length === 0) return undefined
+	return toTold({ ends, served })
+}
+
+/** All that is known, for an entry that may know nothing; undefined for nothing. */
+export function listKnownEnds({
+	gate,
+}: GatewayContext): ToldEndNews | undefined {
+	const news = listEndNews(gate.quarantine)
+	return news.ends.length > 0 ? toTold(news) : undefined
+}
+
+function toTold({ ends, served }: EndNews): ToldEndNews {
+	const now = readNow()
+	const ago = (at: number) => Math.round(now - at)
+	return {
+		ends: ends.map(({ server, at, ran }) => ({
+			server,
+			agoMs: ago(at),
+			ran: Object.fromEntries(
+				[...ran].map(([one, ms]) => [one, Math.round(ms)]),
+			),
+		})),
+		served: served.map(({ fingerprint, at }) => ({
+			fingerprint,
+			agoMs: ago(at),
+		})),
+	}
+}
+
+function takeNews(
+	ctx: GatewayContext,
+	told: EndNews,
+	from: 'here' | 'peer',
+): void {
+	const { gate } = ctx
+	const { quarantine } = gate
+	const news = takeEndNews(quarantine, told, readNow())
+	gate.untold = {
+		ends: [...gate.untold.ends, ...news.ends],
+		served: [...gate.untold.served, ...news.served],
+	}
+	const suspects = [...quarantine.suspects.keys()]
+	gate.lengths = new Set(suspects.map(bodyLengthOf))
+	const before = gate.barred
+	gate.barred = new Set(listBarred(quarantine))
+	ctx.metrics.quarantined.set(gate.barred.size)
+	for (const fingerprint of gate.barred)
+		if (!before.has(fingerprint)) bar(ctx, fingerprint, from)
+	for (const fingerprint of before)
+		if (!gate.barred.has(fingerprint))
+			ctx.log.write('request released', { fingerprint, from })
+}
+
+/** Whatever of it is under way is ended: its server may still be saved. */
+function bar(ctx: GatewayContext, fingerprint: string, from: string): void {
+	const suspicion = ctx.gate.quarantine.suspects.get(fingerprint)
+	ctx.log.write('request quarantined', {
+		fingerprint,
+		servers: suspicion?.servers ?? [],
+		points: suspicion?.points,
+		from,
+	})
+	const length = bodyLengthOf(fingerprint)
+	for (const [request, giveUp] of [...ctx.giveUps])
+		if (
+			request.body.length === length &&
+			fingerprintOf(request) === fingerprint
+		)
+			giveUp('quarantined')
+}
--- a/packages/gateway/src/serverEnds.ts
+++ b/packages/gateway/src/serverEnds.ts
@@ -6,9 +6,10 @@
 
 import { connect } from 'node:net'
 import type { ListedServer } from '@juniperhook/core'
-import { splitAddress } from '@juniperhook/core'
+import { MAX_NAMED, splitAddress } from '@juniperhook/core'
 import { readNow } from '@juniperhook/runtime'
 import type { GatewayContext } from './context.ts'
+import { noteServerEnd } from './quarantineGate.ts'
 import type { RunningRequest } from './runs.ts'
 import { listRunning } from './runs.ts'
 
@@ -22,10 +23,10 @@
  * stays for three of its heartbeats; some seconds, ms.
  */
 const DOUBT_MS = 6_000
+/** After a suspected request was left at a server, ms; within what is remembered. */
+const LEFT_LOOK_MS = 900
 /** Servers in doubt at the same time; more than fail with a data centre. */
 const MAX_DOUBTS = 512
-/** Requests that are named for one server: those sent last. */
-const MAX_NAMED = 32
 
 /** How it is known that a server has ended. */
 export type EndWitness = 'refused' | 'list'
@@ -38,13 +39,9 @@
 	/** What it was running then, by request id. */
 	readonly running: Map<string, RunningRequest>
 	tries: number
-}
-
-/** A server that has ended, with what it was running. */
-export interface SeenEnd {
-	readonly server: ListedServer
-	readonly at: number
-	readonly running: readonly RunningRequest[]
+	/** Resolved once it is known, or given up to know, whether the server ended. */
+	readonly settled: Promise<void>
+	settle(): void
 }
 
 /** Servers in doubt. */
@@ -67,12 +64,7 @@
 	const running = listRunning(ctx.runs, server.id)
 	const known = doubts.get(server.id)
 	if (!known && doubts.size >= MAX_DOUBTS) return
-	const doubt = known ?? {
-		server,
-		at: readNow(),
-		running: new Map(),
-		tries: 0,
-	}
+	const doubt = known ?? createDoubt(server)
 	for (const one of running) doubt.running.set(one.id, one)
 	if (known) return
 	doubts.set(server.id, doubt)
@@ -80,6 +72,23 @@
 	askNext(ctx)
 }
 
+/**
+ * Looks later whether a server has ended under a request that this entry left there:
+ * no connection of its own will tell. Only for requests that are suspected already.
+ */
+export function watchLeft(ctx: GatewayContext, server: ListedServer): void {
+	setTimeout(() => noteBroken(ctx, server), LEFT_LOOK_MS).unref()
+}
+
+function createDoubt(server: ListedServer): Doubt {
+	let settle = () => {}
+	const settled = new Promise<void>(resolve => {
+		settle = resolve
+	})
+	const at = readNow()
+	return { server, at, running: new Map(), tries: 0, settled, settle }
+}
+
 function askNext(ctx: GatewayContext): void {
 	const { ends } = ctx
 	while (ends.probing < MAX_PROBES) {
@@ -90,7 +99,7 @@
 		ends.probing++
 		void probe(doubt.server.address).then(listens => {
 			ends.probing--
-			settle(ctx, doubt, listens)
+			judgeProbe(ctx, doubt, listens)
 			askNext(ctx)
 		})
 	}
@@ -116,13 +125,14 @@
 	})
 }
 
-function settle(ctx: GatewayContext, doubt: Doubt, listens: Listens): void {
+function judgeProbe(ctx: GatewayContext, doubt: Doubt, listens: Listens): void {
 	const { doubts, queue } = ctx.ends
 	const { id } = doubt.server
 	if (doubts.get(id) !== doubt) return
 	switch (listens) {
 		case 'yes':
 			doubts.delete(id)
+			doubt.settle()
 			return
 		case 'no':
 			believeEnd(ctx, doubt, 'refused')
@@ -130,6 +140,7 @@
 		case 'unclear':
 			doubt.tries++
 			if (doubt.tries < MAX_TRIES) queue.push(id)
+			else doubt.settle()
 			return
 		default:
 			listens satisfies never
@@ -151,6 +162,14 @@
 		if (now - at >= DOUBT_MS) ctx.ends.doubts.delete(id)
 }
 
+/** Waits until it is known whether a server that broke off has ended. */
+export async function awaitDoubt(
+	{ ends }: GatewayContext,
+	server: string,
+): Promise<void> {
+	await ends.doubts.get(server)?.settled
+}
+
 function believeEnd(
 	ctx: GatewayContext,
 	doubt: Doubt,
@@ -170,4 +189,6 @@
 		requests: running.map(one => one.id),
 		fingerprints: [...new Set(running.map(one => one.fingerprint))],
 	})
+	noteServerEnd(ctx, server.id, at, running)
+	doubt.settle()
 }
--- a/packages/gateway/test/deadlyRequests.test.ts
+++ b/packages/gateway/test/deadlyRequests.test.ts
@@ -12,8 +12,8 @@
 import * as assert from 'uvu/assert'
 import type { MortalServers } from './mortalServers.ts'
 import { DEADLY, startMortals } from './mortalServers.ts'
-import type { TestGateway } from './openGateway.ts'
-import { CONTACT_MS, createOpener } from './openGateway.ts'
+import type { OpenGateway } from './openGateway.ts'
+import { CONTACT_MS, openGatewayAt, until } from './openGateway.ts'
 import { CONFIG, callGateway, createCatalog, WIRE } from './standIns.ts'
 
 /** Sends after the third end that are allowed, once the contact time is over. */
@@ -31,19 +31,24 @@
 /** Entries that know each other, before servers that end and come back. */
 interface World {
 	readonly servers: MortalServers
-	readonly entries: TestGateway[]
+	readonly entries: OpenGateway[]
 }
 
 async function openWorld(entryCount: number, servers = 6): Promise<World> {
 	const mortals = await startMortals(servers)
 	const listed = mortals.mortals.map(one => one.listed)
-	const entries: TestGateway[] = []
+	const entries: OpenGateway[] = []
+	const port = nextPort
+	nextPort += 4
 	for (let at = 0; at < entryCount; at++) {
 		const catalog = createCatalog({ ...CONFIG, limits: LIMITS }, listed)
 		mortals.catalogs.push(catalog)
-		const open = createOpener(nextPort, listed)
-		nextPort += 4
-		entries.push(await open(catalog, entries[0] ? [entries[0].control] : []))
+		const seeds = [`127.0.0.1:${port + 2}`, `127.0.0.2:${port + 2}`]
+		// Entries find each other by the port that they share.
+		const ip = `127.0.0.${at + 1}`
+		const entry = await openGatewayAt(port, catalog, seeds, ip)
+		entries.push(entry)
+		await until(() => entry.ctx.routes !== undefined)
 	}
 	await pause(PAUSE_MS)
 	return { servers: mortals, entries }
@@ -53,7 +58,7 @@
 	return new Promise(resolve => setTimeout(resolve, ms))
 }
 
-function ask(entry: TestGateway, path: string, body: string, headers = {}) {
+function ask(entry: OpenGateway, path: string, body: string, headers = {}) {
 	const id = `d${nextId++}`
 	return callGateway(
 		entry.callers,
--- a/packages/gateway/test/mortalServers.ts
+++ b/packages/gateway/test/mortalServers.ts
@@ -124,8 +124,10 @@
 	const isStream = req.url?.startsWith('/s/') ?? false
 	const type = isStream ? { 'content-type': 'text/event-stream' } : {}
 	const head = { [WIRE.requestId]: id, [WIRE.seal]: 'sealed', ...type }
-	const answer = isStream ? 'id: 2\ndata: end\n\n' : `answer to ${id}`
-	if (isStream) res.writeHead(200, head).write('id: 1\ndata: begun\n\n')
+	const last = Number(req.headers[WIRE.lastEventId] ?? 0)
+	const event = (after: number) => `id: ${last + after}\ndata: text\n\n`
+	const answer = isStream ? event(2) : `answer to ${id}`
+	if (isStream) res.writeHead(200, head).write(event(1))
 	if (body.includes(DEADLY)) {
 		setTimeout(() => end(all, mortal, name), ENDS_AFTER_MS)
 		return
