Quarantine: a second end of the only request there that had been under one tells

Hypothesis: in a group of ranks each end stops all for some 4 s; who ran beside a deadly request once seldom runs beside it again (1 of 16 ranks), so the second end mostly tells which it is. Change: such an end counts double; a request is barred for ten minutes after its second end, twice as long after each one more, and is then tried once (before: an hour after the third, then as if nothing had been). Not measured: how often a request beside is barred by chance.

--- a/packages/core/src/core/quarantine.ts
+++ b/packages/core/src/core/quarantine.ts
@@ -1,19 +1,26 @@
 /**
  * Requests that end the servers that run them. A request that comes again is known by
  * its fingerprint; under which ones a server has ended is shared by all entries, and
- * one that has ended three is sent to none any more.
+ * one that has ended two or three is sent to none for a time.
  *
  * Who only ran beside such a request must not be taken for it. So an end counts for a
  * request only if it was sent there after the end that counted before, what was
  * answered whole since starts anew, and servers that end together, as those of a rack
- * or a data centre do, count half for requests that were not at all of them.
+ * or a data centre do, count half for requests that were not at all of them. An end
+ * counts double if only one of the requests there had been under an end before.
  *
  * Evidence is a set of ends that only grows, until it is old: entries that have heard
  * the same, in whatever order and however often, judge the same.
  */
 
-/** Points of a request from which on it is sent to no server: three ends by itself. */
+/** Points of a request from which on it is sent to no server: three lone ends. */
 const BARRED_POINTS = 6
+/**
+ * Points of a second end of the only request there that had been under one before. In
+ * a group of 16 ranks who ran beside it once is beside it again in one of 16 times;
+ * in the other 15 the second end tells, and a group of ranks ends once less.
+ */
+const SINGLED_OUT_POINTS = 4
 /** Points of an end that no other end explains. */
 const LONE_POINTS = 2
 /** Points of an end beside others under other requests. */
@@ -26,10 +33,13 @@
 /** Entries reckon the same end up to so much apart, ms: the way of the news. */
 const SKEW_MS = 50
 /**
- * How long an end is remembered, ms; an hour. A request that is asked for again after
- * it, by a caller that heeds what it was told, may end three servers more.
+ * How long a request is sent to no server after its second end, ms; twice as long
+ * after each one more. It is then tried once: a server may have been mended, or the
+ * request was blamed for what it did not do.
  */
-const KEPT_MS = 3_600_000
+const BARRED_MS = 600_000
+/** How long an end is remembered, ms; a day. */
+const KEPT_MS = 86_400_000
 /**
  * Ends that are remembered: those of a data centre of 230 servers. Beyond it the
  * oldest is forgotten that bars nothing.
@@ -75,7 +85,8 @@
 	points: number
 	/** Servers that ended under it, in order. */
 	readonly servers: string[]
-	/** When the last of them ended, ms. */
+	/** When the first and the last of them ended, ms. */
+	readonly firstAt: number
 	lastAt: number
 }
 
@@ -84,27 +95,28 @@
 	return { ends: new Map(), served: new Map(), suspects: new Map() }
 }
 
-/** Whether a request is sent to no server any more. */
-export function isBarred({ suspects }: Quarantine, fingerprint: string) {
-	return (suspects.get(fingerprint)?.points ?? 0) >= BARRED_POINTS
-}
-
-/** Fingerprints of requests that are sent to no server. */
+/** Fingerprints of requests that end servers: they are sent to none for a time. */
 export function listBarred({ suspects }: Quarantine): string[] {
 	return [...suspects]
-		.filter(([, { points }]) => points >= BARRED_POINTS)
+		.filter(([, suspicion]) => isConvicting(suspicion))
 		.map(([fingerprint]) => fingerprint)
 }
 
 /** How long a request is still sent to no server, ms; 0 if it is. */
 export function barredForMs(
-	quarantine: Quarantine,
+	{ suspects }: Quarantine,
 	fingerprint: string,
 	now: number,
 ): number {
-	if (!isBarred(quarantine, fingerprint)) return 0
-	const { lastAt } = quarantine.suspects.get(fingerprint)!
-	return Math.max(0, lastAt + KEPT_MS - now)
+	const suspicion = suspects.get(fingerprint)
+	if (!suspicion || !isConvicting(suspicion)) return 0
+	const { lastAt, servers } = suspicion
+	const barredMs = BARRED_MS * 2 ** Math.max(0, servers.length - 2)
+	return Math.max(0, lastAt + barredMs - now)
+}
+
+function isConvicting({ points }: Suspicion): boolean {
+	return points >= BARRED_POINTS
 }
 
 /** Takes what was seen or told; gives what of it is new. */
@@ -182,8 +194,9 @@
 	sorted: readonly ServerEnd[],
 ): void {
 	const bars = new Set<string>()
-	for (const { points, servers } of suspects.values())
-		if (points >= BARRED_POINTS) for (const server of servers) bars.add(server)
+	for (const suspicion of suspects.values())
+		if (isConvicting(suspicion))
+			for (const server of suspicion.servers) bars.add(server)
 	const idle = sorted.filter(({ server }) => !bars.has(server))
 	const order = [...idle, ...sorted.filter(({ server }) => bars.has(server))]
 	for (const { server } of order.slice(0, ends.size - MAX_ENDS))
@@ -207,22 +220,33 @@
 	together: readonly ServerEnd[],
 	served: ReadonlyMap<string, number>,
 ): void {
+	const since = together[0]!.at
+	const known = [...ran.keys()].filter(
+		one => (suspects.get(one)?.firstAt ?? since) < since,
+	)
 	for (const [fingerprint, ranMs] of ran) {
 		if (at <= servedAt(served, fingerprint)) continue
 		const suspicion = suspects.get(fingerprint) ?? {
 			points: 0,
 			servers: [],
+			firstAt: at,
 			lastAt: Number.NEGATIVE_INFINITY,
 		}
 		if (at - ranMs < suspicion.lastAt - SKEW_MS) continue
 		const isAtAll = together.every(one => one.ran.has(fingerprint))
-		suspicion.points += isAtAll ? LONE_POINTS : SHARED_POINTS
+		const isSingledOut = known.length === 1 && known[0] === fingerprint
+		suspicion.points += pointsOf(isAtAll, isSingledOut)
 		suspicion.servers.push(server)
 		suspicion.lastAt = at
 		suspects.set(fingerprint, suspicion)
 	}
 }
 
+function pointsOf(isAtAll: boolean, isSingledOut: boolean): number {
+	if (!isAtAll) return SHARED_POINTS
+	return isSingledOut ? SINGLED_OUT_POINTS : LONE_POINTS
+}
+
 function servedAt(
 	served: ReadonlyMap<string, number>,
 	fingerprint: string,
--- a/packages/gateway/src/quarantineGate.ts
+++ b/packages/gateway/src/quarantineGate.ts
@@ -7,7 +7,6 @@
 import {
 	barredForMs,
 	createQuarantine,
-	isBarred,
 	listBarred,
 	listEndNews,
 	takeEndNews,
@@ -50,12 +49,12 @@
 ): boolean {
 	if (gate.barred.size === 0 || !gate.lengths.has(request.body.length))
 		return false
-	return isBarred(gate.quarantine, fingerprintOf(request))
+	return quarantinedForMs({ gate }, request) > 0
 }
 
-/** For how long it is, ms. */
+/** For how long it is, ms; 0 if it is not. */
 export function quarantinedForMs(
-	{ gate }: GatewayContext,
+	{ gate }: Pick<GatewayContext, 'gate'>,
 	request: CallerRequest,
 ): number {
 	return barredForMs(gate.quarantine, fingerprintOf(request), readNow())
