--- a/packages/gateway/test/deadlyRequests.test.ts
+++ b/packages/gateway/test/deadlyRequests.test.ts
@@ -10,11 +10,11 @@
 
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
-import type { MortalServers } from './mortalServers.ts'
-import { DEADLY, startMortals } from './mortalServers.ts'
-import type { OpenGateway } from './openGateway.ts'
-import { CONTACT_MS, openGatewayAt, until } from './openGateway.ts'
-import { CONFIG, callGateway, createCatalog, WIRE } from './standIns.ts'
+import type { World } from './deadlyWorld.ts'
+import { ask, createWorlds, pause } from './deadlyWorld.ts'
+import { DEADLY } from './mortalServers.ts'
+import { CONTACT_MS } from './openGateway.ts'
+import { WIRE } from './standIns.ts'
 
 /** Sends after the third end that are allowed, once the contact time is over. */
 const MOST_AFTER = 3
@@ -24,50 +24,7 @@
 /** Between two tries, ms: servers are back by then. */
 const PAUSE_MS = 250
 
-const LIMITS = { ...CONFIG.limits, maxBodyBytes: 2_000_000 }
-let nextPort = 23_300
-let nextId = 1
-
-/** Entries that know each other, before servers that end and come back. */
-interface World {
-	readonly servers: MortalServers
-	readonly entries: OpenGateway[]
-}
-
-async function openWorld(entryCount: number, servers = 6): Promise<World> {
-	const mortals = await startMortals(servers)
-	const listed = mortals.mortals.map(one => one.listed)
-	const entries: OpenGateway[] = []
-	const port = nextPort
-	nextPort += 4
-	for (let at = 0; at < entryCount; at++) {
-		const catalog = createCatalog({ ...CONFIG, limits: LIMITS }, listed)
-		mortals.catalogs.push(catalog)
-		const seeds = [`127.0.0.1:${port + 2}`, `127.0.0.2:${port + 2}`]
-		// Entries find each other by the port that they share.
-		const ip = `127.0.0.${at + 1}`
-		const entry = await openGatewayAt(port, catalog, seeds, ip)
-		entries.push(entry)
-		await until(() => entry.ctx.routes !== undefined)
-	}
-	await pause(PAUSE_MS)
-	return { servers: mortals, entries }
-}
-
-function pause(ms: number): Promise<void> {
-	return new Promise(resolve => setTimeout(resolve, ms))
-}
-
-function ask(entry: OpenGateway, path: string, body: string, headers = {}) {
-	const id = `d${nextId++}`
-	return callGateway(
-		entry.callers,
-		path,
-		{ [WIRE.requestId]: id, ...headers },
-		'POST',
-		body,
-	)
-}
+const openWorld = createWorlds(23_300)
 
 /** Asks again and again, at one entry after the other. */
 async function askAgain(
--- /dev/null
+++ b/packages/gateway/test/quarantine.test.ts
@@ -0,0 +1,171 @@
+/** Entries that keep requests from all servers: what they tell, and who is served. */
+
+import { test } from 'uvu'
+import * as assert from 'uvu/assert'
+import { fingerprintOf } from '../src/fingerprint.ts'
+import { takeToldEnds } from '../src/quarantineGate.ts'
+import type { World } from './deadlyWorld.ts'
+import { ask, createWorlds, openEntry, pause } from './deadlyWorld.ts'
+import { DEADLY, end, SLOW } from './mortalServers.ts'
+import type { OpenGateway } from './openGateway.ts'
+import { createOpener, until } from './openGateway.ts'
+import { startBackends } from './standIns.ts'
+
+const openWorld = createWorlds(23_500)
+/** Ends further apart than what ends together, ms. */
+const APART_MS = 600
+
+/** Lets a deadly request end servers until it is refused; gives how many. */
+async function learn(world: World): Promise<number> {
+	const { entries, servers } = world
+	for (let at = 0; at < 6; at++) {
+		const got = await ask(entries[at % entries.length]!, '/o/x', DEADLY)
+		await pause(APART_MS)
+		if (got.status === 503) break
+	}
+	return servers.ends.length
+}
+
+/** Asks until it is served, as callers do; gives the statuses. */
+async function askUntilServed(entry: OpenGateway, body: string) {
+	const statuses: number[] = []
+	for (let at = 0; at < 4 && statuses.at(-1) !== 200; at++) {
+		statuses.push((await ask(entry, '/r/x', body)).status)
+		if (statuses.at(-1) !== 200) await pause(APART_MS)
+	}
+	return statuses
+}
+
+test('two ends that follow each other are enough', async () => {
+	const world = await openWorld(3)
+	assert.is(await learn(world), 2)
+	world.servers.close()
+})
+
+test('who is refused is told that it did not run, and for how long', async () => {
+	const world = await openWorld(3)
+	await learn(world)
+	for (const entry of world.entries) {
+		const got = await ask(entry, '/o/x', DEADLY)
+		assert.is(got.status, 503)
+		assert.match(got.body, '"quarantined"')
+		const seconds = Number(got.headers['retry-after'])
+		assert.ok(seconds > 500 && seconds <= 600, String(seconds))
+		assert.is((await ask(entry, '/o/x', 'another body')).status, 200)
+	}
+	world.servers.close()
+})
+
+test('an entry that starts later learns of it, also when another has ended', async () => {
+	const world = await openWorld(2)
+	await learn(world)
+	const late = await openEntry(world)
+	await until(() => late.ctx.gate.barred.size > 0)
+	assert.is((await ask(late, '/o/x', DEADLY)).status, 503)
+	assert.is(world.servers.ends.length, 2)
+	world.servers.close()
+})
+
+test('what was told on a link that broke comes with the next one', async () => {
+	const world = await openWorld(2)
+	const [first, second] = world.entries as [OpenGateway, OpenGateway]
+	const request = { method: 'POST', path: '/o/x', body: Buffer.from(DEADLY) }
+	const team = first.ctx.routes!.teamOfKey.get('key-1')
+	const fingerprint = fingerprintOf({ ...request, team } as never)
+	// As if the news had been on its way when the link broke.
+	first.ctx.gate.untold = { ends: [], served: [] }
+	const agos = [5_000, 1_000]
+	takeToldEnds(first.ctx, {
+		ends: agos.map(agoMs => ({
+			server: `gone-${agoMs}`,
+			agoMs,
+			ran: { [fingerprint]: 40 },
+		})),
+		served: [],
+	})
+	first.ctx.gate.untold = { ends: [], served: [] }
+	assert.is(second.ctx.gate.barred.size, 0)
+	const late = await openEntry(world)
+	await until(() => late.ctx.gate.barred.size > 0)
+	await until(() => second.ctx.gate.barred.size > 0)
+	assert.is((await ask(second, '/o/x', DEADLY)).status, 503)
+	world.servers.close()
+})
+
+test('a copy that is under way is ended, with no promise', async () => {
+	const world = await openWorld(1)
+	const [entry] = world.entries as [OpenGateway]
+	const asked = ask(entry, '/o/x', SLOW)
+	await until(() => entry.ctx.runs.running.size > 0)
+	const [run] = [...[...entry.ctx.runs.running.values()][0]!]
+	const fingerprint = fingerprintOf(run!.request)
+	takeToldEnds(entry.ctx, {
+		ends: [5_000, 1_000].map(agoMs => ({
+			server: `gone-${agoMs}`,
+			agoMs,
+			ran: { [fingerprint]: 40 },
+		})),
+		served: [],
+	})
+	assert.is((await asked).status, 502)
+	world.servers.close()
+})
+
+test('who ran beside a deadly request is served', async () => {
+	const world = await openWorld(3, 2)
+	const bodies = Array.from({ length: 9 }, (_, at) => `${SLOW} ${at}`)
+	const asked = bodies.map((body, at) =>
+		askUntilServed(world.entries[at % 3]!, body),
+	)
+	for (let at = 0; at < 3; at++) {
+		await pause(APART_MS / 4)
+		await ask(world.entries[at]!, '/o/x', DEADLY)
+		await pause(APART_MS)
+		world.servers.release()
+	}
+	const release = setInterval(() => world.servers.release(), 20)
+	const statuses = await Promise.all(asked)
+	clearInterval(release)
+	for (const one of statuses) assert.is(one.at(-1), 200, one.join())
+	assert.ok(world.servers.ends.length >= 2)
+	world.servers.close()
+})
+
+test('who ran on servers that all end at once, three times, is served', async () => {
+	const world = await openWorld(3, 4)
+	const bodies = Array.from({ length: 9 }, (_, at) => `${SLOW} ${at}`)
+	for (let round = 0; round < 3; round++) {
+		const asked = bodies.map((body, at) =>
+			ask(world.entries[at % 3]!, '/r/x', body),
+		)
+		await pause(50)
+		for (const one of world.servers.mortals)
+			end(world.servers, one, one.listed.name)
+		await Promise.all(asked)
+		await pause(APART_MS)
+	}
+	const release = setInterval(() => world.servers.release(), 20)
+	for (const [at, body] of bodies.entries())
+		assert.is((await ask(world.entries[at % 3]!, '/r/x', body)).status, 200)
+	clearInterval(release)
+	assert.ok(world.servers.ends.length >= 12)
+	world.servers.close()
+})
+
+test('a server that breaks answers off and lives has not ended', async () => {
+	const backends = await startBackends(3)
+	const { ctx, callers } = await createOpener(23_700, backends.listed)()
+	for (let at = 0; at < 6; at++) {
+		backends.script = ['cut', 'reset', 'cut']
+		await ask({ ctx, callers } as OpenGateway, '/r/x', 'the same')
+		await until(() => ctx.ends.doubts.size === 0)
+	}
+	assert.is(ctx.gate.quarantine.ends.size, 0)
+	for (const server of backends.servers) server.close()
+})
+
+test.after(() => {
+	setImmediate(() => process.exit())
+})
+
+test.run()
