A rank's end closes its group at all entries at once

Hypothesis: the ranks of a group hold what they are sent for 1.5 s once one has ended, then refuse it; entries noticed only by their own refusals (0.2 to 1.5 s after an end, each for itself). Change: an end that is known closes the group, here and at all who are told within 0.5 s; what a rank broke off waits for the probe (a round trip) before it is sent on. Test: a rank that ends closes its group at all entries (fails before).

--- a/packages/gateway/src/closedGroups.ts
+++ b/packages/gateway/src/closedGroups.ts
@@ -1,6 +1,6 @@
 /** Lock-step groups that are broken and refuse at every rank. */
 
-import type { Spell, TrafficRoute } from '@juniperhook/core'
+import type { ListedServer, Spell, TrafficRoute } from '@juniperhook/core'
 import {
 	beginSpell,
 	createSpell,
@@ -53,14 +53,26 @@
 	noteClosed(ctx.closures, group, readNow())
 }
 
-/** Notes that a group's coordinator calls it broken. */
-export function shutGroup(ctx: GatewayContext, group: string): void {
-	beginOutage(ctx, group, 'coordinator')
+/** Notes that a group is broken, as its coordinator or the end of a rank says. */
+export function shutGroup(
+	ctx: GatewayContext,
+	group: string,
+	from: 'coordinator' | 'end',
+): void {
+	beginOutage(ctx, group, from)
 	noteToldClosed(ctx.closures, group, readNow())
 }
 
+/**
+ * The ranks of a group stand still when one has ended, and hold what they are sent
+ * until they refuse it: what is known of the end keeps requests from them.
+ */
+export function noteRankGone(ctx: GatewayContext, server: ListedServer): void {
+	if (isGrouped(ctx, server.service)) shutGroup(ctx, groupOf(server), 'end')
+}
+
 /** Who says that a group is closed or open. */
-type Witness = 'answer' | 'coordinator'
+type Witness = 'answer' | 'coordinator' | 'end'
 
 function beginOutage(ctx: GatewayContext, group: string, from: Witness): void {
 	const now = readNow()
--- a/packages/gateway/src/forward.ts
+++ b/packages/gateway/src/forward.ts
@@ -12,6 +12,7 @@
 	retriesOf,
 } from './attempt.ts'
 import { readCallerRequest } from './callerRequest.ts'
+import { isGrouped } from './closedGroups.ts'
 import { chooseComeBack } from './comeBack.ts'
 import type { GatewayContext } from './context.ts'
 import { countRequest } from './entryDemand.ts'
@@ -188,10 +189,15 @@
 	}
 }
 
-/** A request under which servers ended before is not sent on in doubt. */
+/**
+ * Where a server's end says more than that: a request under which others ended before
+ * is not sent on in doubt, and what a rank of a group broke off waits to know whether
+ * the whole group stands still. A round trip, mostly.
+ */
 async function awaitVerdict(ctx: GatewayContext, job: Job): Promise<void> {
 	const server = [...job.tried].at(-1)
-	if (server !== undefined && isSuspected(ctx, job.request))
+	if (server === undefined) return
+	if (isSuspected(ctx, job.request) || isGrouped(ctx, job.service))
 		await awaitDoubt(ctx, server)
 }
 
--- a/packages/gateway/src/quarantineGate.ts
+++ b/packages/gateway/src/quarantineGate.ts
@@ -13,6 +13,7 @@
 } from '@juniperhook/core'
 import { readNow } from '@juniperhook/runtime'
 import * as v from 'valibot'
+import { noteRankGone } from './closedGroups.ts'
 import type { GatewayContext } from './context.ts'
 import { bodyLengthOf, fingerprintOf } from './fingerprint.ts'
 import type { CallerRequest } from './job.ts'
@@ -20,6 +21,9 @@
 import { EndNewsSchema } from './peerMessages.ts'
 import type { RunningRequest } from './runs.ts'
 
+/** An end that is told later than this may be over for its group, ms. */
+const FRESH_MS = 500
+
 /** What an entry knows of requests under which servers ended. */
 export interface QuarantineGate {
 	readonly quarantine: Quarantine
@@ -105,6 +109,13 @@
 		})),
 	}
 	takeNews(ctx, news, 'peer')
+	for (const { server, agoMs } of ends)
+		if (agoMs < FRESH_MS) shutFor(ctx, server)
+}
+
+function shutFor(ctx: GatewayContext, id: string): void {
+	const row = ctx.fleet.table.rowOf.get(id)
+	if (row !== undefined) noteRankGone(ctx, ctx.fleet.servers[row]!)
 }
 
 /** What peers are to be told since they were last; undefined for nothing. */
--- a/packages/gateway/src/serverEnds.ts
+++ b/packages/gateway/src/serverEnds.ts
@@ -8,6 +8,7 @@
 import type { ListedServer } from '@juniperhook/core'
 import { MAX_NAMED, splitAddress } from '@juniperhook/core'
 import { readNow } from '@juniperhook/runtime'
+import { noteRankGone } from './closedGroups.ts'
 import type { GatewayContext } from './context.ts'
 import { noteServerEnd } from './quarantineGate.ts'
 import type { RunningRequest } from './runs.ts'
@@ -190,5 +191,6 @@
 		fingerprints: [...new Set(running.map(one => one.fingerprint))],
 	})
 	noteServerEnd(ctx, server.id, at, running)
+	if (witness === 'refused') noteRankGone(ctx, server)
 	doubt.settle()
 }
--- a/packages/gateway/src/toldGroups.ts
+++ b/packages/gateway/src/toldGroups.ts
@@ -44,7 +44,7 @@
 	const { log } = ctx
 	log.write('paces told', { group, slow: ranks, limit, broken, by, hops })
 	applyToldGroups(ctx.fleet)
-	if (broken) shutGroup(ctx, group)
+	if (broken) shutGroup(ctx, group, 'coordinator')
 	// Older news of a group that runs may come after a rank's refusal.
 	else if (wasBroken && openGroup(ctx, group, 'coordinator'))
 		serveOpened(ctx, group)
--- a/packages/gateway/test/deadlyWorld.ts
+++ b/packages/gateway/test/deadlyWorld.ts
@@ -1,5 +1,6 @@
 /** Entries before servers that end under some requests, for tests. */
 
+import type { EngineProfile, TrafficConfig } from '@juniperhook/core'
 import type { MortalServers } from './mortalServers.ts'
 import { startMortals } from './mortalServers.ts'
 import type { OpenGateway } from './openGateway.ts'
@@ -19,15 +20,20 @@
 	readonly entries: OpenGateway[]
 	/** First port of all entries; each has an address of its own. */
 	readonly port: number
+	readonly config: TrafficConfig
 }
 
 /** Opens worlds whose entries listen from `firstPort` on. */
 export function createWorlds(firstPort: number) {
 	let nextPort = firstPort
-	return async (entryCount: number, servers = 6): Promise<World> => {
+	return async (
+		entryCount: number,
+		servers = 6,
+		engine?: EngineProfile,
+	): Promise<World> => {
 		const port = nextPort
 		nextPort += PORTS_EACH
-		return await openWorldAt(port, entryCount, servers)
+		return await openWorldAt(port, entryCount, servers, engine)
 	}
 }
 
@@ -35,10 +41,13 @@
 	port: number,
 	entryCount: number,
 	servers: number,
+	engine: EngineProfile | undefined,
 ): Promise<World> {
 	const mortals = await startMortals(servers)
 	const entries: OpenGateway[] = []
-	const world = { servers: mortals, entries, port }
+	const services = CONFIG.services.map(one => ({ ...one, engine }))
+	const config = { ...CONFIG, services, limits: LIMITS }
+	const world = { servers: mortals, entries, port, config }
 	for (let at = 0; at < entryCount; at++) await openEntry(world)
 	await pause(PAUSE_MS)
 	return world
@@ -46,9 +55,9 @@
 
 /** Opens one more entry, which finds the others. */
 export async function openEntry(world: World): Promise<OpenGateway> {
-	const { servers, entries, port } = world
+	const { servers, entries, port, config } = world
 	const listed = servers.mortals.map(one => one.listed)
-	const catalog = createCatalog({ ...CONFIG, limits: LIMITS }, listed)
+	const catalog = createCatalog(config, listed)
 	servers.catalogs.push(catalog)
 	const seeds = [`127.0.0.1:${port + 2}`, `127.0.0.2:${port + 2}`]
 	// Entries find each other by the port that they share.
--- a/packages/gateway/test/quarantine.test.ts
+++ b/packages/gateway/test/quarantine.test.ts
@@ -9,11 +9,13 @@
 import { DEADLY, end, SLOW } from './mortalServers.ts'
 import type { OpenGateway } from './openGateway.ts'
 import { createOpener, until } from './openGateway.ts'
-import { startBackends } from './standIns.ts'
+import { ENGINE, startBackends } from './standIns.ts'
 
 const openWorld = createWorlds(23_500)
 /** Ends further apart than what ends together, ms. */
 const APART_MS = 600
+/** Until a closed group is tried at the earliest, ms; 500 less some for the test. */
+const STILL_MS = 300
 
 /** Lets a deadly request end servers until it is refused; gives how many. */
 async function learn(world: World): Promise<number> {
@@ -152,6 +154,26 @@
 	world.servers.close()
 })
 
+test('a rank that ends closes its group at all entries', async () => {
+	const world = await openWorld(3, 4, ENGINE)
+	const asked = ask(world.entries[0]!, '/o/x', SLOW)
+	await until(() => world.servers.runs.length > 0)
+	const [run] = world.servers.runs
+	const rank = world.servers.mortals.find(
+		one => one.listed.name === run!.server,
+	)
+	end(world.servers, rank!, run!.server)
+	for (const { ctx } of world.entries) await until(() => ctx.closures.size > 0)
+	assert.is((await asked).status, 502)
+	// The other ranks would hold it until they refuse.
+	const before = world.servers.runs.length
+	const late = ask(world.entries[2]!, '/o/x', 'after the end')
+	await pause(STILL_MS)
+	assert.is(world.servers.runs.length, before)
+	await late
+	world.servers.close()
+})
+
 test('a server that breaks answers off and lives has not ended', async () => {
 	const backends = await startBackends(3)
 	const { ctx, callers } = await createOpener(23_700, backends.listed)()
