Quarantine: an end has one cause; who was beside the worst request is set aside

Finding: in one of six runs of the test 'who ran beside a deadly request is served', with two servers, a request that was beside it at three ends in a row was barred itself. Cause: three ends told against each of them alike. Ruled out: barring none of several that are equal (the request that ends servers would go on); keeping suspects apart (two servers have no room). Change: the request that most speaks against is taken for the cause, of equals the one that was there for the least time; its ends say nothing of others. Who was taken for it wrongly is released as the right one goes on.

--- a/packages/core/src/core/quarantine.ts
+++ b/packages/core/src/core/quarantine.ts
@@ -7,7 +7,9 @@
  * request only if it was sent there after the end that counted before, what was
  * answered whole since starts anew, and servers that end together, as those of a rack
  * or a data centre do, count half for requests that were not at all of them. An end
- * counts double if only one of the requests there had been under an end before.
+ * counts double if only one of the requests there had been under an end before. And an end
+ * has one cause: those under the request that most speaks against say nothing more of
+ * who ran beside it, however often that was.
  *
  * Evidence is a set of ends that only grows, until it is old: entries that have heard
  * the same, in whatever order and however often, judge the same.
@@ -85,6 +87,8 @@
 	points: number
 	/** Servers that ended under it, in order. */
 	readonly servers: string[]
+	/** For how long it had been at them in all, ms. */
+	ranMs: number
 	/** When the first and the last of them ended, ms. */
 	readonly firstAt: number
 	lastAt: number
@@ -180,7 +184,7 @@
 function judge(quarantine: Quarantine): void {
 	const { ends, served } = quarantine
 	const sorted = [...ends.values()].sort((a, b) => a.at - b.at)
-	quarantine.suspects = weigh(sorted, served)
+	quarantine.suspects = findSuspects(sorted, served)
 	if (ends.size > MAX_ENDS) forgetLeast(quarantine, sorted)
 	if (served.size === 0) return
 	const named = new Set(sorted.flatMap(({ ran }) => [...ran.keys()]))
@@ -203,6 +207,36 @@
 		ends.delete(server)
 }
 
+/** What speaks against requests once the ends under the worst ones are set aside. */
+function findSuspects(
+	sorted: readonly ServerEnd[],
+	served: ReadonlyMap<string, number>,
+): Map<string, Suspicion> {
+	const convicted = new Map<string, Suspicion>()
+	let unexplained = sorted
+	for (;;) {
+		const suspects = weigh(unexplained, served)
+		const worst = findWorst(suspects)
+		if (worst === undefined) return new Map([...suspects, ...convicted])
+		convicted.set(worst, suspects.get(worst)!)
+		unexplained = unexplained.filter(({ ran }) => !ran.has(worst))
+	}
+}
+
+/** The request that most speaks against; of equals the one sent last before ends. */
+function findWorst(
+	suspects: ReadonlyMap<string, Suspicion>,
+): string | undefined {
+	let worst: [string, Suspicion] | undefined
+	for (const [fingerprint, one] of suspects) {
+		if (!isConvicting(one)) continue
+		const more = one.points - (worst?.[1].points ?? 0)
+		const isWorse = more > 0 || (more === 0 && one.ranMs < worst![1].ranMs)
+		if (isWorse) worst = [fingerprint, one]
+	}
+	return worst?.[0]
+}
+
 /** Weighs what speaks against each request, from ends in their order. */
 function weigh(
 	sorted: readonly ServerEnd[],
@@ -229,6 +263,7 @@
 		const suspicion = suspects.get(fingerprint) ?? {
 			points: 0,
 			servers: [],
+			ranMs: 0,
 			firstAt: at,
 			lastAt: Number.NEGATIVE_INFINITY,
 		}
@@ -237,6 +272,7 @@
 		const isSingledOut = known.length === 1 && known[0] === fingerprint
 		suspicion.points += pointsOf(isAtAll, isSingledOut)
 		suspicion.servers.push(server)
+		suspicion.ranMs += ranMs
 		suspicion.lastAt = at
 		suspects.set(fingerprint, suspicion)
 	}
--- a/packages/core/test/quarantine.test.ts
+++ b/packages/core/test/quarantine.test.ts
@@ -70,6 +70,26 @@
 		],
 		barred: ['bad'],
 	},
+	{
+		name: 'who was beside it at all three ends, and had been there before it',
+		ends: [
+			['a', 0, { x: 900, bad: 40 }],
+			['b', 4_000, { x: 50, bad: 40 }],
+			['c', 8_000, { x: 45, bad: 40 }],
+		],
+		barred: ['bad'],
+	},
+	{
+		name: 'who was taken for it is released when it ends more',
+		ends: [
+			['a', 0, { x: 10, bad: 40 }],
+			['b', 4_000, { x: 10, bad: 40 }],
+			['c', 8_000, { x: 10, bad: 40 }],
+			['d', 12_000, { bad: 40 }],
+			['e', 16_000, { bad: 40 }],
+		],
+		barred: ['bad'],
+	},
 	{
 		name: 'servers of a data centre end at once, three times',
 		ends: [
