Ages, leases and deadlines count while a VM is suspended

Cause: all of them went by the steady clock, which stands still meanwhile. A VM that wakes held what others had told for fresh, handed requests on with time that was gone, and waited for a watch and for timers that much too long. Ruled out: /proc/uptime and os.uptime() (not the clock of the machine on every platform); one clock for all (a time of day that is set would spoil every measurement); for an earlier candidate's last word the steady clock stays: a VM that wakes must not take over at once. Change: elapsed time from both clocks: the time of day that runs ahead by 250 ms between two looks counts as a suspension; set ahead, beliefs age too early and are learnt anew. By it go: deadlines and waits of requests, what peers and coordinators told, evidence against requests, doubts, rounds. On waking an entry ends what is overdue and asks the source at once. Passes timed across a jump are dropped. The agent that refuses what waited through a pause notices it by either clock.

--- a/packages/core/src/core/admission.ts
+++ b/packages/core/src/core/admission.ts
@@ -52,7 +52,7 @@
 		bornWall: at.wall,
 		slots,
 		mode: 'serving',
-		lastSeen: at.now,
+		lastSeen: at,
 		wokeAt: Number.NEGATIVE_INFINITY,
 		running: 0,
 		serviceMs: 0,
@@ -113,8 +113,10 @@
  * entry; it is refused, never started late.
  */
 function noticePause(state: AdmissionState, at: Moment): AdmissionEffect[] {
-	const gap = at.now - state.lastSeen
-	state.lastSeen = at.now
+	const { lastSeen } = state
+	state.lastSeen = at
+	// A suspended VM's steady clock stands still; a time of day set ahead looks alike.
+	const gap = Math.max(at.now - lastSeen.now, at.wall - lastSeen.wall)
 	if (gap <= PAUSE_MS) return []
 	state.wokeAt = at.now
 	const waiting = [...state.queue.waiting]
--- a/packages/core/src/types/admission.ts
+++ b/packages/core/src/types/admission.ts
@@ -109,7 +109,7 @@
 	slots: number
 	/** `suspect`: its group broke the promise of one map. */
 	mode: 'serving' | 'leaving' | 'suspect'
-	lastSeen: number
+	lastSeen: Moment
 	wokeAt: number
 	running: number
 	/** Smoothed time that a request holds its slot, in ms. */
--- a/packages/entry/src/io/entryContext.ts
+++ b/packages/entry/src/io/entryContext.ts
@@ -10,7 +10,7 @@
 } from '@juniperhook/core'
 import { createFate } from '@juniperhook/core'
 import type { AnswerFrame, AttemptRef, Metrics } from '@juniperhook/runtime'
-import { readNow } from '@juniperhook/runtime'
+import { readElapsed, readNow } from '@juniperhook/runtime'
 import type { AttemptHandle } from './attempt.ts'
 import type { CallerAnswer } from './caller.ts'
 import type { Intake, TeamIndex } from './intake.ts'
@@ -41,6 +41,7 @@
 	readonly fate: Fate
 	readonly answer: CallerAnswer
 	readonly startedAt: number
+	/** On the scale of elapsed time, ms. */
 	readonly deadlineAt: number
 	row: number
 	/** Whether `row` counts this request among its own. */
@@ -68,7 +69,7 @@
 		fate: createFate(intake.repeatable, isCallerKey(intake)),
 		answer,
 		startedAt: now,
-		deadlineAt: now + intake.deadlineMs,
+		deadlineAt: readElapsed() + intake.deadlineMs,
 		row: -1,
 		counted: false,
 		peer: undefined,
--- a/packages/entry/src/io/exchange.ts
+++ b/packages/entry/src/io/exchange.ts
@@ -19,7 +19,12 @@
 	unknown,
 } from '@juniperhook/core'
 import type { OfferMeta } from '@juniperhook/runtime'
-import { createLog, messageOf, readNow } from '@juniperhook/runtime'
+import {
+	createLog,
+	messageOf,
+	readElapsed,
+	readNow,
+} from '@juniperhook/runtime'
 import { offerAttempt, resumeAttempt } from './attempt.ts'
 import {
 	endAnswer,
@@ -162,7 +167,7 @@
 	stepExchange(ctx, exchange, { type: 'routed' })
 	noteSent(ctx.servers.table, row, 1)
 	exchange.counted = true
-	const left = exchange.deadlineAt - readNow()
+	const left = exchange.deadlineAt - readElapsed()
 	const meta: OfferMeta = {
 		...refOf(exchange),
 		team: intake.teamName,
--- a/packages/entry/src/io/exchangeSilence.ts
+++ b/packages/entry/src/io/exchangeSilence.ts
@@ -1,7 +1,7 @@
 /** Requests whose time is over, and agents that have gone silent. */
 
 import { noteResult } from '@juniperhook/core'
-import { readNow } from '@juniperhook/runtime'
+import { readElapsed, readNow } from '@juniperhook/runtime'
 import type { EntryContext, Exchange } from './entryContext.ts'
 import { stepExchange } from './exchange.ts'
 
@@ -14,8 +14,9 @@
 /** Runs time-outs over all open requests. */
 export function tickExchanges(ctx: EntryContext): void {
 	const now = readNow()
+	const elapsed = readElapsed()
 	for (const exchange of ctx.exchanges) {
-		if (now >= exchange.deadlineAt) {
+		if (elapsed >= exchange.deadlineAt) {
 			stepExchange(ctx, exchange, { type: 'deadline' })
 			continue
 		}
--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -2,7 +2,7 @@
 
 import type { ListedServer, TryResult } from '@juniperhook/core'
 import { createRetryWindow, noteTry, takeRetry } from '@juniperhook/core'
-import { readNow } from '@juniperhook/runtime'
+import { readElapsed, readNow } from '@juniperhook/runtime'
 import { dropDisplaced } from './catalog.ts'
 import {
 	closedWaitMs,
@@ -52,7 +52,7 @@
 	job: Job,
 ): Promise<AttemptResult> {
 	const { request } = job
-	const askedAt = readNow()
+	const askedAt = readElapsed()
 	const isClosed = isServiceClosed(ctx, job.service)
 	const waitMs = isClosed
 		? closedWaitMs(ctx, job.service, request)
@@ -68,7 +68,7 @@
 		inTurn: !isClosed,
 		signal: job.signal,
 	})
-	const now = readNow()
+	const now = readElapsed()
 	ctx.metrics.waiting.observe((now - askedAt) / 1_000)
 	switch (grant.kind) {
 		case 'full':
@@ -115,8 +115,8 @@
 		free()
 		return { kind: 'notRun', reason: 'server gone' }
 	}
-	const left = request.deadlineAt - readNow()
-	const untilGivenUp = request.givenUpAt - readNow()
+	const left = request.deadlineAt - readElapsed()
+	const untilGivenUp = request.givenUpAt - readElapsed()
 	if (untilGivenUp < MIN_LEFT_MS || job.signal.aborted) {
 		free()
 		return { kind: 'refused', error: 'startBudget' }
@@ -276,7 +276,7 @@
 		send: job.sends,
 		outcome,
 		reason,
-		tookMs: Math.round(readNow() - request.arrivedAt),
+		tookMs: Math.round(readElapsed() - request.arrivedAt),
 		config: request.routes.config.version,
 		list: ctx.list.revision,
 		...inputs,
--- a/packages/gateway/src/callerRequest.ts
+++ b/packages/gateway/src/callerRequest.ts
@@ -8,7 +8,7 @@
 	TrafficTeam,
 } from '@juniperhook/core'
 import { findRoute } from '@juniperhook/core'
-import { readNow } from '@juniperhook/runtime'
+import { readElapsed } from '@juniperhook/runtime'
 import type { GatewayContext } from './context.ts'
 import type { CallerRequest } from './job.ts'
 
@@ -24,7 +24,7 @@
 	ctx: GatewayContext,
 	req: IncomingMessage,
 ): Promise<Intake> {
-	const arrivedAt = readNow()
+	const arrivedAt = readElapsed()
 	const { routes, wire } = ctx
 	if (!routes) return { kind: 'refused', error: 'noConfig' }
 	const { limits } = routes.config
--- a/packages/gateway/src/catalog.ts
+++ b/packages/gateway/src/catalog.ts
@@ -12,7 +12,7 @@
 	settleRemovals,
 	takeRecord,
 } from '@juniperhook/core'
-import { readNow, sleep } from '@juniperhook/runtime'
+import { readElapsed, readNow, sleep } from '@juniperhook/runtime'
 import type { GatewayContext } from './context.ts'
 import { applyServerList } from './fleet.ts'
 import type {
@@ -23,6 +23,7 @@
 } from './ports.ts'
 import { settleByList } from './serverEnds.ts'
 import { closeIdle } from './serverPool.ts'
+import { unlessSuspended } from './suspension.ts'
 import { serveWaiting } from './waiting.ts'
 
 /**
@@ -58,6 +59,14 @@
  */
 const LAPSED_GRACE_MS = 1_900
 
+/** Instead of a watch that was open while the VM was suspended. */
+const SUSPENDED: SourceResult<CatalogSnapshot> = {
+	ok: false,
+	lostHistory: false,
+	reason: 'suspended meanwhile',
+	bytes: 0,
+}
+
 /** How a catalog is being followed. */
 export interface CatalogFollower {
 	/** When the source last answered, ms. */
@@ -73,7 +82,7 @@
 	source: CatalogSource,
 ): Promise<void> {
 	const follower = {
-		answeredAt: readNow(),
+		answeredAt: readElapsed(),
 		doubtUntil: 0,
 		away: false,
 	}
@@ -83,14 +92,15 @@
 	let gatherMs = GATHER_MS
 	for (;;) {
 		const whole = revision === undefined
-		const begunAt = readNow()
+		const begunAt = readElapsed()
 		const result: SourceResult<CatalogSnapshot> = whole
 			? await source.read()
-			: await source.watch(
-					revision!,
-					hasFailed ? CATCH_UP_WAIT_MS : watchMs(ctx),
+			: await unlessSuspended(
+					ctx,
+					source.watch(revision!, hasFailed ? CATCH_UP_WAIT_MS : watchMs(ctx)),
+					SUSPENDED,
 				)
-		const now = readNow()
+		const now = readElapsed()
 		ctx.metrics.sourceCalls.inc({ outcome: result.ok ? 'answered' : 'failed' })
 		ctx.metrics.sourceBytes.inc(result.bytes)
 		hasFailed = !result.ok
@@ -222,7 +232,7 @@
 
 /** Believes removals whose time has come. */
 export function tickCatalog(ctx: GatewayContext): void {
-	const settled = settleRemovals(ctx.list, readNow())
+	const settled = settleRemovals(ctx.list, readElapsed())
 	for (const server of settled)
 		ctx.log.write('server', { server, state: 'gone', from: 'not back' })
 	if (settled.length > 0) refreshFleet(ctx)
--- a/packages/gateway/src/closedGroups.ts
+++ b/packages/gateway/src/closedGroups.ts
@@ -10,7 +10,7 @@
 	noteOpen,
 	noteToldClosed,
 } from '@juniperhook/core'
-import { readNow } from '@juniperhook/runtime'
+import { readElapsed, readNow } from '@juniperhook/runtime'
 import type { GatewayContext } from './context.ts'
 import { groupOf, serviceOf } from './fleet.ts'
 import type { CallerRequest } from './job.ts'
@@ -141,8 +141,10 @@
 	const rows = ctx.fleet.rowsOf.get(service) ?? []
 	const groups = new Set(rows.map(row => groupOf(ctx.fleet.servers[row]!)))
 	const expected = [...groups].map(group => ctx.openUntil.get(group) ?? 0)
-	const keptUntil = arrivedAt + PATIENCE_SHARE * patienceMs(ctx, route)
-	return Math.min(Math.max(0, ...expected), keptUntil) - readNow()
+	const now = readNow()
+	const keptUntil =
+		now - (readElapsed() - arrivedAt) + PATIENCE_SHARE * patienceMs(ctx, route)
+	return Math.min(Math.max(0, ...expected), keptUntil) - now
 }
 
 /** How long a caller waits for the first event of a stream, ms. */
--- a/packages/gateway/src/context.ts
+++ b/packages/gateway/src/context.ts
@@ -19,6 +19,7 @@
 import type { Runs } from './runs.ts'
 import type { EndWatch } from './serverEnds.ts'
 import type { ServerPool } from './serverPool.ts'
+import type { SuspensionWatch } from './suspension.ts'
 
 /** What a gateway is told of its VM. */
 export interface GatewaySettings {
@@ -87,6 +88,8 @@
 	readonly ends: EndWatch
 	/** Requests under which servers ended. */
 	readonly gate: QuarantineGate
+	/** Whether the VM was suspended. */
+	readonly suspension: SuspensionWatch
 	/** Requests being served. */
 	open: number
 	/** Gives each request that has no final answer one at once. */
--- a/packages/gateway/src/forward.ts
+++ b/packages/gateway/src/forward.ts
@@ -3,7 +3,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { ErrorKind } from '@juniperhook/core'
 import { drawService, ERRORS, noteRequest } from '@juniperhook/core'
-import { readNow } from '@juniperhook/runtime'
+import { readElapsed, readNow } from '@juniperhook/runtime'
 import {
 	logAnswer,
 	logAttempt,
@@ -107,7 +107,7 @@
 		lastEventId: request.lastEventId,
 		times: { startMs: 0, longestPauseMs: 0 },
 	}
-	const left = request.givenUpAt - readNow()
+	const left = request.givenUpAt - readElapsed()
 	const giveUp: GiveUp = why => {
 		const [ran, notRun] = GIVEN_UP[why]
 		finish(ctx, job, res, job.mayHaveRun ? ran : notRun)
@@ -136,7 +136,7 @@
 ): void {
 	if (res.writableEnded || res.destroyed) return
 	const { request } = job
-	const leftMs = request.deadlineAt - readNow()
+	const leftMs = request.deadlineAt - readElapsed()
 	ctx.log.write('request failed', {
 		req: request.id,
 		route: request.route.name,
@@ -144,7 +144,7 @@
 		error,
 		sends: job.sends,
 		tried: [...job.tried],
-		tookMs: Math.round(readNow() - request.arrivedAt),
+		tookMs: Math.round(readElapsed() - request.arrivedAt),
 		begun: res.headersSent,
 		config: request.routes.config.version,
 	})
@@ -253,7 +253,7 @@
 	}
 	if (!usable) return { kind: 'failed', error: 'truncated' }
 	const { arrivedAt, method } = job.request
-	job.times.startMs = readNow() - arrivedAt
+	job.times.startMs = readElapsed() - arrivedAt
 	ctx.metrics.firstByte.observe(job.times.startMs / 1_000)
 	logAnswer(ctx, job, serverId, String(status))
 	writeWhole(ctx, res, message, body.body, method)
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -23,6 +23,7 @@
 import { createRuns, forgetLeft } from './runs.ts'
 import { createEndWatch, forgetDoubts } from './serverEnds.ts'
 import { createServerPool } from './serverPool.ts'
+import { createSuspensionWatch, noticeSuspension } from './suspension.ts'
 import { serveWaiting } from './waiting.ts'
 
 /** Largest headers that Node reads; the configuration's bound is lower. */
@@ -70,6 +71,7 @@
 		entries: Math.max(1, settings.seeds.length),
 		runs: createRuns(),
 		ends: createEndWatch(),
+		suspension: createSuspensionWatch(),
 		open: 0,
 		gate: createQuarantineGate(),
 		giveUps: new Map(),
@@ -93,6 +95,7 @@
 }
 
 function tick(ctx: GatewayContext, callers: Server): void {
+	noticeSuspension(ctx)
 	tickCatalog(ctx)
 	forgetDoubts(ctx)
 	forgetLeft(ctx.runs)
--- a/packages/gateway/src/peerStates.ts
+++ b/packages/gateway/src/peerStates.ts
@@ -5,7 +5,13 @@
 
 import { splitAddress } from '@juniperhook/core'
 import type { RpcLink } from '@juniperhook/runtime'
-import { call, messageOf, notify, readNow } from '@juniperhook/runtime'
+import {
+	call,
+	messageOf,
+	notify,
+	readElapsed,
+	readNow,
+} from '@juniperhook/runtime'
 import * as v from 'valibot'
 import type { GatewayContext } from './context.ts'
 import { settleDemand, tellFlows } from './entryDemand.ts'
@@ -168,7 +174,7 @@
 ): void {
 	const state = v.parse(StateSchema, params)
 	const now = readNow()
-	states.heardAt.set(state.name, now)
+	states.heardAt.set(state.name, readElapsed())
 	const addresses = [state.control, ...state.peers]
 	noteAddresses(
 		peers,
@@ -208,9 +214,9 @@
 
 /** Forgets peers that have gone silent. */
 export function forgetSilent(ctx: GatewayContext, states: PeerStates): void {
-	const now = readNow()
+	const now = readElapsed()
 	for (const [name, heardAt] of states.heardAt) {
-		if (now - heardAt > SILENT_MS) dropPeerLoad(ctx.fleet, name, now)
+		if (now - heardAt > SILENT_MS) dropPeerLoad(ctx.fleet, name, readNow())
 		if (now - heardAt > REMEMBERED_MS) states.heardAt.delete(name)
 	}
 	const seeds = ctx.settings.seeds.length
--- a/packages/gateway/src/peers.ts
+++ b/packages/gateway/src/peers.ts
@@ -4,7 +4,7 @@
  */
 
 import type { Methods, RpcLink } from '@juniperhook/runtime'
-import { messageOf, notify, readNow, serveRpc } from '@juniperhook/runtime'
+import { messageOf, notify, readElapsed, serveRpc } from '@juniperhook/runtime'
 import * as v from 'valibot'
 import { answerPiece, createConfigServer } from './configTransfer.ts'
 import type { GatewayContext } from './context.ts'
@@ -28,6 +28,7 @@
 } from './peerStates.ts'
 import type { CatalogSource } from './ports.ts'
 import { drainUntold, listKnownEnds, takeToldEnds } from './quarantineGate.ts'
+import { noticeSuspension } from './suspension.ts'
 import { forgetGroups, takePaces } from './toldGroups.ts'
 
 /** Between looks at whether peers are to be told, ms. */
@@ -73,10 +74,11 @@
 	await serveRpc(ctx.settings.control, methods)
 	setInterval(() => {
 		keepLinks(ctx, peers)
+		noticeSuspension(ctx)
 		tellEnds(ctx, peers)
 		tellPeers(ctx, peers, states)
 		forgetSilent(ctx, states)
-		forgetGroups(ctx, readNow())
+		forgetGroups(ctx, readElapsed())
 	}, LOOK_MS)
 }
 
--- a/packages/gateway/src/quarantineGate.ts
+++ b/packages/gateway/src/quarantineGate.ts
@@ -11,7 +11,7 @@
 	listEndNews,
 	takeEndNews,
 } from '@juniperhook/core'
-import { readNow } from '@juniperhook/runtime'
+import { readElapsed } from '@juniperhook/runtime'
 import * as v from 'valibot'
 import { noteRankGone } from './closedGroups.ts'
 import type { GatewayContext } from './context.ts'
@@ -61,7 +61,7 @@
 	{ gate }: Pick<GatewayContext, 'gate'>,
 	request: CallerRequest,
 ): number {
-	return barredForMs(gate.quarantine, fingerprintOf(request), readNow())
+	return barredForMs(gate.quarantine, fingerprintOf(request), readElapsed())
 }
 
 /** Whether a server ended under a request that no other has answered since. */
@@ -77,7 +77,11 @@
 export function noteServed(ctx: GatewayContext, request: CallerRequest): void {
 	if (!isSuspected(ctx, request)) return
 	const fingerprint = fingerprintOf(request)
-	takeNews(ctx, { ends: [], served: [{ fingerprint, at: readNow() }] }, 'here')
+	takeNews(
+		ctx,
+		{ ends: [], served: [{ fingerprint, at: readElapsed() }] },
+		'here',
+	)
 }
 
 /** Notes that a server ended, and what it was running for this entry. */
@@ -96,7 +100,7 @@
 /** Takes what another entry tells. */
 export function takeToldEnds(ctx: GatewayContext, params: unknown): void {
 	const { ends, served } = v.parse(EndNewsSchema, params)
-	const now = readNow()
+	const now = readElapsed()
 	const news: EndNews = {
 		ends: ends.map(({ server, agoMs, ran }) => ({
 			server,
@@ -135,7 +139,7 @@
 }
 
 function toTold({ ends, served }: EndNews): ToldEndNews {
-	const now = readNow()
+	const now = readElapsed()
 	const ago = (at: number) => Math.round(now - at)
 	return {
 		ends: ends.map(({ server, at, ran }) => ({
@@ -159,7 +163,7 @@
 ): void {
 	const { gate } = ctx
 	const { quarantine } = gate
-	const news = takeEndNews(quarantine, told, readNow())
+	const news = takeEndNews(quarantine, told, readElapsed())
 	gate.untold = {
 		ends: [...gate.untold.ends, ...news.ends],
 		served: [...gate.untold.served, ...news.served],
--- a/packages/gateway/src/runs.ts
+++ b/packages/gateway/src/runs.ts
@@ -1,6 +1,6 @@
 /** Which requests each server runs for this entry, and which were left there. */
 
-import { readNow } from '@juniperhook/runtime'
+import { readElapsed } from '@juniperhook/runtime'
 import { fingerprintOf } from './fingerprint.ts'
 import type { CallerRequest } from './job.ts'
 
@@ -49,7 +49,7 @@
 	server: string,
 	request: CallerRequest,
 ): Run {
-	const run = { request, since: readNow() }
+	const run = { request, since: readElapsed() }
 	const there = runs.running.get(server)
 	if (there) there.add(run)
 	else runs.running.set(server, new Set([run]))
@@ -65,7 +65,7 @@
 
 /** Notes that this entry closed a request's connection; its server may go on. */
 export function leaveRun(runs: Runs, server: string, run: Run): void {
-	const leftAt = readNow()
+	const leftAt = readElapsed()
 	const left = (runs.left.get(server) ?? []).filter(
 		one => leftAt - one.leftAt < LEFT_MS,
 	)
@@ -75,7 +75,7 @@
 
 /** Requests that a server may be running for this entry. */
 export function listRunning(runs: Runs, server: string): RunningRequest[] {
-	const now = readNow()
+	const now = readElapsed()
 	const running = [...(runs.running.get(server) ?? [])].map(describe)
 	const left = runs.left.get(server) ?? []
 	return [...left.filter(one => now - one.leftAt < LEFT_MS), ...running]
@@ -83,7 +83,7 @@
 
 /** Forgets what was left at servers long ago. */
 export function forgetLeft(runs: Runs): void {
-	const now = readNow()
+	const now = readElapsed()
 	for (const [server, left] of runs.left)
 		if (now - left.at(-1)!.leftAt >= LEFT_MS) runs.left.delete(server)
 }
--- a/packages/gateway/src/serverEnds.ts
+++ b/packages/gateway/src/serverEnds.ts
@@ -7,7 +7,7 @@
 import { connect } from 'node:net'
 import type { ListedServer } from '@juniperhook/core'
 import { MAX_NAMED, splitAddress } from '@juniperhook/core'
-import { readNow } from '@juniperhook/runtime'
+import { readElapsed } from '@juniperhook/runtime'
 import { noteRankGone } from './closedGroups.ts'
 import type { GatewayContext } from './context.ts'
 import { noteServerEnd } from './quarantineGate.ts'
@@ -86,7 +86,7 @@
 	const settled = new Promise<void>(resolve => {
 		settle = resolve
 	})
-	const at = readNow()
+	const at = readElapsed()
 	return { server, at, running: new Map(), tries: 0, settled, settle }
 }
 
@@ -158,7 +158,7 @@
 
 /** Forgets doubts that nothing has settled. */
 export function forgetDoubts(ctx: GatewayContext): void {
-	const now = readNow()
+	const now = readElapsed()
 	for (const [id, { at }] of ctx.ends.doubts)
 		if (now - at >= DOUBT_MS) ctx.ends.doubts.delete(id)
 }
@@ -186,7 +186,7 @@
 		server: server.id,
 		address: server.address,
 		witness,
-		agoMs: Math.round(readNow() - at),
+		agoMs: Math.round(readElapsed() - at),
 		requests: running.map(one => one.id),
 		fingerprints: [...new Set(running.map(one => one.fingerprint))],
 	})
--- a/packages/gateway/src/streamRelay.ts
+++ b/packages/gateway/src/streamRelay.ts
@@ -4,7 +4,7 @@
  */
 
 import type { ServerResponse } from 'node:http'
-import { readNow } from '@juniperhook/runtime'
+import { readElapsed, readNow } from '@juniperhook/runtime'
 import { logAnswer, logAttempt, mayTryAgain } from './attempt.ts'
 import type { GatewayContext } from './context.ts'
 import type { StreamEvent } from './eventSplitter.ts'
@@ -38,7 +38,7 @@
 		if (res.headersSent) notePause(now - lastAt)
 		else {
 			writeStreamHead(ctx, res, message)
-			job.times.startMs = now - job.request.arrivedAt
+			job.times.startMs = readElapsed() - job.request.arrivedAt
 			ctx.metrics.firstByte.observe(job.times.startMs / 1_000)
 		}
 		lastAt = now
--- /dev/null
+++ b/packages/gateway/src/suspension.ts
@@ -0,0 +1,52 @@
+/**
+ * What an entry does when its VM was suspended: its timers and its open connections do
+ * not know, and what it believes is older than they say.
+ */
+
+import { readElapsed, readSuspendedMs } from '@juniperhook/runtime'
+import type { GatewayContext } from './context.ts'
+
+/** How long the VM was suspended by the last look, and what waits for the next one. */
+export interface SuspensionWatch {
+	knownMs: number
+	readonly onWake: Set<() => void>
+}
+
+/** Makes a watch from now on. */
+export function createSuspensionWatch(): SuspensionWatch {
+	return { knownMs: readSuspendedMs(), onWake: new Set() }
+}
+
+/** Looks whether the VM was suspended since the last look, and does what follows. */
+export function noticeSuspension(ctx: GatewayContext): void {
+	const { suspension } = ctx
+	const forMs = readSuspendedMs() - suspension.knownMs
+	if (forMs <= 0) return
+	suspension.knownMs += forMs
+	ctx.log.write('clocks parted', { forMs: Math.round(forMs), open: ctx.open })
+	endOverdue(ctx)
+	for (const wake of [...suspension.onWake]) wake()
+}
+
+/** Timers of requests that were open have that much left too long. */
+function endOverdue(ctx: GatewayContext): void {
+	const now = readElapsed()
+	for (const [request, giveUp] of [...ctx.giveUps])
+		if (now >= request.givenUpAt) giveUp('timeOver')
+}
+
+/** Ends a wait early, with `instead`, when the VM has been suspended meanwhile. */
+export function unlessSuspended<T>(
+	{ suspension }: GatewayContext,
+	wait: Promise<T>,
+	instead: T,
+): Promise<T> {
+	return new Promise((resolve, reject) => {
+		const wake = () => {
+			suspension.onWake.delete(wake)
+			resolve(instead)
+		}
+		suspension.onWake.add(wake)
+		wait.then(resolve, reject).finally(() => suspension.onWake.delete(wake))
+	})
+}
--- a/packages/gateway/src/toldGroups.ts
+++ b/packages/gateway/src/toldGroups.ts
@@ -4,7 +4,7 @@
  * some keep and others do not turns callers away for nothing.
  */
 
-import { readNow } from '@juniperhook/runtime'
+import { readElapsed } from '@juniperhook/runtime'
 import * as v from 'valibot'
 import { openGroup, shutGroup } from './closedGroups.ts'
 import type { GatewayContext } from './context.ts'
@@ -34,7 +34,7 @@
 	const key = `${group} ${by}`
 	const heard = heardNews.get(key)
 	if (heard && heard.number >= number) return undefined
-	const at = readNow()
+	const at = readElapsed()
 	heardNews.set(key, { number, at })
 	const ranks = Object.keys(slow)
 	const wasBroken = toldGroups.get(group)?.broken
--- /dev/null
+++ b/packages/gateway/test/suspension.test.ts
@@ -0,0 +1,105 @@
+/** An entry whose VM is suspended: the steady clock stands, the time of day goes on. */
+
+import { clocks, readElapsed } from '@juniperhook/runtime'
+import { test } from 'uvu'
+import * as assert from 'uvu/assert'
+import { takeToldEnds } from '../src/quarantineGate.ts'
+import type { TestGateway } from './openGateway.ts'
+import { createOpener, until } from './openGateway.ts'
+import { callGateway, startBackends, WIRE } from './standIns.ts'
+
+const SUSPENDED_MS = 20_000
+const backends = await startBackends(3)
+const openGateway = createOpener(23_800, backends.listed)
+const wall = clocks.wall
+let suspendedMs = 0
+clocks.wall = () => wall() + suspendedMs
+
+function suspend(): void {
+	suspendedMs += SUSPENDED_MS
+}
+
+function ask(gateway: TestGateway, id: string, headers = {}) {
+	return callGateway(gateway.callers, '/r/x', {
+		[WIRE.requestId]: id,
+		...headers,
+	})
+}
+
+test('a request whose time went by meanwhile is ended at once', async () => {
+	const gateway = await openGateway()
+	backends.script = ['hang', 'hang']
+	const startedAt = performance.now()
+	const asked = ask(gateway, 'late')
+	await until(() => gateway.ctx.open > 0)
+	suspend()
+	const got = await asked
+	assert.is(got.status, 504)
+	assert.ok(performance.now() - startedAt < 400)
+})
+
+test('one that came before is not handed on with time that is gone', async () => {
+	const gateway = await openGateway()
+	const { ctx } = gateway
+	backends.script = ['hang']
+	const arrivals = backends.arrivals.length
+	const asked = ask(gateway, 'again', { [WIRE.deadlineMs]: '60000' })
+	await until(() => backends.arrivals.length > arrivals)
+	ctx.giveUps.clear()
+	suspend()
+	await asked
+	const [first, second] = backends.arrivals.slice(arrivals)
+	const left = (arrival: typeof first) =>
+		Number(arrival?.headers[WIRE.deadlineMs] ?? 0)
+	assert.ok(left(second) <= left(first) - SUSPENDED_MS + 1_000)
+})
+
+test('what is told of others grows old meanwhile', async () => {
+	const gateway = await openGateway()
+	const { ctx } = gateway
+	const ran = { '6.deadly': 40 }
+	takeToldEnds(ctx, {
+		ends: [
+			{ server: 'a', agoMs: 5_000, ran },
+			{ server: 'b', agoMs: 1_000, ran },
+		],
+		served: [],
+	})
+	const [first] = ctx.gate.quarantine.ends.values()
+	const before = readElapsed() - first!.at
+	ctx.fleet.toldGroups.set('g', {
+		slow: {},
+		limit: 1,
+		broken: false,
+		at: readElapsed(),
+	})
+	suspend()
+	const after = readElapsed() - first!.at
+	assert.ok(after - before >= SUSPENDED_MS)
+	await until(() => ctx.fleet.toldGroups.size === 0)
+	assert.is(ctx.fleet.toldGroups.size, 0)
+})
+
+test('the source is asked at once, not when its watch is over', async () => {
+	const gateway = await openGateway()
+	const { ctx, catalog } = gateway
+	await until(() => catalog.watchMs > 1)
+	catalog.watch = async (_revision, waitMs) => {
+		catalog.watchMs = waitMs
+		await new Promise(() => {})
+		throw new Error('never')
+	}
+	await new Promise(resolve => setTimeout(resolve, 200))
+	const hung = catalog.watchMs
+	assert.ok(hung > 1)
+	suspend()
+	await until(() => catalog.watchMs < hung)
+	assert.ok(catalog.watchMs < hung)
+	assert.ok(ctx.suspension.knownMs >= SUSPENDED_MS)
+})
+
+test.after(() => {
+	setImmediate(() => process.exit())
+})
+
+test.run()
--- a/packages/groups/src/agent.ts
+++ b/packages/groups/src/agent.ts
@@ -12,6 +12,7 @@
 	call,
 	connectRpc,
 	messageOf,
+	readElapsed,
 	readNow,
 	serveRpc,
 } from '@juniperhook/runtime'
@@ -153,7 +154,7 @@
 }
 
 async function readGroup(agent: Agent, report: RankReport): Promise<void> {
-	const now = readNow()
+	const now = readElapsed()
 	if (now - agent.readAt < READ_MS) return
 	agent.readAt = now
 	const { service } = agent.settings
--- a/packages/groups/src/passWatch.ts
+++ b/packages/groups/src/passWatch.ts
@@ -6,7 +6,7 @@
 
 import type { PassSeen, RankReport } from '@juniperhook/core'
 import { notePasses, predictPassMs } from '@juniperhook/core'
-import { readNow, rpcCounts } from '@juniperhook/runtime'
+import { countClockJumps, readNow, rpcCounts } from '@juniperhook/runtime'
 import type { Coordinator } from './coordinatorState.ts'
 import { factorNow } from './mapWork.ts'
 import type { PublishedGroup } from './ports.ts'
@@ -29,6 +29,7 @@
 		return
 	}
 	const at = readNow()
+	const jumps = countClockJumps()
 	const factor = factorNow(co, group, map)
 	const { since } = passes
 	const isSame =
@@ -37,6 +38,7 @@
 		since.report.map === report.map &&
 		report.map === co.mapVersion &&
 		passes.copying === copying &&
+		passes.jumps === jumps &&
 		Math.abs(passes.factor / factor - 1) < SAME_FACTOR
 	if (isSame && report.step - since.report.step < PASSES) return
 	if (isSame) {
@@ -45,6 +47,7 @@
 	}
 	passes.since = { report, at }
 	passes.copying = copying
+	passes.jumps = jumps
 	passes.factor = factor
 }
 
--- a/packages/groups/src/roundRunner.ts
+++ b/packages/groups/src/roundRunner.ts
@@ -13,7 +13,7 @@
 	REFUSED_TO_ARM,
 	takeAnchorReport,
 } from '@juniperhook/core'
-import { readNow } from '@juniperhook/runtime'
+import { readElapsed } from '@juniperhook/runtime'
 import { leadMsOf, noteArmed, noteMissed, probeLimitMs } from './armingTime.ts'
 import type { Coordinator } from './coordinatorState.ts'
 import { FENCE_BITS, pause, readAnchor } from './coordinatorState.ts'
@@ -55,7 +55,7 @@
 	const fence = nextFence(co)
 	const { epoch, size } = report
 	const round = createRound(fence, epoch, size, planned?.placements, co.undo)
-	const startedAt = readNow()
+	const startedAt = readElapsed()
 	const run: Run = {
 		round,
 		asked: new Set(),
@@ -85,12 +85,12 @@
 			if (fresh && round.phase === phase) takeAnchorReport(round, fresh, lead)
 		}
 		if (round.phase !== shown) {
-			const tookMs = readNow() - phaseAt
+			const tookMs = readElapsed() - phaseAt
 			phases.push(`${shown} ${Math.round(tookMs)}`)
 			if (isUrgentPhase(shown)) urgentMs += tookMs
 			if (shown === 'arming' && round.phase === 'releasing')
 				co.armingMs = noteArmed(co.armingMs, urgentMs)
-			phaseAt = readNow()
+			phaseAt = readElapsed()
 			run.tries = 0
 			run.progressAt = phaseAt
 		}
@@ -98,7 +98,7 @@
 		co.urgent = isUrgentPhase(round.phase)
 		shown = round.phase
 		const probeMs = probeLimitMs(co.armingMs, trip)
-		if (round.phase === 'probing' && readNow() - phaseAt > probeMs) {
+		if (round.phase === 'probing' && readElapsed() - phaseAt > probeMs) {
 			co.armingMs = noteMissed(co.armingMs, probeMs)
 			giveUpProbing(round)
 		}
@@ -106,7 +106,8 @@
 			round.reason = OUTDATED
 			break
 		}
-		const isStuck = readNow() - run.progressAt > STUCK_MS + copyingMsOf(co, run)
+		const isStuck =
+			readElapsed() - run.progressAt > STUCK_MS + copyingMsOf(co, run)
 		if (isStuck && isHarmless(round)) break
 	}
 	co.copying = false
@@ -168,7 +169,7 @@
 		reason: round.reason,
 		inherited: round.inherited,
 		step: round.step,
-		tookMs: Math.round(readNow() - startedAt),
+		tookMs: Math.round(readElapsed() - startedAt),
 		phases,
 	})
 	co.undo = round.reason === REFUSED_TO_ARM
@@ -182,6 +183,6 @@
 	const ours = round.map && !round.inherited && round.version > 0
 	if (!ours) return
 	co.copyingMs = copyingMsOf(co, run)
-	noteOverhead(co, readNow() - startedAt - co.copyingMs)
+	noteOverhead(co, readElapsed() - startedAt - co.copyingMs)
 	setMap(co, round.map!, { epoch: round.epoch, map: round.version })
 }
--- a/packages/groups/src/timedPasses.ts
+++ b/packages/groups/src/timedPasses.ts
@@ -6,6 +6,8 @@
 export interface PassWatch {
 	since: { readonly report: RankReport; readonly at: number } | undefined
 	copying: boolean
+	/** How often the clocks had parted; what is timed across that is dropped. */
+	jumps: number
 	factor: number
 	loggedAt: number
 	/** What had gone over this process's links then. */
@@ -18,6 +20,7 @@
 	return {
 		since: undefined,
 		copying: false,
+		jumps: 0,
 		factor: 1,
 		loggedAt: 0,
 		bytesIn: 0,
--- a/packages/runtime/src/utils/clock.ts
+++ b/packages/runtime/src/utils/clock.ts
@@ -1,15 +1,48 @@
-/** The two clocks of a process, in milliseconds. */
+/**
+ * The clocks of a process, in milliseconds. What is measured, and what waits, goes by
+ * the steady one; ages, leases and deadlines go by elapsed time, which also counts
+ * while the VM is suspended.
+ */
 
 import type { Moment } from '@juniperhook/core'
+import { createElapsedClock, tellElapsed } from '@juniperhook/core'
+
+/** Where the two clocks are read; tests step them apart. */
+export const clocks = {
+	now: () => performance.now(),
+	wall: () => Date.now(),
+}
+
+const elapsed = createElapsedClock(readMoment())
 
 /** Monotonic time; it has no meaning outside this process. */
 export function readNow(): number {
-	return performance.now()
+	return clocks.now()
 }
 
 /** Both clocks at once. */
 export function readMoment(): Moment {
-	return { now: performance.now(), wall: Date.now() }
+	return { now: clocks.now(), wall: clocks.wall() }
+}
+
+/** Time that also counts while the VM is suspended; it never goes back. */
+export function readElapsed(): number {
+	return tellElapsed(elapsed, readMoment())
+}
+
+/**
+ * How often the clocks have parted: the VM was suspended, or the time of day set. What
+ * was being measured then is worth nothing.
+ */
+export function countClockJumps(): number {
+	readElapsed()
+	return elapsed.jumps
+}
+
+/** For how long the VM seems to have been suspended in all, ms. */
+export function readSuspendedMs(): number {
+	readElapsed()
+	return elapsed.suspendedMs
 }
 
 /** Waits `ms` without holding the process open. */
--- a/scripts/ablation.ts
+++ b/scripts/ablation.ts
@@ -16,6 +16,7 @@
 }
 
 const NEED = 'packages/core/src/core/mapNeed.ts'
+const QUARANTINE = 'packages/core/src/core/quarantine.ts'
 const DISPATCH = 'packages/core/src/core/dispatch.ts'
 const DEMAND = 'packages/groups/src/demand.ts'
 const ATTEMPT = 'packages/gateway/src/attempt.ts'
@@ -142,8 +143,26 @@
 	{
 		name: 'toldOpen',
 		file: 'packages/gateway/src/toldGroups.ts',
-		on: '	if (broken) shutGroup(ctx, group)',
-		off: '	if (broken && !at) shutGroup(ctx, group)',
+		on: "	if (broken) shutGroup(ctx, group, 'coordinator')",
+		off: "	if (broken && !at) shutGroup(ctx, group, 'coordinator')",
+	},
+	{
+		name: 'rankEnds',
+		file: 'packages/gateway/src/closedGroups.ts',
+		on: '	if (isGrouped(ctx, server.service)) shutGroup(',
+		off: '	if (!server.service) shutGroup(',
+	},
+	{
+		name: 'quarantine',
+		file: QUARANTINE,
+		on: 'const BARRED_POINTS = 6',
+		off: 'const BARRED_POINTS = Number.POSITIVE_INFINITY',
+	},
+	{
+		name: 'singledOut',
+		file: QUARANTINE,
+		on: 'const SINGLED_OUT_POINTS = 4',
+		off: 'const SINGLED_OUT_POINTS = 2',
 	},
 	{
 		name: 'groupRefusals',
