Soak: a request that ends servers; ends behind something that listens for a server

Servers stand behind relays there: a probe is accepted, the end was settled by the list, by then the doubt was of a later broken connection, which had met the relay alone. Change: of a server at whose address something listens the first doubt since its last good answer is kept until the list settles it; one that had said that it leaves has not ended. Cases where all entries are killed together are judged apart: none is left that knows.

--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -20,7 +20,7 @@
 import type { Run } from './runs.ts'
 import { beginRun, endRun, leaveRun } from './runs.ts'
 import { callServer } from './serverCall.ts'
-import { noteBroken, watchLeft } from './serverEnds.ts'
+import { noteAlive, noteBroken, watchLeft } from './serverEnds.ts'
 import { buildServerHeaders } from './serverHeaders.ts'
 import { judgeTimes } from './timeliness.ts'
 import { awaitServer, serveWaiting } from './waiting.ts'
@@ -185,6 +185,7 @@
 			if (end === 'broken') noteBroken(ctx, server)
 			if (end === 'left') leave(ctx, server, run)
 			if (end === 'good') noteServed(ctx, request)
+			if (end === 'good') noteAlive(ctx, serverId)
 			free()
 			const isPlain = request.route.kind !== 'stream'
 			const tookMs = isPlain ? readNow() - sentAt : undefined
--- a/packages/gateway/src/serverEnds.ts
+++ b/packages/gateway/src/serverEnds.ts
@@ -49,6 +49,12 @@
 export interface EndWatch {
 	/** By server id. */
 	readonly doubts: Map<string, Doubt>
+	/**
+	 * Of servers at whose address a process listened, which may be something in
+	 * between: the first since the server last answered. What it was sent after that
+	 * may not have reached it.
+	 */
+	readonly answered: Map<string, Doubt>
 	/** Ids that wait to be asked. */
 	readonly queue: string[]
 	probing: number
@@ -56,7 +62,7 @@
 
 /** Makes a watch with no doubts. */
 export function createEndWatch(): EndWatch {
-	return { doubts: new Map(), queue: [], probing: 0 }
+	return { doubts: new Map(), answered: new Map(), queue: [], probing: 0 }
 }
 
 /**
@@ -132,12 +138,13 @@
 }
 
 function judgeProbe(ctx: GatewayContext, doubt: Doubt, listens: Listens): void {
-	const { doubts, queue } = ctx.ends
+	const { doubts, answered, queue } = ctx.ends
 	const { id } = doubt.server
 	if (doubts.get(id) !== doubt) return
 	switch (listens) {
 		case 'yes':
 			doubts.delete(id)
+			if (!answered.has(id)) answered.set(id, doubt)
 			doubt.settle()
 			return
 		case 'no':
@@ -153,19 +160,29 @@
 	}
 }
 
-/** Settles doubts by a list that no longer names a server's life. */
+/**
+ * Settles doubts by a list that no longer names a server's life, though it had not
+ * said that it leaves.
+ */
 export function settleByList(ctx: GatewayContext): void {
-	for (const [id, doubt] of ctx.ends.doubts) {
-		const listed = ctx.list.records.get(doubt.server.name)?.server
-		if (listed?.id !== id) believeEnd(ctx, doubt, 'list')
+	const { ends, list } = ctx
+	for (const [id, doubt] of [...ends.answered, ...ends.doubts]) {
+		const listed = list.records.get(doubt.server.name)?.server
+		if (listed?.id === id || list.left.has(id)) continue
+		believeEnd(ctx, doubt, 'list')
 	}
 }
 
 /** Forgets doubts that nothing has settled. */
 export function forgetDoubts(ctx: GatewayContext): void {
 	const now = readElapsed()
-	for (const [id, { at }] of ctx.ends.doubts)
-		if (now - at >= DOUBT_MS) ctx.ends.doubts.delete(id)
+	for (const some of [ctx.ends.doubts, ctx.ends.answered])
+		for (const [id, { at }] of some) if (now - at >= DOUBT_MS) some.delete(id)
+}
+
+/** Notes that a server gave a whole answer: it has not ended before. */
+export function noteAlive({ ends }: GatewayContext, server: string): void {
+	ends.answered.delete(server)
 }
 
 /** Waits until it is known whether a server that broke off has ended. */
@@ -183,6 +200,7 @@
 ): void {
 	const { server, at } = doubt
 	ctx.ends.doubts.delete(server.id)
+	ctx.ends.answered.delete(server.id)
 	const running = [...doubt.running.values()]
 		.sort((a, b) => b.since - a.since)
 		.slice(0, MAX_NAMED)
--- a/packages/gateway/test/quarantine.test.ts
+++ b/packages/gateway/test/quarantine.test.ts
@@ -176,6 +176,34 @@
 	world.servers.close()
 })
 
+test('a server behind something that listens for it has ended when the list says so', async () => {
+	const { entries, servers } = await openWorld(1, 2)
+	const [entry] = entries as [OpenGateway]
+	const asked = ask(entry, '/o/x', SLOW)
+	await until(() => servers.runs.length > 0)
+	const row = entry.ctx.fleet.table.rowOf.get(servers.runs[0]!.server)!
+	const server = entry.ctx.fleet.servers[row]!
+	noteBroken(entry.ctx, server)
+	await until(() => entry.ctx.ends.answered.size > 0)
+	assert.is(entry.ctx.gate.quarantine.ends.size, 0)
+	// What is sent on meanwhile meets the one in between, not the server.
+	const [run] = entry.ctx.runs.running.get(server.id)!
+	entry.ctx.runs.running.clear()
+	noteBroken(entry.ctx, server)
+	await until(() => entry.ctx.ends.doubts.size === 0)
+	const gone = { name: server.name, revision: 9, server: undefined }
+	servers.catalogs[0]!.tell({ servers: [gone] })
+	await until(() => entry.ctx.gate.quarantine.ends.size > 0)
+	const [end] = entry.ctx.gate.quarantine.ends.values()
+	assert.equal(
+		[end?.server, [...end!.ran.keys()]],
+		[server.id, [fingerprintOf(run!.request)]],
+	)
+	servers.release()
+	await asked
+	servers.close()
+})
+
 const CLOSED: { name: string; forMs: number; doubts: number }[] = [
 	{ name: 'has just closed is asked', forMs: 0, doubts: 1 },
 	{ name: 'has stood still for a while is not', forMs: 600, doubts: 0 },
--- a/soak/src/call.ts
+++ b/soak/src/call.ts
@@ -39,15 +39,15 @@
 	kind: RequestKind,
 	path: string,
 	key: string,
+	body = kind === 'repeatable' ? '' : `body of ${id} `.repeat(20),
 ): Call {
 	const now = performance.now()
 	const deadline = Math.round(drawBetween(random, ...DEADLINES_MS))
-	const hasBody = kind !== 'repeatable'
 	const asked: Asked = {
 		id: `soak-${id}`,
 		kind,
 		path,
-		body: hasBody ? `body of ${id} `.repeat(20) : '',
+		body,
 		team: TEAM_OF_KEY[key] ?? 'doomed',
 		entry: entry.index,
 		life: entry.life,
@@ -61,7 +61,7 @@
 		status: 0,
 	}
 	world.record.asked.set(asked.id, asked)
-	return { asked, key, method: hasBody ? 'POST' : 'GET' }
+	return { asked, key, method: body === '' ? 'GET' : 'POST' }
 }
 
 /** Sends a request; the caller leaves after a while, if that is given, ms. */
--- /dev/null
+++ b/soak/src/deadly.ts
@@ -0,0 +1,69 @@
+/**
+ * A request under which each server ends that runs it: its caller asks again and again,
+ * at whatever entry, and what reaches servers of it is judged.
+ */
+
+import { Agent } from 'node:http'
+import { createRandom } from '@juniperhook/core'
+import { openCall, sendCall } from './call.ts'
+import { PREFIX_OF } from './config.ts'
+import { CONTACT_MS } from './trouble.ts'
+import type { Run } from './types.ts'
+import { breakPromise, count, drawBetween, drawOf, sleep } from './types.ts'
+import type { World } from './world.ts'
+
+/** Path and body of the request, the same each time. */
+export const DEADLY_PATH = `${PREFIX_OF.once}deadly`
+const DEADLY_BODY = 'what no server survives'
+/** From the beginning of a run until its server ends, ms. */
+export const DEADLY_MS = 40
+/** Until a server that has ended is there again, ms. */
+export const DEADLY_DOWN_MS = 1_500
+const PAUSE_MS = [300, 1_500] as const
+/** Ends under it before it must be known, and sends that are allowed after that. */
+const ENDS_KNOWN = 3
+const MOST_SENDS = 3
+
+/** Asks until the soak is over. */
+export async function runDeadlyCaller(world: World): Promise<void> {
+	const random = createRandom(world.options.seed + 2)
+	const agent = new Agent({ keepAlive: false })
+	for (let at = 0; !world.over; at++) {
+		const entry = drawOf(random, world.entries)
+		const turn = { world, entry, agent, id: `deadly-${at}`, random }
+		const call = openCall(turn, 'once', DEADLY_PATH, 'key-guests', DEADLY_BODY)
+		const got = await sendCall(turn, call)
+		count(world.record, `deadly requests answered ${got.status}`)
+		await sleep(drawBetween(random, ...PAUSE_MS))
+	}
+}
+
+/**
+ * Judges what reached servers after the third end and the contact time. When all
+ * entries had been killed together none is left that knows: it begins anew.
+ */
+export function judgeDeadly(world: World): void {
+	const { record } = world
+	const sends = [...record.asked.values()]
+		.filter(({ path }) => path === DEADLY_PATH)
+		.flatMap(({ id }) => record.runs.get(id) ?? [])
+		.sort((a, b) => a.startedAt - b.startedAt)
+	count(record, 'servers that ended under the deadly request', sends.length)
+	let since = 0
+	for (const until of [...world.forgotAt, Number.POSITIVE_INFINITY]) {
+		judgeLate(
+			world,
+			sends.filter(one => one.startedAt >= since && one.startedAt < until),
+		)
+		since = until
+	}
+}
+
+function judgeLate({ record }: World, sends: readonly Run[]): void {
+	const third = sends[ENDS_KNOWN - 1]
+	if (!third) return
+	const judgedFrom = third.startedAt + DEADLY_MS + CONTACT_MS
+	const late = sends.filter(({ startedAt }) => startedAt > judgedFrom)
+	if (late.length > MOST_SENDS)
+		breakPromise(record, 'BUDGET', `${late.length} servers run ${late[0]!.id}`)
+}
--- a/soak/src/faults.ts
+++ b/soak/src/faults.ts
@@ -12,6 +12,7 @@
 	healRelay,
 	resetRelay,
 } from '@juniperhook/fakes'
+import { DEADLY_DOWN_MS } from './deadly.ts'
 import type { Managed } from './processes.ts'
 import {
 	killProcess,
@@ -73,6 +74,7 @@
 	'freeze an agent': (world, random) =>
 		freeze(world, drawOf(random, world.agents)),
 	'kill every process': world => {
+		world.forgotAt.push(performance.now())
 		for (const one of [...world.entries, ...world.agents])
 			killProcess(world.record, one)
 		return nothing
@@ -274,6 +276,11 @@
 	}
 }
 
+/** Ends a server that has run a deadly request. */
+export function endUnderRequest(world: World, backend: BackendServer): void {
+	void crash(world, backend, DEADLY_DOWN_MS)
+}
+
 /** A crash; a rank takes its group with it until it is back. */
 async function crash(
 	world: World,
--- a/soak/src/main.ts
+++ b/soak/src/main.ts
@@ -21,6 +21,7 @@
 		faults: { type: 'string', default: '14' },
 		net: { type: 'string', default: '9' },
 		only: { type: 'string', default: '' },
+		harmless: { type: 'boolean', default: false },
 		verbose: { type: 'boolean', default: false },
 	},
 })
@@ -36,6 +37,7 @@
 		faults: Number(values.faults),
 		net: Number(values.net),
 		only: values.only,
+		deadly: !values.harmless,
 		timed: true,
 		folder: join(tmpdir(), 'juniperhook-soak', `seed-${seed}`),
 	}
--- a/soak/src/servers.ts
+++ b/soak/src/servers.ts
@@ -12,6 +12,7 @@
 import { addressOf } from '../../packages/groups/test/standInGroup.ts'
 import { WIRE } from '../../platform/src/index.ts'
 import { PORTS, relayIp, serverIp } from './addresses.ts'
+import { DEADLY_MS, DEADLY_PATH } from './deadly.ts'
 import { answerControl } from './engineCalls.ts'
 import { judgeRun } from './judge.ts'
 import type { Record, Run } from './types.ts'
@@ -77,6 +78,8 @@
 	readonly net: number
 	/** Part of the group's ranks that run; it serves while all do. */
 	groupOpen: boolean
+	/** What a server does that has run a deadly request. */
+	onDeadly: (backend: BackendServer) => void
 	incarnations: number
 }
 
@@ -146,6 +149,11 @@
 	res.on('close', () => {
 		run.endedAt ??= performance.now()
 	})
+	if (req.url === DEADLY_PATH) {
+		await sleep(DEADLY_MS)
+		servers.onDeadly(backend)
+		return
+	}
 	if (backend.rank === undefined) await serveWhole(servers, backend, run, res)
 	else await serveStream(servers, backend, run, req, res)
 }
--- a/soak/src/soak.ts
+++ b/soak/src/soak.ts
@@ -2,7 +2,8 @@
 
 import { rmSync } from 'node:fs'
 import { runCaller } from './callers.ts'
-import { playFaults } from './faults.ts'
+import { judgeDeadly, runDeadlyCaller } from './deadly.ts'
+import { endUnderRequest, playFaults } from './faults.ts'
 import { watchStalls } from './stalls.ts'
 import type { Record, SoakOptions } from './types.ts'
 import { sleep } from './types.ts'
@@ -33,6 +34,10 @@
 	const callers = Array.from({ length: options.clients }, (_, number) =>
 		runCaller(world, number),
 	)
+	if (options.deadly) {
+		world.servers.onDeadly = backend => endUnderRequest(world, backend)
+		void runDeadlyCaller(world)
+	}
 	await playFaults(world)
 	await sleep(RECOVERY_MS)
 	const calmSince = performance.now()
@@ -41,6 +46,7 @@
 	world.over = true
 	await Promise.race([Promise.all(callers), sleep(LAST_ANSWERS_MS)])
 	judgeWhole(world, calmSince, stall.end())
+	if (options.deadly) judgeDeadly(world)
 	stopWorld(world)
 	for (const signal of SIGNALS) process.removeListener(signal, interrupt)
 	if (world.record.broken.length === 0)
--- a/soak/src/types.ts
+++ b/soak/src/types.ts
@@ -87,6 +87,8 @@
 	readonly only: string
 	/** Second part of the loopback addresses, so that soaks can run side by side. */
 	readonly net: number
+	/** Whether a caller sends a request that ends servers, again and again. */
+	readonly deadly: boolean
 	/** Whether promises with a time bound are judged. */
 	readonly timed: boolean
 	/** Folder for settings and logs. */
--- a/soak/src/world.ts
+++ b/soak/src/world.ts
@@ -52,6 +52,8 @@
 	growths: number
 	/** When the store was told that a server leaves or is gone, by id. */
 	readonly leftAt: Map<string, number>
+	/** When all entries were killed together, ms. */
+	readonly forgotAt: number[]
 	/** Set when the soak is over. */
 	over: boolean
 }
@@ -69,6 +71,7 @@
 		random: createRandom(seed + 1),
 		net,
 		groupOpen: true,
+		onDeadly: () => {},
 		incarnations: 0,
 	}
 	const world: World = {
@@ -85,6 +88,7 @@
 		published: [],
 		growths: 0,
 		leftAt: new Map(),
+		forgotAt: [],
 		over: false,
 	}
 	publish(world, 1, true)
--- a/soak/test/soak.process.test.ts
+++ b/soak/test/soak.process.test.ts
@@ -13,11 +13,12 @@
  * Seeds that are always run: one at random, then each that ever found a fault,
  * with a line on its cause.
  */
-const SEEDS: { seed: number; cause: string }[] = [
-	{ seed: 7, cause: 'none: a first one' },
+const SEEDS: { seed: number; cause: string; deadly: boolean }[] = [
+	{ seed: 7, cause: 'none: a first one', deadly: false },
+	{ seed: 8, cause: 'none: with a request that ends servers', deadly: true },
 ]
 
-for (const { seed, cause } of SEEDS)
+for (const { seed, cause, deadly } of SEEDS)
 	test(`soak: seed ${seed} (${cause}) breaks no promise`, async () => {
 		const record = await runSoak({
 			seed,
@@ -29,6 +30,7 @@
 			faults: 10,
 			net: 14,
 			only: '',
+			deadly,
 			timed: false,
 			folder: join(tmpdir(), 'juniperhook-soak', `test-${seed}`),
 		})
