A barred request is no demand: it is refused before it is counted

Read again: refusals of a request that ends servers counted as requests that come, by which entries share places and second sends: a flood of it would have turned others away.

--- a/packages/core/src/core/quarantine.ts
+++ b/packages/core/src/core/quarantine.ts
@@ -7,9 +7,9 @@
  * request only if it was sent there after the end that counted before, what was
  * answered whole since starts anew, and servers that end together, as those of a rack
  * or a data centre do, count half for requests that were not at all of them. An end
- * counts double if only one of the requests there had been under an end before. And an end
- * has one cause: those under the request that most speaks against say nothing more of
- * who ran beside it, however often that was.
+ * counts double if only one of the requests there had been under an end before. And
+ * an end has one cause: what the request that most speaks against was under says
+ * nothing of who ran beside it, however often that was.
  *
  * Evidence is a set of ends that only grows, until it is old: entries that have heard
  * the same, in whatever order and however often, judge the same.
--- a/packages/gateway/src/forward.ts
+++ b/packages/gateway/src/forward.ts
@@ -91,8 +91,6 @@
 	res: ServerResponse,
 ): Promise<void> {
 	const service = drawService(request.route.shares, ctx.random)
-	noteRequest(retriesOf(ctx, service), ctx.settings.retries, readNow())
-	countRequest(ctx.fleet, service)
 	const control = new AbortController()
 	const job: Job = {
 		request,
@@ -107,7 +105,6 @@
 		lastEventId: request.lastEventId,
 		times: { startMs: 0, longestPauseMs: 0 },
 	}
-	const left = request.givenUpAt - readElapsed()
 	const giveUp: GiveUp = why => {
 		const [ran, notRun] = GIVEN_UP[why]
 		finish(ctx, job, res, job.mayHaveRun ? ran : notRun)
@@ -117,6 +114,10 @@
 		giveUp('quarantined')
 		return
 	}
+	// What is sent to no server is no demand, and earns no second sends.
+	noteRequest(retriesOf(ctx, service), ctx.settings.retries, readNow())
+	countRequest(ctx.fleet, service)
+	const left = request.givenUpAt - readElapsed()
 	const timer = setTimeout(() => giveUp('timeOver'), left)
 	ctx.giveUps.set(request, giveUp)
 	res.on('close', () => {
--- a/packages/gateway/src/quarantineGate.ts
+++ b/packages/gateway/src/quarantineGate.ts
@@ -92,8 +92,10 @@
 	running: readonly RunningRequest[],
 ): void {
 	const ran = new Map<string, number>()
-	for (const { fingerprint, since } of running)
-		ran.set(fingerprint, Math.min(at - since, ran.get(fingerprint) ?? at))
+	for (const { fingerprint, since } of running) {
+		const ranMs = Math.max(0, at - since)
+		ran.set(fingerprint, Math.min(ranMs, ran.get(fingerprint) ?? ranMs))
+	}
 	takeNews(ctx, { ends: [{ server, at, ran }], served: [] }, 'here')
 }
 
