Clocks are read as one moment; what seems overdue on waking has half a second

Read again: a process that is kept from the processor between the readings of its two clocks seemed to have been suspended; with a quota of processor time that comes often. Both are read within 20 ms now, else the look is skipped. And a time of day that is set ahead would have ended requests that were served: they get half a second to end.

--- a/bench/quarantine.ts
+++ b/bench/quarantine.ts
@@ -1,9 +1,16 @@
 /**
  * Cost of keeping requests that end servers from all servers: time a request, by what
- * is remembered and by the length of its body, and memory when all is full.
+ * is remembered and by the length of its body, and memory when all is full. How many
+ * servers a request ends, and how many that ran beside it are barred by chance.
  */
 
-import { listBarred, takeEndNews } from '@juniperhook/core'
+import {
+	createQuarantine,
+	createRandom,
+	drawIndex,
+	listBarred,
+	takeEndNews,
+} from '@juniperhook/core'
 import { bodyLengthOf } from '../packages/gateway/src/fingerprint.ts'
 import type { CallerRequest } from '../packages/gateway/src/job.ts'
 import type { QuarantineGate } from '../packages/gateway/src/quarantineGate.ts'
@@ -20,6 +27,13 @@
 const MICRO = 1_000
 const KIB = 1_024
 
+const TRIALS = 3_000
+/** Requests that run beside the deadly one for the first time, at each end. */
+const NEW_BESIDE = 5
+const MOST_ROUNDS = 8
+/** Between two tries of the deadly request, ms: a group forms in between. */
+const TRY_MS = 4_000
+
 /** Runs the bench. */
 export async function run(): Promise<void> {
 	const rounds = isQuick() ? 200 : 2_000
@@ -42,6 +56,10 @@
 		],
 	])
 	printTable(['body bytes', 'remembered', 'µs a request'], rows)
+	printTable(
+		['servers', 'ends', 'ran beside it', 'barred for a time', 'still barred'],
+		[3, 16, 64].map(measureBeside),
+	)
 	printTable(
 		['full', 'value'],
 		[
@@ -51,6 +69,44 @@
 	)
 }
 
+/** Requests beside a deadly one, all of which come again once a server ended. */
+function measureBeside(servers: number): string[] {
+	const random = createRandom(5)
+	let [ends, beside, barred, stillBarred] = [0, 0, 0, 0]
+	for (let trial = 0; trial < TRIALS; trial++) {
+		const quarantine = createQuarantine()
+		const hit = new Set<string>()
+		let again: string[] = []
+		for (let round = 0; round < MOST_ROUNDS; round++) {
+			if (listBarred(quarantine).includes('deadly')) break
+			const at = round * TRY_MS
+			const here = again.filter(() => drawIndex(random, servers) === 0)
+			const answered = again.filter(one => !here.includes(one))
+			const fresh = Array.from(
+				{ length: NEW_BESIDE },
+				(_, one) => `${round}-${one}`,
+			)
+			const running = [...here, ...fresh]
+			const ran = new Map(running.map(one => [one, 100 + random() * 1_500]))
+			ran.set('deadly', 40 + random() * 1_900)
+			const end = { server: `server-${round}`, at, ran }
+			takeEndNews(quarantine, { ends: [end], served: [] }, at)
+			for (const one of listBarred(quarantine))
+				if (one !== 'deadly') hit.add(one)
+			const served = answered.map(fingerprint => ({ fingerprint, at: at + 10 }))
+			takeEndNews(quarantine, { ends: [], served }, at + 20)
+			ends++
+			beside += fresh.length
+			again = running
+		}
+		barred += hit.size
+		stillBarred += listBarred(quarantine).filter(one => one !== 'deadly').length
+	}
+	return [servers, (ends / TRIALS).toFixed(2), beside, barred, stillBarred].map(
+		String,
+	)
+}
+
 function fillGate(bodyLength: number): QuarantineGate {
 	const gate = createQuarantineGate()
 	const ends = Array.from({ length: ENDS }, (_, at) => ({
--- a/packages/gateway/src/suspension.ts
+++ b/packages/gateway/src/suspension.ts
@@ -6,6 +6,12 @@
 import { readElapsed, readSuspendedMs } from '@juniperhook/runtime'
 import type { GatewayContext } from './context.ts'
 
+/**
+ * After waking, ms: what is under way and only seems overdue, as the time of day was
+ * set ahead, mostly ends by itself meanwhile; answers that came are read.
+ */
+const OVERDUE_GRACE_MS = 500
+
 /** How long the VM was suspended by the last look, and what waits for the next one. */
 export interface SuspensionWatch {
 	knownMs: number
@@ -24,7 +30,7 @@
 	if (forMs <= 0) return
 	suspension.knownMs += forMs
 	ctx.log.write('clocks parted', { forMs: Math.round(forMs), open: ctx.open })
-	endOverdue(ctx)
+	setTimeout(() => endOverdue(ctx), OVERDUE_GRACE_MS).unref()
 	for (const wake of [...suspension.onWake]) wake()
 }
 
--- a/packages/runtime/src/utils/clock.ts
+++ b/packages/runtime/src/utils/clock.ts
@@ -13,7 +13,11 @@
 	wall: () => Date.now(),
 }
 
-const elapsed = createElapsedClock(readMoment())
+/** Between the readings of two clocks that count as one moment, ms; a turn at most. */
+const MOST_APART_MS = 20
+const READ_TRIES = 3
+
+const elapsed = createElapsedClock(readBothAtOnce() ?? readMoment())
 
 /** Monotonic time; it has no meaning outside this process. */
 export function readNow(): number {
@@ -27,7 +31,23 @@
 
 /** Time that also counts while the VM is suspended; it never goes back. */
 export function readElapsed(): number {
-	return tellElapsed(elapsed, readMoment())
+	const at = readBothAtOnce()
+	return at ? tellElapsed(elapsed, at) : clocks.now() + elapsed.suspendedMs
+}
+
+/**
+ * Both clocks, read so close together that what they differ by is no accident: a
+ * process that was kept from the processor in between would seem to wake from a
+ * suspension. Undefined when that does not come off.
+ */
+function readBothAtOnce(): Moment | undefined {
+	for (let attempt = 0; attempt < READ_TRIES; attempt++) {
+		const before = clocks.now()
+		const wall = clocks.wall()
+		const now = clocks.now()
+		if (now - before <= MOST_APART_MS) return { now, wall }
+	}
+	return undefined
 }
 
 /**
