--- /dev/null
+++ b/packages/gateway/test/peers.test.ts
@@ -0,0 +1,162 @@
+/** What gateways tell each other, and what coordinators tell them. */
+
+import { createServer as createTcpServer } from 'node:net'
+import { call, connectRpc, serveRpc } from '@juniperhook/runtime'
+import { test } from 'uvu'
+import * as assert from 'uvu/assert'
+import type { OpenGateway } from './openGateway.ts'
+import { createOpener, openGatewayAt, until } from './openGateway.ts'
+import type { Deed } from './standIns.ts'
+import {
+	CONFIG,
+	callGateway,
+	createCatalog,
+	startBackends,
+	WIRE,
+} from './standIns.ts'
+
+const backends = await startBackends(3)
+const openGateway = createOpener(21_900, backends.listed)
+const gateway = await openGateway()
+/** Entries that find each other listen on the same ports. */
+const MESH_PORT = 21_700
+
+function reset(script: readonly Deed[] = []): void {
+	backends.script = [...script]
+	backends.arrivals.length = 0
+}
+
+test('gateway: a link to a peer that goes silent is made anew', async () => {
+	let links = 0
+	const control = '127.0.0.1:21598'
+	// It takes connections and what is sent on them, and never says a word.
+	const silent = createTcpServer(socket => {
+		links++
+		socket.on('error', () => {})
+		socket.resume()
+	})
+	await new Promise<void>(resolve =>
+		silent.listen(21_598, '127.0.0.1', () => resolve()),
+	)
+	const lone = await openGateway(createCatalog(CONFIG, backends.listed), [
+		control,
+	])
+	await until(() => links >= 2)
+	assert.ok(links >= 2, `${links} links`)
+	assert.ok(lone.ctx.routes)
+	silent.close()
+})
+
+test('gateway: what the source turns away comes from peers', async () => {
+	const catalog = createCatalog(undefined, [])
+	catalog.down = true
+	const cut = await openGateway(catalog, [gateway.control])
+	await until(() => cut.ctx.routes !== undefined)
+	assert.is(cut.ctx.routes?.config.version, CONFIG.version)
+	assert.is(cut.ctx.fleet.servers.length, backends.listed.length)
+	const newer = { ...CONFIG, version: 9 }
+	gateway.catalog.tell({
+		config: { config: newer, text: JSON.stringify(newer) },
+	})
+	await until(() => cut.ctx.routes?.config.version === 9)
+	assert.is(cut.ctx.routes?.config.version, 9)
+	gateway.catalog.tell({
+		config: { config: CONFIG, text: JSON.stringify(CONFIG) },
+	})
+	await new Promise(resolve => setTimeout(resolve, 200))
+	assert.is(gateway.ctx.routes?.config.version, 9, 'never back')
+})
+
+/** A peer that has a newer configuration and keeps it to itself. */
+function startSecretivePeer(control: string, version: number) {
+	const state = {
+		name: 'secretive',
+		control,
+		config: version,
+		list: 0,
+		held: {},
+		peers: [],
+	}
+	return serveRpc(control, {
+		state: (_params, link) => {
+			void call(link, 'state', state).catch(() => {})
+			return true
+		},
+		pull: () => new Promise(() => {}),
+	})
+}
+
+const JUDGED_BEHIND = [
+	{ path: '/new/x', key: 'key-1', behind: 503, upToDate: 404 },
+	{ path: '/r/x', key: 'key-new', behind: 503, upToDate: 401 },
+	{ path: '/r/x', key: 'key-1', behind: 200, upToDate: 200 },
+]
+
+test('gateway: what only a newer configuration may know is not refused for good', async () => {
+	const control = '127.0.0.1:21594'
+	const peer = await startSecretivePeer(control, CONFIG.version + 1)
+	const catalog = createCatalog(CONFIG, backends.listed)
+	const behind = await openGateway(catalog, [control])
+	reset()
+	const ask = async (expected: 'behind' | 'upToDate') => {
+		for (const [at, judged] of JUDGED_BEHIND.entries()) {
+			const headers = {
+				[WIRE.requestId]: `${expected}-${at}`,
+				authorization: `Key ${judged.key}`,
+			}
+			const got = await callGateway(behind.callers, judged.path, headers)
+			assert.is(got.status, judged[expected], `${expected} ${judged.path}`)
+			if (got.status === 503) assert.ok(Number(got.headers['retry-after']) > 0)
+		}
+	}
+	const isTold = async () => {
+		const id = { [WIRE.requestId]: 'look' }
+		return (await callGateway(behind.callers, '/new/x', id)).status === 503
+	}
+	for (let look = 0; look < 100 && !(await isTold()); look++)
+		await new Promise(resolve => setTimeout(resolve, 20))
+	await ask('behind')
+	const newer = { ...CONFIG, version: CONFIG.version + 1 }
+	catalog.tell({ config: { config: newer, text: JSON.stringify(newer) } })
+	await until(() => behind.ctx.routes?.config.version === newer.version)
+	await ask('upToDate')
+	peer.close()
+})
+
+test('gateway: what a coordinator tells one entry reaches all, and ends', async () => {
+	const seeds = [`127.0.0.31:${MESH_PORT + 2}`]
+	const all = await Promise.all(
+		['127.0.0.31', '127.0.0.32', '127.0.0.33'].map(ip => {
+			const catalog = createCatalog(CONFIG, backends.listed)
+			return openGatewayAt(MESH_PORT, catalog, seeds, ip)
+		}),
+	)
+	const told = all[0]!
+	await until(() => all.every(one => one.ctx.fleet.heldByPeer.size === 2))
+	const link = await connectRpc(told.control, {})
+	const limitOf = (entry: OpenGateway) =>
+		entry.ctx.fleet.toldGroups.get('s/g')?.limit
+	const tell = (by: string, number: number, limit: number) =>
+		call(link, 'paces', { group: 's/g', by, number, hops: 0, slow: {}, limit })
+	await tell('first', 1, 2.5)
+	await until(() => all.every(one => limitOf(one) === 2.5))
+	assert.equal(all.map(limitOf), [2.5, 2.5, 2.5])
+	await tell('second', 1, 3.5)
+	await until(() => all.every(one => limitOf(one) === 3.5))
+	// News that were overtaken on their way change nothing.
+	await tell('first', 1, 1.5)
+	const seen = new Set<number | undefined>()
+	// Each forgets what is not told again by its own clock.
+	await until(() => {
+		for (const one of all) seen.add(limitOf(one))
+		return all.every(one => limitOf(one) === undefined)
+	})
+	assert.equal(all.map(limitOf), [undefined, undefined, undefined])
+	assert.equal([...seen].sort(), [3.5, undefined])
+	link.socket.destroy()
+})
+
+test.after(() => {
+	setImmediate(() => process.exit())
+})
+test.run()
