A round's progress is told on one clock

Read again: progress was noted by the steady clock and judged by elapsed time, and shifts of demand were compared with a start on the other clock. On a VM that had been suspended, or whose time of day had been set ahead, every round would have been given up as stuck. Change: progress alone goes by elapsed time, noted and judged; what is measured goes by the steady clock again. Test: a round on a VM that was suspended before; fails before.

--- a/packages/groups/src/orderGiver.ts
+++ b/packages/groups/src/orderGiver.ts
@@ -5,7 +5,7 @@
 
 import type { GroupRound, OrderAnswer, WantedOrder } from '@juniperhook/core'
 import { ANCHOR_RANK, listWanted, takeOrderAnswer } from '@juniperhook/core'
-import { readNow } from '@juniperhook/runtime'
+import { readElapsed, readNow } from '@juniperhook/runtime'
 import type { Coordinator } from './coordinatorState.ts'
 import { baseOf, copyMsOf } from './mapWork.ts'
 import type { OrderMessage } from './orderMessage.ts'
@@ -50,7 +50,7 @@
 	tries: number
 	/** Most experts that one rank has to copy. */
 	readonly mostNew: number
-	/** When a rank last confirmed anything, ms. */
+	/** When a rank last confirmed anything, ms of elapsed time. */
 	progressAt: number
 }
 
@@ -125,7 +125,7 @@
 	const { phase } = round
 	takeOrderAnswer(round, wanted, answer)
 	const now = readNow()
-	if (answer === 'done') run.progressAt = now
+	if (answer === 'done') run.progressAt = readElapsed()
 	const tookMs = Math.round(now - askedAt)
 	if (answer !== 'done' || (tookMs > SLOW_ORDER_MS && order.type !== 'prepare'))
 		co.log.write('order slow or refused', {
--- a/packages/groups/src/roundRunner.ts
+++ b/packages/groups/src/roundRunner.ts
@@ -13,7 +13,7 @@
 	REFUSED_TO_ARM,
 	takeAnchorReport,
 } from '@juniperhook/core'
-import { readElapsed } from '@juniperhook/runtime'
+import { readElapsed, readNow } from '@juniperhook/runtime'
 import { leadMsOf, noteArmed, noteMissed, probeLimitMs } from './armingTime.ts'
 import type { Coordinator } from './coordinatorState.ts'
 import { FENCE_BITS, pause, readAnchor } from './coordinatorState.ts'
@@ -55,13 +55,13 @@
 	const fence = nextFence(co)
 	const { epoch, size } = report
 	const round = createRound(fence, epoch, size, planned?.placements, co.undo)
-	const startedAt = readElapsed()
+	const startedAt = readNow()
 	const run: Run = {
 		round,
 		asked: new Set(),
 		tries: 0,
 		mostNew: planned?.mostNew ?? 0,
-		progressAt: startedAt,
+		progressAt: readElapsed(),
 	}
 	co.log.write('round begun', {
 		fence,
@@ -85,20 +85,20 @@
 			if (fresh && round.phase === phase) takeAnchorReport(round, fresh, lead)
 		}
 		if (round.phase !== shown) {
-			const tookMs = readElapsed() - phaseAt
+			const tookMs = readNow() - phaseAt
 			phases.push(`${shown} ${Math.round(tookMs)}`)
 			if (isUrgentPhase(shown)) urgentMs += tookMs
 			if (shown === 'arming' && round.phase === 'releasing')
 				co.armingMs = noteArmed(co.armingMs, urgentMs)
-			phaseAt = readElapsed()
+			phaseAt = readNow()
 			run.tries = 0
-			run.progressAt = phaseAt
+			run.progressAt = readElapsed()
 		}
 		co.copying = round.phase === 'preparing'
 		co.urgent = isUrgentPhase(round.phase)
 		shown = round.phase
 		const probeMs = probeLimitMs(co.armingMs, trip)
-		if (round.phase === 'probing' && readElapsed() - phaseAt > probeMs) {
+		if (round.phase === 'probing' && readNow() - phaseAt > probeMs) {
 			co.armingMs = noteMissed(co.armingMs, probeMs)
 			giveUpProbing(round)
 		}
@@ -169,7 +169,7 @@
 		reason: round.reason,
 		inherited: round.inherited,
 		step: round.step,
-		tookMs: Math.round(readElapsed() - startedAt),
+		tookMs: Math.round(readNow() - startedAt),
 		phases,
 	})
 	co.undo = round.reason === REFUSED_TO_ARM
@@ -183,6 +183,6 @@
 	const ours = round.map && !round.inherited && round.version > 0
 	if (!ours) return
 	co.copyingMs = copyingMsOf(co, run)
-	noteOverhead(co, readElapsed() - startedAt - co.copyingMs)
+	noteOverhead(co, readNow() - startedAt - co.copyingMs)
 	setMap(co, round.map!, { epoch: round.epoch, map: round.version })
 }
--- a/packages/groups/test/roundRunner.test.ts
+++ b/packages/groups/test/roundRunner.test.ts
@@ -2,7 +2,7 @@
 
 import type { MapPlan, RankReport } from '@juniperhook/core'
 import { createRandom, dealExperts } from '@juniperhook/core'
-import { createEventLog, readNow } from '@juniperhook/runtime'
+import { clocks, createEventLog, readNow } from '@juniperhook/runtime'
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
 import type { EnginePort, PublishedGroup } from '../src/index.ts'
@@ -49,7 +49,14 @@
 	after: 1,
 }
 
-test('a round whose plan is outdated is left while ranks copy experts', async () => {
+const { wall } = clocks
+
+test.after.each(() => {
+	clocks.wall = wall
+})
+
+/** Runs a round in which nothing is prepared; gives what is written of its end. */
+async function runOutdated(): Promise<Record<string, unknown>[]> {
 	const ended: Record<string, unknown>[] = []
 	const log = {
 		...createEventLog('test'),
@@ -77,10 +84,22 @@
 	)
 	fitGroup(co, GROUP)
 	await runRound(co, REPORT, PLAN)
-	assert.is(ended.length, 1)
-	assert.is(ended[0]!.phase, 'preparing')
-	assert.is(ended[0]!.reason, 'demand has shifted')
 	assert.not(asked.includes('hold'))
-})
+	return ended
+}
+
+const SUSPENDED: { name: string; forMs: number }[] = [
+	{ name: 'a VM that never was suspended', forMs: 0 },
+	{ name: 'a VM that was suspended before', forMs: 60_000 },
+]
+
+for (const { name, forMs } of SUSPENDED)
+	test(`on ${name} a round whose plan is outdated is left while ranks copy experts`, async () => {
+		clocks.wall = () => wall() + forMs
+		const ended = await runOutdated()
+		assert.is(ended.length, 1)
+		assert.is(ended[0]!.phase, 'preparing')
+		assert.is(ended[0]!.reason, 'demand has shifted')
+	})
 
 test.run()
