--- a/soak/src/processes.ts
+++ b/soak/src/processes.ts
@@ -178,9 +178,15 @@
 	}, GRACE_MS)
 }
 
-/** Ends a process for good. */
-export function endProcess(managed: Managed): void {
+/**
+ * Ends a process for good; resolves when it is gone. On a busy machine that takes
+ * longer than until the next soak binds its addresses.
+ */
+export function endProcess(managed: Managed): Promise<void> {
 	managed.wanted = false
 	managed.told = true
-	managed.child?.kill('SIGKILL')
+	const { child } = managed
+	if (!child) return Promise.resolve()
+	child.kill('SIGKILL')
+	return new Promise(resolve => child.once('exit', () => resolve()))
 }
--- a/soak/src/soak.ts
+++ b/soak/src/soak.ts
@@ -26,7 +26,7 @@
 	rmSync(options.folder, { recursive: true, force: true })
 	const world = await startWorld(options)
 	const interrupt = () => {
-		stopWorld(world)
+		void stopWorld(world)
 		process.exit(1)
 	}
 	for (const signal of SIGNALS) process.once(signal, interrupt)
@@ -47,7 +47,7 @@
 	await Promise.race([Promise.all(callers), sleep(LAST_ANSWERS_MS)])
 	judgeWhole(world, calmSince, stall.end())
 	if (options.deadly) judgeDeadly(world)
-	stopWorld(world)
+	await stopWorld(world)
 	for (const signal of SIGNALS) process.removeListener(signal, interrupt)
 	if (world.record.broken.length === 0)
 		rmSync(options.folder, { recursive: true, force: true })
--- a/soak/src/world.ts
+++ b/soak/src/world.ts
@@ -182,14 +182,16 @@
 	world.published.push({ version, at: performance.now(), keepsDoomed })
 }
 
-/** Ends everything that the soak started. */
-export function stopWorld(world: World): void {
-	for (const managed of [...world.entries, ...world.agents]) endProcess(managed)
+/** Ends everything that the soak started; resolves when its processes are gone. */
+export async function stopWorld(world: World): Promise<void> {
+	const managed = [...world.entries, ...world.agents]
+	const ended = Promise.all(managed.map(endProcess))
 	for (const relay of allRelays(world)) stopRelay(relay)
 	for (const backend of world.servers.all) crashServer(backend)
 	world.servers.group.stop()
 	world.store.server.closeAllConnections()
 	world.store.server.close()
+	await ended
 }
 
 /** Every relay. */
