Sight: what servers say of how many requests a second they take is read and logged

Now a line each time what a server says changes, with the value before and from whom, a line for an unreadable one, and a gauge of servers with a limit. Nothing is decided by it yet.

--- /dev/null
+++ b/packages/core/src/core/rateLimits.ts
@@ -0,0 +1,70 @@
+/**
+ * How many requests a second servers say they take from all entries together. A server
+ * says so in its answers for as long as it holds; the newest word about it wins, whoever
+ * heard it.
+ */
+
+/** A server's last word. */
+export interface RateWord {
+	/** Requests a second; undefined for as many as come. */
+	readonly perSecond: number | undefined
+	/** When the server last said so, ms. */
+	readonly at: number
+	/** Since when it has said the same, as far as is known here, ms. */
+	readonly since: number
+}
+
+/** Last words, by server id. */
+export type RateLimits = Map<string, RateWord>
+
+/**
+ * Of a server that is not listed, or that has no limit any more, the last word is kept
+ * for this long, ms: an older word that comes late must not count as news.
+ */
+const KEPT_MS = 60_000
+
+/** Makes a record of servers that said nothing. */
+export function createRateLimits(): RateLimits {
+	return new Map()
+}
+
+/** Reads a limit as a server writes it; undefined if it is none. */
+export function parsePerSecond(text: string): number | undefined {
+	const perSecond = text.trim() === '' ? Number.NaN : Number(text)
+	return Number.isFinite(perSecond) && perSecond >= 0 ? perSecond : undefined
+}
+
+/** Takes a server's word unless a newer one is known; true if it changes the limit. */
+export function takeRateWord(
+	limits: RateLimits,
+	server: string,
+	{ perSecond, at }: Pick<RateWord, 'perSecond' | 'at'>,
+): boolean {
+	const known = limits.get(server)
+	if (!known && perSecond === undefined) return false
+	if (known && known.at >= at) return false
+	const isSame = known?.perSecond === perSecond
+	const since = known && isSame ? known.since : at
+	limits.set(server, { perSecond, at, since })
+	return !isSame
+}
+
+/** Requests a second that a server takes; undefined for as many as come. */
+export function perSecondOf(
+	limits: RateLimits,
+	server: string,
+): number | undefined {
+	return limits.get(server)?.perSecond
+}
+
+/** Forgets old words of servers that have no limit or, by `isListed`, are gone. */
+export function forgetRateWords(
+	limits: RateLimits,
+	isListed: (server: string) => boolean,
+	now: number,
+): void {
+	for (const [server, { perSecond, at }] of limits) {
+		const isInForce = perSecond !== undefined && isListed(server)
+		if (!isInForce && now - at > KEPT_MS) limits.delete(server)
+	}
+}
--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -17,6 +17,7 @@
 import type { AttemptResult, Job } from './job.ts'
 import { noteFirst, pressureOf, spareMs } from './pressure.ts'
 import { isSuspected, noteServed } from './quarantineGate.ts'
+import { noteRateHint } from './rateLimits.ts'
 import type { Run } from './runs.ts'
 import { beginRun, endRun, leaveRun } from './runs.ts'
 import { callServer } from './serverCall.ts'
@@ -127,6 +128,7 @@
 	const mayHaveRunBefore = job.mayHaveRun
 	job.mayHaveRun = true
 	const sentAt = readNow()
+	const sentAtElapsed = readElapsed()
 	run = beginRun(ctx.runs, serverId, request)
 	const result = await callServer({
 		address: server.address,
@@ -161,6 +163,12 @@
 	const { answer } = result
 	const { headers } = answer.message
 	noteToldLoad(fleet, serverId, readHeader(headers[wire.load]), readNow())
+	if (answer.status !== MISDIRECTED)
+		noteRateHint(ctx, serverId, {
+			text: readHeader(headers[wire.rateLimit]),
+			sentAt: sentAtElapsed,
+			ran: headers[wire.notRun] === undefined,
+		})
 	if (headers[wire.notRun] !== undefined || answer.status === MISDIRECTED) {
 		if (answer.status === MISDIRECTED) dropDisplaced(ctx, serverId)
 		answer.message.resume()
--- a/packages/gateway/src/context.ts
+++ b/packages/gateway/src/context.ts
@@ -3,6 +3,7 @@
 import type {
 	Closures,
 	Random,
+	RateLimits,
 	RetryAllowance,
 	RetryWindow,
 	RouteTable,
@@ -86,6 +87,8 @@
 	readonly runs: Runs
 	/** Servers that may have ended. */
 	readonly ends: EndWatch
+	/** What servers say of how many requests a second they take. */
+	readonly rateLimits: RateLimits
 	/** Requests under which servers ended. */
 	readonly gate: QuarantineGate
 	/** Whether the VM was suspended. */
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -6,6 +6,7 @@
 import type { Duplex } from 'node:stream'
 import {
 	createRandom,
+	createRateLimits,
 	createServerList,
 	ERRORS,
 	splitAddress,
@@ -72,6 +73,7 @@
 		runs: createRuns(),
 		ends: createEndWatch(),
 		suspension: createSuspensionWatch(),
+		rateLimits: createRateLimits(),
 		open: 0,
 		gate: createQuarantineGate(),
 		giveUps: new Map(),
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -25,6 +25,8 @@
 	readonly serverEnds: Counter<'witness'>
 	/** Requests that are sent to no server, for servers ended under them. */
 	readonly quarantined: Gauge
+	/** Servers that take only so many requests a second. */
+	readonly limitedServers: Gauge
 	readonly firstByte: Histogram
 	readonly pauses: Histogram
 	readonly waiting: Histogram
@@ -92,6 +94,11 @@
 			help: 'Requests that are sent to no server, as servers ended under them',
 			registers,
 		}),
+		limitedServers: new Gauge({
+			name: 'juniperhook_limited_servers',
+			help: 'Servers that take only so many requests a second, as they say',
+			registers,
+		}),
 		firstByte: histogram(registry, 'first_byte', LATENCY_BUCKETS),
 		pauses: histogram(registry, 'event_pause', PAUSE_BUCKETS),
 		waiting: histogram(registry, 'queue', LATENCY_BUCKETS),
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -60,6 +60,8 @@
 	readonly seal: string
 	/** `running,waiting,slots` of the server. */
 	readonly load: string
+	/** Requests a second that the server takes from all entries together. */
+	readonly rateLimit: string
 	readonly lastEventId: string
 	readonly priority: string
 	/** Tokens of the prompt and the most that are generated. */
--- a/packages/gateway/test/standIns.ts
+++ b/packages/gateway/test/standIns.ts
@@ -22,6 +22,7 @@
 	atFault: 'x-fault',
 	seal: 'x-seal',
 	load: 'x-load',
+	rateLimit: 'x-rate-limit',
 	lastEventId: 'last-event-id',
 	priority: 'x-priority',
 	tokens: 'x-tokens',
