A server's limit is kept by all entries together: one gives permits, nothing goes without

What callers saw: nothing, until the servers in need fell over under what they were sent; servers that named 1 request a second got 12 in four seconds.

Cause: no entry read what servers name; arrivals did not change when they named it (hypothesis 1, shown by one entry alone). Hypothesis 2 was tried as the other mend: each entry keeping the limit by itself. So a part for each entry was ruled out, and also equal fractions of a request: callers that lean to one entry would get a 36th of what the limit allows.

Change: the newest word of a server is told to all entries (at once, with each state, on new links); all that hear each other take the same one of them for its home (rendezvous hashing), and ask it for permits. A permit waits for the next request where others have room; where all servers have limits callers wait for one that is due in time, others are refused at once (rateLimited) with the time of the next. First sends, second sends, tries of closed groups: all go by the one place that chooses a server. Cut into parts, the larger part goes on, smaller ones keep to their part of the limit, each at another moment. A word without a limit ends it, if its request was sent after the limit was known.

--- a/packages/core/src/core/dispatch.ts
+++ b/packages/core/src/core/dispatch.ts
@@ -26,6 +26,10 @@
 	readonly near: ReadonlySet<number>
 	/** Requests sent to the service since entries told each other what they hold. */
 	readonly untold: number
+	/** Servers that may be sent so many requests a second, with a permit for one now. */
+	readonly permitted: ReadonlySet<number>
+	/** Those without one. */
+	readonly spent: ReadonlySet<number>
 }
 
 /** What a choice gives. */
@@ -162,7 +166,9 @@
 ): DispatchChoice {
 	const open = query.rows.filter(row => table.open[row] === 1)
 	if (open.length === 0) return { kind: 'none' }
-	const candidates = listSound(table, query, open, now)
+	const free = open.filter(row => !query.spent.has(row))
+	if (free.length === 0) return { kind: 'full' }
+	const candidates = listSound(table, query, free, now)
 	const elsewhere = expectElsewhere(query.untold, countOwn(table, query))
 	const withRoom = candidates.filter(row =>
 		hasRoom(table, query, row, elsewhere),
@@ -171,7 +177,7 @@
 	const penalties = penaltiesOf(table, candidates, now)
 	let best = -1
 	let bestLoad = Number.POSITIVE_INFINITY
-	for (const row of drawCompared(table, withRoom, random)) {
+	for (const row of drawCompared(table, query, withRoom, random)) {
 		const far = query.near.has(row) ? 0 : FAR_LOAD
 		const slow = slownessOfRank(table, row)
 		const held = heldBy(table, row) + elsewhere * table.dealtElsewhere[row]!
@@ -204,20 +210,21 @@
 
 function hasRoom(
 	table: ServerTable,
-	{ queueRoom, shutGroups }: DispatchQuery,
+	{ queueRoom, shutGroups, permitted }: DispatchQuery,
 	row: number,
 	elsewhere: number,
 ): boolean {
 	if (shutGroups.has(table.group[row]!)) return false
 	const left = Math.max(LEFT_ELSEWHERE, Math.floor(elsewhere))
-	const places =
-		table.slots[row]! + queueRoom - left * table.dealtElsewhere[row]!
+	// A permit is for this entry, whoever turns to the server first.
+	const isElsewhere = table.dealtElsewhere[row] === 1 && !permitted.has(row)
+	const places = table.slots[row]! + queueRoom - (isElsewhere ? left : 0)
 	return heldBy(table, row) < Math.min(places, Math.ceil(table.most[row]!))
 }
 
 /**
  * The servers that are compared, in random order: those that this entry turns to
- * first, and a few of the others. What entries know of each other is up to a fifth of
+ * first or has a permit for, and a few of the others. What entries know of each other is up to a fifth of
  * a second old; if all compared all, all would send to the same emptiest ones. Of
  * requests at 64 ranks whose places are half taken, 2.5% got behind slots so and 0.0%
  * get there now; at 192 ranks with 0.77 of their places taken, 23% and 1.8% (worked
@@ -225,11 +232,14 @@
  */
 function drawCompared(
 	table: ServerTable,
+	{ permitted }: DispatchQuery,
 	rows: readonly number[],
 	random: Random,
 ): number[] {
-	const own = rows.filter(row => table.dealtElsewhere[row] === 0)
-	const others = rows.filter(row => table.dealtElsewhere[row] === 1)
+	const isOwn = (row: number) =>
+		table.dealtElsewhere[row] === 0 || permitted.has(row)
+	const own = rows.filter(isOwn)
+	const others = rows.filter(row => !isOwn(row))
 	const drawn = Math.max(LEAST_DRAWN, LEAST_COMPARED - own.length)
 	const compared = [...own, ...drawSome(others, drawn, random)]
 	return drawSome(compared, compared.length, random)
--- a/packages/core/src/core/errors.ts
+++ b/packages/core/src/core/errors.ts
@@ -70,6 +70,13 @@
 		busy,
 		'No backend server can start this in time.',
 	),
+	rateLimited: row(
+		503,
+		'no',
+		1000,
+		busy,
+		'The servers that could run this take no more requests for now.',
+	),
 	noServer: row(503, 'no', 2000, busy, 'No backend server is available.'),
 	noConfig: row(503, 'no', 2000, busy, 'No configuration is in force yet.'),
 	quarantined: row(
--- a/packages/core/test/dispatch.test.ts
+++ b/packages/core/test/dispatch.test.ts
@@ -51,6 +51,8 @@
 	rows: [0, 1, 2],
 	tried: new Set<number>(),
 	queueRoom: 0,
+	permitted: new Set<number>(),
+	spent: new Set<number>(),
 	shutGroups: new Set<number>(),
 	near: new Set([0, 1, 2]),
 	untold: 0,
--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -74,6 +74,8 @@
 	switch (grant.kind) {
 		case 'full':
 			return { kind: 'refused', error: 'overloaded' }
+		case 'limited':
+			return { kind: 'refused', error: 'rateLimited' }
 		case 'none':
 			return { kind: 'refused', error: 'noServer' }
 		case 'server':
--- a/packages/gateway/src/comeBack.ts
+++ b/packages/gateway/src/comeBack.ts
@@ -4,6 +4,7 @@
 import { readNow } from '@juniperhook/runtime'
 import { expectOpenMs } from './closedGroups.ts'
 import type { GatewayContext } from './context.ts'
+import { outlookOf } from './permitGate.ts'
 import { pressureOf } from './pressure.ts'
 
 /** For a refusal to reach its caller, who reckons from then on, ms. */
@@ -18,7 +19,8 @@
 	const now = readNow()
 	const { flow, full, returns } = pressureOf(ctx.pressures, service)
 	const closedMs = expectOpenMs(ctx, service, now)
-	const openInMs = Math.max(closedMs, expectSpellEnd(full, now))
+	const permitMs = outlookOf(ctx, service)?.moreMs ?? 0
+	const openInMs = Math.max(closedMs, expectSpellEnd(full, now), permitMs)
 	const gapMs = gapNow(flow, now)
 	const heededMs = leftMs * ctx.settings.heededShare - WAY_MS
 	return bookReturn(returns, { openInMs, gapMs, heededMs }, now, ctx.random)
--- a/packages/gateway/src/context.ts
+++ b/packages/gateway/src/context.ts
@@ -14,6 +14,8 @@
 import type { Fleet } from './fleet.ts'
 import type { CallerRequest, GiveUp } from './job.ts'
 import type { GatewayMetrics } from './metrics.ts'
+import type { PermitGate } from './permitGate.ts'
+import type { PermitHomes } from './permitHome.ts'
 import type { CallerPatience, PublishedConfig, WireNames } from './ports.ts'
 import type { Pressure } from './pressure.ts'
 import type { QuarantineGate } from './quarantineGate.ts'
@@ -89,6 +91,11 @@
 	readonly ends: EndWatch
 	/** What servers say of how many requests a second they take. */
 	readonly rateLimits: RateLimits
+	/** Servers whose limit other entries are to be told. */
+	readonly untoldRates: Set<string>
+	/** Permits that this entry has, and those that it gives to others. */
+	readonly permits: PermitGate
+	readonly permitHomes: PermitHomes
 	/** Requests under which servers ended. */
 	readonly gate: QuarantineGate
 	/** Whether the VM was suspended. */
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -19,8 +19,11 @@
 import { serveCaller } from './forward.ts'
 import { createGatewayMetrics } from './metrics.ts'
 import { startPeers } from './peers.ts'
+import { createPermitGate, forgetPermits } from './permitGate.ts'
+import { createPermitHomes } from './permitHome.ts'
 import type { CatalogSource, WireNames } from './ports.ts'
 import { createQuarantineGate } from './quarantineGate.ts'
+import { forgetRates } from './rateLimits.ts'
 import { createRuns, forgetLeft } from './runs.ts'
 import { createEndWatch, forgetDoubts } from './serverEnds.ts'
 import { createServerPool } from './serverPool.ts'
@@ -74,6 +77,9 @@
 		ends: createEndWatch(),
 		suspension: createSuspensionWatch(),
 		rateLimits: createRateLimits(),
+		untoldRates: new Set(),
+		permits: createPermitGate(),
+		permitHomes: createPermitHomes(settings.control),
 		open: 0,
 		gate: createQuarantineGate(),
 		giveUps: new Map(),
@@ -101,6 +107,8 @@
 	tickCatalog(ctx)
 	forgetDoubts(ctx)
 	forgetLeft(ctx.runs)
+	forgetRates(ctx)
+	forgetPermits(ctx)
 	serveWaiting(ctx)
 	const limits = ctx.routes?.config.limits
 	if (!limits) return
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -27,6 +27,8 @@
 	readonly quarantined: Gauge
 	/** Servers that take only so many requests a second. */
 	readonly limitedServers: Gauge
+	/** Questions for permits of servers with a limit. */
+	readonly permits: Counter<'outcome'>
 	readonly firstByte: Histogram
 	readonly pauses: Histogram
 	readonly waiting: Histogram
@@ -99,6 +101,12 @@
 			help: 'Servers that take only so many requests a second, as they say',
 			registers,
 		}),
+		permits: new Counter({
+			name: 'juniperhook_permits_total',
+			help: 'Questions for permits to send to a server with a limit',
+			labelNames: ['outcome'],
+			registers,
+		}),
 		firstByte: histogram(registry, 'first_byte', LATENCY_BUCKETS),
 		pauses: histogram(registry, 'event_pause', PAUSE_BUCKETS),
 		waiting: histogram(registry, 'queue', LATENCY_BUCKETS),
--- a/packages/gateway/src/peerLinks.ts
+++ b/packages/gateway/src/peerLinks.ts
@@ -26,7 +26,9 @@
 	readonly links: Map<string, RpcLink | undefined>
 	/** Addresses that links are kept to. */
 	kept: ReadonlySet<string>
-	/** Known addresses when links were last chosen. */
+	/** Addresses that links are wanted to besides those chosen. */
+	readonly wanted: Set<string>
+	/** Known and wanted addresses when links were last chosen. */
 	chosenOf: number
 	/** What is served on links, and what follows when one comes up. */
 	readonly methods: Methods
@@ -38,7 +40,14 @@
 	methods: Methods,
 	onLink: PeerLinks['onLink'],
 ): PeerLinks {
-	return { links: new Map(), kept: new Set(), chosenOf: 0, methods, onLink }
+	return {
+		links: new Map(),
+		kept: new Set(),
+		wanted: new Set(),
+		chosenOf: 0,
+		methods,
+		onLink,
+	}
 }
 
 /** Notes addresses of entries. */
@@ -50,6 +59,11 @@
 		if (!links.has(address)) links.set(address, undefined)
 }
 
+/** Keeps a link to an entry whether it is chosen or not. */
+export function wantLink({ wanted, kept }: PeerLinks, address: string): void {
+	if (!kept.has(address)) wanted.add(address)
+}
+
 /** Links that are up. */
 export function listOpen({ links }: PeerLinks): RpcLink[] {
 	return [...links.values()].filter(link => link !== undefined)
@@ -76,10 +90,12 @@
 		peers,
 		seeds.filter(address => address !== control),
 	)
-	if (links.size === peers.chosenOf) return
-	peers.chosenOf = links.size
+	const size = links.size + peers.wanted.size
+	if (size === peers.chosenOf) return
+	peers.chosenOf = size
 	const before = peers.kept
-	peers.kept = new Set(chooseLinks(control, [...links.keys()]))
+	const chosen = chooseLinks(control, [...links.keys()])
+	peers.kept = new Set([...chosen, ...peers.wanted])
 	for (const address of peers.kept)
 		if (!before.has(address)) void keepLink(ctx, peers, address)
 	for (const address of before)
--- a/packages/gateway/src/peerMessages.ts
+++ b/packages/gateway/src/peerMessages.ts
@@ -11,6 +11,42 @@
 	/** Requests that each rank may hold. */
 	limit: v.optional(v.number()),
 })
+/** What a server last said of the requests a second that it takes. */
+const RateNewsSchema = v.object({
+	server: v.string(),
+	/** Absent for as many as come. */
+	perSecond: v.optional(v.pipe(v.number(), v.finite(), v.minValue(0))),
+	/** Since it said so, ms. */
+	agoMs: v.pipe(v.number(), v.finite()),
+})
+/** See {@link RatesSchema}. */
+export type RateNews = v.InferOutput<typeof RateNewsSchema>
+/** Limits of servers that have changed. */
+export const RatesSchema = v.object({ rates: v.array(RateNewsSchema) })
+/** Asks a server's home for permits. */
+export const PermitAskSchema = v.object({
+	/** What the asker knows of the server's limit. */
+	word: RateNewsSchema,
+	count: v.pipe(v.number(), v.integer(), v.minValue(1), v.maxValue(1_000)),
+	/** How long its callers can wait, ms. */
+	withinMs: v.pipe(v.number(), v.finite()),
+})
+/** See {@link PermitAskSchema}. */
+export type PermitAsk = v.InferOutput<typeof PermitAskSchema>
+/** Permits, or why there are none. */
+export const PermitReplySchema = v.variant('type', [
+	v.object({
+		type: v.literal('permits'),
+		/** When each may be used, from now, ms. */
+		dueMs: v.array(v.pipe(v.number(), v.finite())),
+		/** Until more may be given, ms. */
+		waitMs: v.pipe(v.number(), v.finite()),
+	}),
+	/** Another entry gives them, as far as the one that was asked knows. */
+	v.object({ type: v.literal('notHome') }),
+])
+/** See {@link PermitReplySchema}. */
+export type PermitReply = v.InferOutput<typeof PermitReplySchema>
 /** What an entry holds, told to its peers. */
 export const StateSchema = v.object({
 	name: v.string(),
@@ -24,6 +60,8 @@
 		v.record(v.string(), v.object({ come: v.number(), end: v.number() })),
 		{},
 	),
+	/** Limits of servers; absent while none has one. */
+	rates: v.optional(v.array(RateNewsSchema), []),
 	/** Control addresses of entries; not told each time. */
 	peers: v.optional(v.array(v.string()), []),
 })
--- a/packages/gateway/src/peerStates.ts
+++ b/packages/gateway/src/peerStates.ts
@@ -3,7 +3,12 @@
  * held, what comes to each, and how many requests each has at every server.
  */
 
-import { splitAddress } from '@juniperhook/core'
+import {
+	noteEntryHeard,
+	noteEntryNamed,
+	PEER_SILENT_MS,
+	splitAddress,
+} from '@juniperhook/core'
 import type { RpcLink } from '@juniperhook/runtime'
 import {
 	call,
@@ -22,6 +27,7 @@
 import { HeldNewsSchema, StateSchema } from './peerMessages.ts'
 import type { PeerNews } from './peerNews.ts'
 import { heldVersion, takeNews } from './peerNews.ts'
+import { listRates, takeToldRates } from './rateLimits.ts'
 
 /**
  * Between states told to peers while something changes, ms: so much at least, and
@@ -34,8 +40,6 @@
 const HEARTBEAT_MS = 500
 /** Addresses of all known entries are told this often, and when one is new, ms. */
 const ROSTER_MS = 5_000
-/** A peer that has been silent for this long holds nothing any more, ms. */
-const SILENT_MS = 2_000
 /** A peer counts as an entry for this long after its last word, ms. */
 const REMEMBERED_MS = 10_000
 /** A peer that has not confirmed a state by then is told on a new link, ms. */
@@ -95,6 +99,7 @@
 		held: Object.fromEntries(ctx.fleet.held),
 		dataCentre: ctx.settings.dataCentre,
 		flows: tellFlows(ctx.fleet),
+		rates: listRates(ctx),
 	}
 }
 
@@ -175,11 +180,16 @@
 	const state = v.parse(StateSchema, params)
 	const now = readNow()
 	states.heardAt.set(state.name, readElapsed())
-	const addresses = [state.control, ...state.peers]
-	noteAddresses(
-		peers,
-		addresses.filter(address => isOtherEntry(ctx, address)),
+	const addresses = [state.control, ...state.peers].filter(address =>
+		isOtherEntry(ctx, address),
 	)
+	noteAddresses(peers, addresses)
+	const { roster } = ctx.permitHomes
+	for (const address of addresses)
+		noteEntryNamed(roster, address, readElapsed())
+	if (isOtherEntry(ctx, state.control))
+		noteEntryHeard(roster, state.control, readElapsed())
+	takeToldRates(ctx, state.rates, state.name)
 	const { dataCentre, flows } = state
 	const held = new Map(Object.entries(state.held))
 	ctx.fleet.peerDemand.set(state.name, { dataCentre, flows })
@@ -216,7 +226,7 @@
 export function forgetSilent(ctx: GatewayContext, states: PeerStates): void {
 	const now = readElapsed()
 	for (const [name, heardAt] of states.heardAt) {
-		if (now - heardAt > SILENT_MS) dropPeerLoad(ctx.fleet, name, readNow())
+		if (now - heardAt > PEER_SILENT_MS) dropPeerLoad(ctx.fleet, name, readNow())
 		if (now - heardAt > REMEMBERED_MS) states.heardAt.delete(name)
 	}
 	const seeds = ctx.settings.seeds.length
--- a/packages/gateway/src/peers.ts
+++ b/packages/gateway/src/peers.ts
@@ -3,8 +3,15 @@
  * to other entries.
  */
 
+import { noteEntryNamed } from '@juniperhook/core'
 import type { Methods, RpcLink } from '@juniperhook/runtime'
-import { messageOf, notify, readElapsed, serveRpc } from '@juniperhook/runtime'
+import {
+	call,
+	messageOf,
+	notify,
+	readElapsed,
+	serveRpc,
+} from '@juniperhook/runtime'
 import * as v from 'valibot'
 import { answerPiece, createConfigServer } from './configTransfer.ts'
 import type { GatewayContext } from './context.ts'
@@ -15,8 +22,14 @@
 	listOpen,
 	listSome,
 	tellOn,
+	wantLink,
 } from './peerLinks.ts'
-import { PieceRequestSchema } from './peerMessages.ts'
+import type { PermitAsk, PermitReply } from './peerMessages.ts'
+import {
+	PermitReplySchema,
+	PieceRequestSchema,
+	RatesSchema,
+} from './peerMessages.ts'
 import { answerRecords, createPeerNews } from './peerNews.ts'
 import {
 	createPeerStates,
@@ -26,12 +39,16 @@
 	tellAll,
 	tellPeers,
 } from './peerStates.ts'
+import { answerPermits, lookAtHomes } from './permitHome.ts'
 import type { CatalogSource } from './ports.ts'
 import { drainUntold, listKnownEnds, takeToldEnds } from './quarantineGate.ts'
+import { drainUntoldRates, takeToldRates } from './rateLimits.ts'
 import { forgetGroups, takePaces } from './toldGroups.ts'
 
 /** Between looks at whether peers are to be told, ms. */
 const LOOK_MS = 50
+/** A home that has not answered by then stands still or is gone, ms. */
+const ASK_MS = 300
 
 /** Serves peers and keeps links to them. */
 export async function startPeers(
@@ -51,6 +68,9 @@
 		},
 		held: (params: unknown) => takeHeld(ctx, params),
 		ends: (params: unknown) => takeToldEnds(ctx, params),
+		rates: (params: unknown) =>
+			takeToldRates(ctx, v.parse(RatesSchema, params).rates, 'peer'),
+		permits: (params: unknown) => answerPermits(ctx, params),
 		configPiece: (params: unknown, link: RpcLink) =>
 			answerPiece(
 				configs,
@@ -70,16 +90,44 @@
 		const known = listKnownEnds(ctx)
 		if (known) notify(link, 'ends', known)
 	})
+	ctx.permits.askHome = (home, ask) => askHome(peers, home, ask)
+	for (const seed of ctx.settings.seeds)
+		if (seed !== ctx.settings.control)
+			noteEntryNamed(ctx.permitHomes.roster, seed, readElapsed())
 	await serveRpc(ctx.settings.control, methods)
 	setInterval(() => {
 		keepLinks(ctx, peers)
+		lookAtHomes(ctx, address => peers.kept.has(address))
 		tellEnds(ctx, peers)
+		tellRates(ctx, peers)
 		tellPeers(ctx, peers, states)
 		forgetSilent(ctx, states)
 		forgetGroups(ctx, readElapsed())
 	}, LOOK_MS)
 }
 
+/** Asks a server's home for permits; without a link, one is made from now on. */
+function askHome(
+	peers: PeerLinks,
+	home: string,
+	ask: PermitAsk,
+): Promise<PermitReply> | undefined {
+	const link = peers.links.get(home)
+	if (link)
+		return call(link, 'permits', ask, ASK_MS).then(reply =>
+			v.parse(PermitReplySchema, reply),
+		)
+	wantLink(peers, home)
+	return undefined
+}
+
+/** What is news to this entry of servers' limits is told to all, as ends are. */
+function tellRates(ctx: GatewayContext, peers: PeerLinks): void {
+	const rates = drainUntoldRates(ctx)
+	if (!rates) return
+	for (const link of listOpen(peers)) notify(link, 'rates', { rates })
+}
+
 /** What is news to this entry is told to all, whoever it came from. */
 function tellEnds(ctx: GatewayContext, peers: PeerLinks): void {
 	const news = drainUntold(ctx)
--- /dev/null
+++ b/packages/gateway/src/permitHome.ts
@@ -0,0 +1,103 @@
+/**
+ * The side of an entry that hands out the permits of servers with a limit. All entries
+ * that hear each other take the same one of them for a server's home.
+ */
+
+import type {
+	EntryRoster,
+	PermitPool,
+	Permits,
+	PermitWish,
+} from '@juniperhook/core'
+import {
+	createEntryRoster,
+	createPermitPool,
+	findPermitHome,
+	lookAtRoster,
+	paceOfHome,
+	perSecondOf,
+	takePermits,
+} from '@juniperhook/core'
+import { readElapsed } from '@juniperhook/runtime'
+import * as v from 'valibot'
+import type { GatewayContext } from './context.ts'
+import type { PermitReply } from './peerMessages.ts'
+import { PermitAskSchema } from './peerMessages.ts'
+import { takeToldRates } from './rateLimits.ts'
+
+/** Homes, and the pools of those servers that this entry is home to. */
+export interface PermitHomes {
+	readonly roster: EntryRoster
+	/** By server id. */
+	readonly pools: Map<string, PermitPool>
+	/** Control address of each server's home, by server id. */
+	readonly homes: Map<string, string>
+}
+
+/** Makes an entry's homes while it knows of itself only. */
+export function createPermitHomes(own: string): PermitHomes {
+	return {
+		roster: createEntryRoster(own),
+		pools: new Map(),
+		homes: new Map(),
+	}
+}
+
+/** Takes stock of the entries that are heard; homes move with them. */
+export function lookAtHomes(
+	ctx: GatewayContext,
+	isLinked: (address: string) => boolean,
+): void {
+	const { roster, pools, homes } = ctx.permitHomes
+	const { control } = ctx.settings
+	if (!lookAtRoster(roster, control, isLinked, readElapsed())) return
+	const before = [...homes]
+	homes.clear()
+	for (const server of [...pools.keys()])
+		if (homeOf(ctx, server) !== control) pools.delete(server)
+	for (const [server, home] of before) {
+		const after = homeOf(ctx, server)
+		if (after !== home)
+			ctx.log.write('permit home', { server, home: after, before: home })
+	}
+}
+
+/** Control address of a server's home. */
+export function homeOf(ctx: GatewayContext, server: string): string {
+	const { homes, roster } = ctx.permitHomes
+	const known = homes.get(server)
+	if (known !== undefined) return known
+	const home = findPermitHome(server, roster.heard) ?? ctx.settings.control
+	homes.set(server, home)
+	return home
+}
+
+/** Gives permits of a server that this entry is home to. */
+export function givePermits(
+	ctx: GatewayContext,
+	server: string,
+	perSecond: number,
+	wish: PermitWish,
+): Permits {
+	const { pools, roster } = ctx.permitHomes
+	const pool = pools.get(server) ?? createPermitPool()
+	pools.set(server, pool)
+	const pace = paceOfHome(perSecond, roster.count)
+	return takePermits(pool, pace, wish, readElapsed())
+}
+
+/** Answers another entry that asks for permits. */
+export function answerPermits(
+	ctx: GatewayContext,
+	params: unknown,
+): PermitReply {
+	const { word, count, withinMs } = v.parse(PermitAskSchema, params)
+	const { server } = word
+	takeToldRates(ctx, [word], 'peer')
+	if (homeOf(ctx, server) !== ctx.settings.control) return { type: 'notHome' }
+	const perSecond = perSecondOf(ctx.rateLimits, server)
+	// What is believed to have no limit any more: the asker will hear of it.
+	if (perSecond === undefined) return { type: 'notHome' }
+	const permits = givePermits(ctx, server, perSecond, { count, withinMs })
+	return { type: 'permits', ...permits, dueMs: [...permits.dueMs] }
+}
--- a/packages/gateway/src/rateLimits.ts
+++ b/packages/gateway/src/rateLimits.ts
@@ -1,9 +1,19 @@
-/** What servers say, in their answers, of how many requests a second they take. */
+/**
+ * What servers say, in their answers, of how many requests a second they take; entries
+ * tell each other.
+ */
 
 import type { RateWord } from '@juniperhook/core'
-import { parsePerSecond, takeRateWord } from '@juniperhook/core'
+import {
+	forgetRateWords,
+	parsePerSecond,
+	perSecondOf,
+	takeRateWord,
+} from '@juniperhook/core'
 import { readElapsed } from '@juniperhook/runtime'
 import type { GatewayContext } from './context.ts'
+import type { RateNews } from './peerMessages.ts'
+import { dropPermits } from './permitGate.ts'
 
 /** An answer as far as it tells of its server's limit. */
 export interface RateHint {
@@ -39,17 +49,63 @@
 	ctx: GatewayContext,
 	server: string,
 	word: Pick<RateWord, 'perSecond' | 'at'>,
+	from = 'answer',
 ): void {
-	const before = ctx.rateLimits.get(server)
-	if (!takeRateWord(ctx.rateLimits, server, word)) return
+	const { rateLimits } = ctx
+	const before = perSecondOf(rateLimits, server)
+	if (!takeRateWord(rateLimits, server, word)) return
+	ctx.untoldRates.add(server)
+	dropPermits(ctx, server)
 	ctx.log.write('server limit', {
 		server,
 		perSecond: word.perSecond,
-		before: before?.perSecond,
-		from: 'answer',
+		before,
+		from,
 	})
-	const inForce = [...ctx.rateLimits.values()].filter(
-		one => one.perSecond !== undefined,
+	const inForce = [...rateLimits.keys()].filter(
+		id => perSecondOf(rateLimits, id) !== undefined,
 	)
 	ctx.metrics.limitedServers.set(inForce.length)
 }
+
+/** Takes what another entry tells of servers. */
+export function takeToldRates(
+	ctx: GatewayContext,
+	told: readonly RateNews[],
+	from: string,
+): void {
+	const now = readElapsed()
+	for (const { server, perSecond, agoMs } of told)
+		takeWord(ctx, server, { perSecond, at: now - agoMs }, from)
+}
+
+/** What is known of a server's limit, as it is told. */
+export function tellRate(
+	{ rateLimits }: GatewayContext,
+	server: string,
+): RateNews | undefined {
+	const word = rateLimits.get(server)
+	if (!word) return undefined
+	const agoMs = Math.max(0, Math.round(readElapsed() - word.at))
+	return { server, perSecond: word.perSecond, agoMs }
+}
+
+/** All that is known of limits. */
+export function listRates(ctx: GatewayContext): RateNews[] {
+	return [...ctx.rateLimits.keys()].map(server => tellRate(ctx, server)!)
+}
+
+/** What has changed since other entries were last told; undefined for nothing. */
+export function drainUntoldRates(ctx: GatewayContext): RateNews[] | undefined {
+	if (ctx.untoldRates.size === 0) return undefined
+	const news = [...ctx.untoldRates].map(server => tellRate(ctx, server))
+	ctx.untoldRates.clear()
+	return news.filter(one => one !== undefined)
+}
+
+/** Forgets what old words say of servers. */
+export function forgetRates({ rateLimits, fleet }: GatewayContext): void {
+	if (rateLimits.size === 0) return
+	const isListed = (id: string) => fleet.table.rowOf.has(id)
+	forgetRateWords(rateLimits, isListed, readElapsed())
+}
--- a/packages/gateway/src/waiter.ts
+++ b/packages/gateway/src/waiter.ts
@@ -7,6 +7,8 @@
 	| { readonly kind: 'server'; readonly id: string }
 	/** None had room in time. */
 	| { readonly kind: 'full' }
+	/** All take only so many requests a second, and none another one in time. */
+	| { readonly kind: 'limited' }
 	| { readonly kind: 'none' }
 
 /** A request that waits. */
@@ -15,6 +17,8 @@
 	/** Ids of servers it has been to. */
 	readonly tried: ReadonlySet<string>
 	readonly luck: number
+	/** Until when it may wait, ms. */
+	readonly until: number
 	grant(grant: Grant): void
 }
 
--- a/packages/gateway/src/waiting.ts
+++ b/packages/gateway/src/waiting.ts
@@ -18,6 +18,14 @@
 import type { GatewayContext } from './context.ts'
 import { isRationed, isTaken } from './entryDemand.ts'
 import { groupOf, meterOf, noteHeld, queueOf } from './fleet.ts'
+import type { PermitOutlook } from './permitGate.ts'
+import {
+	askForPermits,
+	listLimited,
+	outlookOf,
+	permitWaitMs,
+	spendPermit,
+} from './permitGate.ts'
 import type { Pressure } from './pressure.ts'
 import { pressureOf } from './pressure.ts'
 import type { Grant, ServerWish, Waiter } from './waiter.ts'
@@ -40,6 +48,8 @@
 	const queue = queueOf(ctx.fleet, wish.service)
 	const pressure = pressureOf(ctx.pressures, wish.service)
 	const now = readNow()
+	const callers = queue.waiting.length + 1
+	askAhead(ctx, wish.service, callers, 0)
 	if (queue.waiting.length === 0) {
 		const grant = choose(ctx, wish.service, wish.tried, wish.luck)
 		if (grant.kind === 'server') {
@@ -50,8 +60,10 @@
 		if (grant.kind !== 'full') return Promise.resolve(grant)
 	}
 	beginSpell(pressure.full, now)
-	if (waitsTooLong(queue, wish, pressure, now))
-		return Promise.resolve({ kind: 'full' })
+	askAhead(ctx, wish.service, callers, wish.waitMs)
+	const outlook = outlookOf(ctx, wish.service)
+	if (waitsTooLong(queue, wish, pressure, outlook, now))
+		return Promise.resolve({ kind: outlook ? 'limited' : 'full' })
 	return new Promise(resolve => {
 		const leave = (grant: Grant) => {
 			clearTimeout(timer)
@@ -59,9 +71,11 @@
 			removeWaiting(queue, waiter)
 			resolve(grant)
 		}
-		const giveUp = () => leave({ kind: 'full' })
+		const giveUp = () =>
+			leave({ kind: outlookOf(ctx, wish.service) ? 'limited' : 'full' })
 		const waiter: Waiter = {
 			...wish,
+			until: now + wish.waitMs,
 			weight: 1,
 			virtualStart: 0,
 			order: 0,
@@ -78,10 +92,12 @@
 	queue: FairQueue<Waiter>,
 	wish: ServerWish,
 	{ flow }: Pressure,
+	outlook: PermitOutlook | undefined,
 	now: number,
 ): boolean {
 	if (!wish.inTurn) return wish.waitMs <= 0
 	const before = queue.waiting.filter(one => one.priority <= wish.priority)
+	if (outlook) return permitWaitMs(outlook, before.length) > wish.waitMs
 	return predictWaitMs(flow, before.length, now) > wish.waitMs
 }
 
@@ -93,7 +109,10 @@
 function serveQueue(ctx: GatewayContext, queue: FairQueue<Waiter>): void {
 	for (let next = queue.waiting[0]; next; next = queue.waiting[0]) {
 		const grant = choose(ctx, next.service, next.tried, next.luck)
-		if (grant.kind === 'full') return
+		if (grant.kind === 'full') {
+			awaitPermits(ctx, queue)
+			return
+		}
 		dequeue(queue)
 		if (grant.kind === 'server')
 			notePlace(pressureOf(ctx.pressures, next.service).flow, readNow())
@@ -101,6 +120,31 @@
 	}
 }
 
+/** Asks for permits; an answer that comes later finds those who wait. */
+function askAhead(
+	ctx: GatewayContext,
+	service: string,
+	callers: number,
+	withinMs: number,
+): void {
+	askForPermits(ctx, service, { count: callers, withinMs }, () =>
+		serveQueue(ctx, queueOf(ctx.fleet, service)),
+	)
+}
+
+/** Asks for permits for those who wait, and refuses whom none can come in time. */
+function awaitPermits(ctx: GatewayContext, queue: FairQueue<Waiter>): void {
+	const waiting = [...queue.waiting]
+	const { service } = waiting[0]!
+	const now = readNow()
+	const longest = Math.max(...waiting.map(({ until }) => until - now))
+	askAhead(ctx, service, waiting.length, longest)
+	const outlook = outlookOf(ctx, service)
+	if (!outlook) return
+	for (const [before, { until, grant }] of waiting.entries())
+		if (permitWaitMs(outlook, before) > until - now) grant({ kind: 'limited' })
+}
+
 function choose(
 	ctx: GatewayContext,
 	service: string,
@@ -122,12 +166,14 @@
 		shutGroups: listShutGroups(ctx, luck, now),
 		near: fleet.near,
 		untold: meterOf(fleet, service).untold,
+		...listLimited(ctx, service),
 	}
 	const choice = chooseRow(fleet.table, query, now, ctx.random)
 	if (choice.kind !== 'row') return choice
 	const server = fleet.servers[choice.row]!
 	if (!mayEnter(ctx.closures, groupOf(server), now)) return { kind: 'full' }
 	const { id } = server
+	spendPermit(ctx, id)
 	noteHeld(fleet, id, 1)
 	return { kind: 'server', id }
 }
