--- a/packages/entry/src/explain.ts
+++ b/packages/entry/src/explain.ts
@@ -89,6 +89,8 @@
 			return isHere ? `group ${group}` : undefined
 		case 'paces told':
 			return isHere && isRecent ? `paces ${group}` : undefined
+		case 'server limit':
+			return isHere ? `limit ${server}` : undefined
 		case 'server ended':
 			return servers.has(server) ? `ended ${server}` : undefined
 		case 'request quarantined':
@@ -123,6 +125,8 @@
 			return `Configuration ${last.config} does not know it${describeNewer(last, state)}.`
 		case 'overloaded':
 			return explainFull(last, state)
+		case 'rateLimited':
+			return explainLimits(state)
 		case 'noServer':
 			return 'No server of its service was listed as serving.'
 		case 'noAnswer':
@@ -139,6 +143,15 @@
 	}
 }
 
+/** Which servers took only so many requests a second. */
+function explainLimits(state: readonly LogLine[]): string {
+	const limits = state
+		.filter(line => line.event === 'server limit')
+		.filter(({ perSecond }) => perSecond !== undefined)
+		.map(({ server, perSecond }) => `${server} ${perSecond}`)
+	return `All servers of its service take only so many requests a second (${limits.join(', ')}), and none had one left in time.`
+}
+
 /** How far this entry was behind, and where to look for the reason. */
 function describeNewer(last: LogLine, state: readonly LogLine[]): string {
 	const newer = state.findLast(line => isNewerElsewhere(line, last))
--- a/packages/entry/src/logLines.ts
+++ b/packages/entry/src/logLines.ts
@@ -44,6 +44,8 @@
 	list: number,
 	version: number,
 	limit: number,
+	/** Requests that a server takes, a second. */
+	perSecond: number,
 	/** Addresses of slow ranks. */
 	slow: v.optional(v.unknown()),
 	agreement: number,
--- a/packages/entry/test/explain.test.ts
+++ b/packages/entry/test/explain.test.ts
@@ -100,6 +100,20 @@
 		],
 		cause: 'i-1, i-7 ended while they ran it (c.abc); it is sent to none.',
 	},
+	{
+		name: 'servers that take only so many requests',
+		lines: [
+			line(50, 'server limit', { server: 'i-1', perSecond: 3 }),
+			line(100, 'server limit', { server: 'i-1', perSecond: 1 }),
+			line(150, 'server limit', { server: 'i-2', perSecond: 0.5 }),
+			line(160, 'server limit', { server: 'i-3', perSecond: 2 }),
+			line(170, 'server limit', { server: 'i-3', before: 2 }),
+			line(180, 'server limit', { node: 'e2', server: 'i-4', perSecond: 2 }),
+			line(200, 'request failed', { req: ID, error: 'rateLimited' }),
+		],
+		cause:
+			'All servers of its service take only so many requests a second (i-1 1, i-2 0.5), and none had one left in time.',
+	},
 	{
 		name: 'an unknown key',
 		lines: [
--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -1,7 +1,12 @@
 /** One attempt: a server with room, a call to it, and what its head proves. */
 
 import type { ListedServer, TryResult } from '@juniperhook/core'
-import { createRetryWindow, noteTry, takeRetry } from '@juniperhook/core'
+import {
+	createRetryWindow,
+	noteTry,
+	perSecondOf,
+	takeRetry,
+} from '@juniperhook/core'
 import { readElapsed, readNow } from '@juniperhook/runtime'
 import { dropDisplaced } from './catalog.ts'
 import {
@@ -290,6 +295,7 @@
 		tookMs: Math.round(readElapsed() - request.arrivedAt),
 		config: request.routes.config.version,
 		list: ctx.list.revision,
+		perSecond: perSecondOf(ctx.rateLimits, serverId),
 		...inputs,
 	})
 }
--- a/soak/src/main.ts
+++ b/soak/src/main.ts
@@ -22,6 +22,7 @@
 		net: { type: 'string', default: '9' },
 		only: { type: 'string', default: '' },
 		harmless: { type: 'boolean', default: false },
+		unlimited: { type: 'boolean', default: false },
 		verbose: { type: 'boolean', default: false },
 	},
 })
@@ -38,6 +39,7 @@
 		net: Number(values.net),
 		only: values.only,
 		deadly: !values.harmless,
+		limited: !values.unlimited,
 		timed: true,
 		folder: join(tmpdir(), 'juniperhook-soak', `seed-${seed}`),
 	}
--- a/soak/src/servers.ts
+++ b/soak/src/servers.ts
@@ -15,6 +15,8 @@
 import { DEADLY_MS, DEADLY_PATH } from './deadly.ts'
 import { answerControl } from './engineCalls.ts'
 import { judgeRun } from './judge.ts'
+import type { NamedLimit } from './limits.ts'
+import { takeUnderLimit } from './limits.ts'
 import type { Record, Run } from './types.ts'
 import { count, drawBetween, sleep } from './types.ts'
 
@@ -67,6 +69,8 @@
 	/** Whether it has said that it leaves. */
 	leaving: boolean
 	misbehaviour: Misbehaviour
+	/** What it names in its answers for now. */
+	limit: NamedLimit | undefined
 }
 
 /** All backend servers. */
@@ -135,6 +139,8 @@
 		await answerControl(servers.group, engine, req, body, res)
 		return
 	}
+	for (const [name, value] of Object.entries(takeUnderLimit(backend, req)))
+		res.setHeader(name, value)
 	const expected = req.headers[WIRE.expectServer]
 	if (expected !== undefined && expected !== name) {
 		res.writeHead(421, { [WIRE.notRun]: '1', [WIRE.atFault]: name }).end()
--- a/soak/src/soak.ts
+++ b/soak/src/soak.ts
@@ -4,6 +4,7 @@
 import { runCaller } from './callers.ts'
 import { judgeDeadly, runDeadlyCaller } from './deadly.ts'
 import { endUnderRequest, playFaults } from './faults.ts'
+import { judgeLimits, playLimits } from './limits.ts'
 import { watchStalls } from './stalls.ts'
 import type { Record, SoakOptions } from './types.ts'
 import { sleep } from './types.ts'
@@ -38,6 +39,7 @@
 		world.servers.onDeadly = backend => endUnderRequest(world, backend)
 		void runDeadlyCaller(world)
 	}
+	if (options.limited) void playLimits(world)
 	await playFaults(world)
 	await sleep(RECOVERY_MS)
 	const calmSince = performance.now()
@@ -47,6 +49,7 @@
 	await Promise.race([Promise.all(callers), sleep(LAST_ANSWERS_MS)])
 	judgeWhole(world, calmSince, stall.end())
 	if (options.deadly) judgeDeadly(world)
+	if (options.timed && options.limited) judgeLimits(world)
 	await stopWorld(world)
 	for (const signal of SIGNALS) process.removeListener(signal, interrupt)
 	if (world.record.broken.length === 0)
--- a/soak/src/types.ts
+++ b/soak/src/types.ts
@@ -89,6 +89,8 @@
 	readonly net: number
 	/** Whether a caller sends a request that ends servers, again and again. */
 	readonly deadly: boolean
+	/** Whether servers name limits, one after the other. */
+	readonly limited: boolean
 	/** Whether promises with a time bound are judged. */
 	readonly timed: boolean
 	/** Folder for settings and logs. */
--- a/soak/src/world.ts
+++ b/soak/src/world.ts
@@ -15,6 +15,7 @@
 	serverIp,
 } from './addresses.ts'
 import { buildConfig, SERVICE_OF } from './config.ts'
+import type { NamedLimit } from './limits.ts'
 import type { Managed } from './processes.ts'
 import { endProcess, prepareProcess, startProcess } from './processes.ts'
 import type { BackendServer, Servers } from './servers.ts'
@@ -54,6 +55,8 @@
 	readonly leftAt: Map<string, number>
 	/** When all entries were killed together, ms. */
 	readonly forgotAt: number[]
+	/** Limits that servers have named. */
+	readonly limits: NamedLimit[]
 	/** Set when the soak is over. */
 	over: boolean
 }
@@ -89,6 +92,7 @@
 		growths: 0,
 		leftAt: new Map(),
 		forgotAt: [],
+		limits: [],
 		over: false,
 	}
 	publish(world, 1, true)
@@ -125,6 +129,7 @@
 		id: '',
 		leaving: false,
 		misbehaviour: behave(),
+		limit: undefined,
 	}
 	servers.all.push(backend)
 	await startServer(servers, backend)
--- a/soak/test/soak.process.test.ts
+++ b/soak/test/soak.process.test.ts
@@ -13,12 +13,18 @@
  * Seeds that are always run: one at random, then each that ever found a fault,
  * with a line on its cause.
  */
-const SEEDS: { seed: number; cause: string; deadly: boolean }[] = [
-	{ seed: 7, cause: 'none: a first one', deadly: false },
+const SEEDS: {
+	readonly seed: number
+	readonly cause: string
+	readonly deadly?: boolean
+	readonly limited?: boolean
+}[] = [
+	{ seed: 7, cause: 'none: a first one' },
 	{ seed: 8, cause: 'none: with a request that ends servers', deadly: true },
+	{ seed: 9, cause: 'none: with servers that name limits', limited: true },
 ]
 
-for (const { seed, cause, deadly } of SEEDS)
+for (const { seed, cause, deadly = false, limited = false } of SEEDS)
 	test(`soak: seed ${seed} (${cause}) breaks no promise`, async () => {
 		const record = await runSoak({
 			seed,
@@ -31,6 +37,7 @@
 			net: 14,
 			only: '',
 			deadly,
+			limited,
 			timed: false,
 			folder: join(tmpdir(), 'juniperhook-soak', `test-${seed}`),
 		})
