A store that comes back from an older copy: beliefs are ordered by term and revision

What callers saw: a server that leaves, or is removed, after the store has gone back still gets its share of requests seconds later. Cause: lists, watches, what peers lack and the groups' ranks were all ordered by the bare revision, as if it only rose; a watch went on from a revision that meant another change by then.

Entries tell each other who has left on each new link, and doubted removals to peers without the source.

Checks changed: revisions in tests are of a term; the made-up peer tells its list as entries do.

--- a/packages/core/src/core/serverList.ts
+++ b/packages/core/src/core/serverList.ts
@@ -1,16 +1,28 @@
 /**
- * The published list of backend servers as one process believes it, mended by
- * any contact: for each id the record with the highest revision wins, so that
- * it never goes back to an older one, whoever it came from.
+ * The published list of backend servers as one process believes it, mended by any
+ * contact: for each name the latest record wins, so that it never goes back to an older
+ * one, whoever it came from. Where the source itself goes back to an older copy, lives of
+ * servers that are known to be over do not come back with it.
  */
 
+import type { TermRevision } from '../internal.ts'
+import { isLater, laterOf, NO_REVISION } from '../internal.ts'
 import type { ListedServer } from '../types/traffic.ts'
 
+/**
+ * A life that was believed gone, and that an older copy of the source lists, is used if it
+ * is still listed after this time, ms: the entry of one that has ended has run out by then.
+ */
+const RETURN_MS = 5_000
+/** Lives that are remembered as gone, and ids that others are told, the last ones. */
+const MAX_GONE = 1_024
+const MAX_TOLD = 512
+
 /** What is known of the server published under a name. */
 export interface ServerRecord {
 	readonly name: string
 	/** Revision of the change that the record speaks of. */
-	readonly revision: number
+	readonly revision: TermRevision
 	/** Absent once the entry has been removed, and while it names no server. */
 	readonly server: ListedServer | undefined
 	/** Why an entry that is there names no server. */
@@ -25,10 +37,14 @@
 	readonly doubted: Map<string, { record: ServerRecord; until: number }>
 	/** Ids whose address is known to belong to another server now. */
 	readonly displaced: Set<string>
-	/** Ids that have said that they leave. */
+	/** Ids of lives that are over for good: they said so, or another one followed. */
 	readonly left: Set<string>
-	/** Highest revision among the records that came. */
-	revision: number
+	/** Ids whose entry was removed, without a word; the oldest first. */
+	readonly gone: Set<string>
+	/** What an older copy lists of those, and when it will be believed, ms. */
+	readonly returning: Map<string, { record: ServerRecord; until: number }>
+	/** The latest revision among the records that came. */
+	revision: TermRevision
 }
 
 /** Makes an empty list. */
@@ -38,7 +54,9 @@
 		doubted: new Map(),
 		displaced: new Set(),
 		left: new Set(),
-		revision: 0,
+		gone: new Set(),
+		returning: new Map(),
+		revision: NO_REVISION,
 	}
 }
 
@@ -57,18 +75,83 @@
 /** Takes a record; true when it is news. */
 export function takeRecord(list: ServerList, record: ServerRecord): boolean {
 	const known = list.records.get(record.name)
-	if (known && known.revision >= record.revision) return false
+	if (known && !isLater(record.revision, known.revision)) return false
 	// Also for a record that is passed over: else it is asked for for ever.
-	list.revision = Math.max(list.revision, record.revision)
+	list.revision = laterOf(list.revision, record.revision)
 	const { server } = record
 	// An incarnation that leaves does not come back.
 	if (server && !server.leaving && list.left.has(server.id)) return false
 	if (server?.leaving) list.left.add(server.id)
+	if (known?.server) noteFormer(list, known, record)
+	if (server) list.gone.delete(server.id)
 	list.records.set(record.name, record)
 	list.doubted.delete(record.name)
+	list.returning.delete(record.name)
 	return true
 }
 
+/** Remembers the life that a record puts an end to. */
+function noteFormer(
+	list: ServerList,
+	known: ServerRecord,
+	{ server, fault, revision }: ServerRecord,
+): void {
+	const former = known.server!.id
+	if (server?.id === former || fault !== undefined) return
+	// An older copy may name a life from before the one that is known.
+	const isCopy = known.revision.term !== revision.term
+	if (server && !isCopy) list.left.add(former)
+	if (server) return
+	list.gone.add(former)
+	const [oldest] = list.gone
+	if (list.gone.size > MAX_GONE) list.gone.delete(oldest!)
+}
+
+/**
+ * Takes a record of a source that came back from an older copy; true when it is news. A
+ * life that was gone before may have ended: it is believed only if it is listed for long
+ * enough, or written again.
+ */
+export function takeCopied(
+	list: ServerList,
+	record: ServerRecord,
+	now: number,
+): boolean {
+	const { name, server, revision } = record
+	const before = list.records.get(name)?.revision.term ?? 0
+	const mayBeOver = server && list.gone.has(server.id)
+	if (!mayBeOver || before >= revision.term) return takeRecord(list, record)
+	list.revision = laterOf(list.revision, revision)
+	list.returning.set(name, { record, until: now + RETURN_MS })
+	return false
+}
+
+/** Believes the returns whose time has come; gives the records taken. */
+export function settleReturns(list: ServerList, now: number): ServerRecord[] {
+	const settled: ServerRecord[] = []
+	for (const [name, { record, until }] of list.returning) {
+		if (now < until) continue
+		list.returning.delete(name)
+		if (takeRecord(list, record)) settled.push(record)
+	}
+	return settled
+}
+
+/** Takes ids of lives that others know to be over for good; true when one is news. */
+export function takeLeft(
+	{ left }: ServerList,
+	ids: readonly string[],
+): boolean {
+	const before = left.size
+	for (const id of ids) left.add(id)
+	return left.size > before
+}
+
+/** Ids of lives that are over for good, the last ones, for others. */
+export function listLeft({ left }: ServerList): string[] {
+	return [...left].slice(-MAX_TOLD)
+}
+
 /** Notes that a server itself has said that it is another one. */
 export function noteDisplaced(list: ServerList, id: string): void {
 	list.displaced.add(id)
@@ -84,19 +167,19 @@
 	until: number,
 ): void {
 	const known = list.records.get(record.name)
-	if (!known?.server || known.revision >= record.revision) return
+	if (!known?.server || !isLater(record.revision, known.revision)) return
 	if (known.server.leaving) takeRecord(list, record)
 	else if (!list.doubted.has(record.name))
 		list.doubted.set(record.name, { record, until })
 }
 
-/** Believes the removals whose time has come; gives the names removed. */
-export function settleRemovals(list: ServerList, now: number): string[] {
-	const settled: string[] = []
+/** Believes the removals whose time has come; gives them. */
+export function settleRemovals(list: ServerList, now: number): ServerRecord[] {
+	const settled: ServerRecord[] = []
 	for (const [name, { record, until }] of list.doubted) {
 		if (now < until) continue
 		list.doubted.delete(name)
-		if (takeRecord(list, record)) settled.push(name)
+		if (takeRecord(list, record)) settled.push(record)
 	}
 	return settled
 }
@@ -114,11 +197,14 @@
 		if (!server || !isKnown(server.service)) continue
 		// A new server at an address shows that the one listed there has ended.
 		const other = newest.get(server.address)
-		if (other && other.revision > record.revision) continue
+		if (other && isLater(other.revision, record.revision)) continue
 		newest.set(server.address, { ...record, server })
 	}
 	const there = [...newest.values()].map(({ server }) => server)
-	return there.filter(({ id, leaving }) => !leaving && !list.displaced.has(id))
+	return there.filter(
+		({ id, leaving }) =>
+			!leaving && !list.displaced.has(id) && !list.left.has(id),
+	)
 }
 
 /**
@@ -128,7 +214,7 @@
 export function findMissing(
 	list: ServerList,
 	present: ReadonlySet<string>,
-	revision: number,
+	revision: TermRevision,
 ): ServerRecord[] {
 	const missing: ServerRecord[] = []
 	for (const record of list.records.values())
--- a/packages/core/test/serverList.test.ts
+++ b/packages/core/test/serverList.test.ts
@@ -2,7 +2,7 @@
 
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
-import type { ListedServer, ServerRecord } from '../src/index.ts'
+import type { ListedServer, ServerRecord, TermRevision } from '../src/index.ts'
 import {
 	createServerList,
 	doubtRemoval,
@@ -14,6 +14,11 @@
 	takeRecord,
 } from '../src/index.ts'
 
+/** A revision of the first term. */
+function at(revision: number): TermRevision {
+	return { term: 1, revision }
+}
+
 function serverOf(id: string, address = `10.0.0.1:${id}`): ListedServer {
 	return {
 		id,
@@ -35,9 +40,9 @@
 
 test('server list: an older record never wins', () => {
 	const list = createServerList()
-	assert.ok(takeRecord(list, { name: '1', revision: 9, server: undefined }))
+	assert.ok(takeRecord(list, { name: '1', revision: at(9), server: undefined }))
 	assert.not(
-		takeRecord(list, { name: '1', revision: 5, server: serverOf('1') }),
+		takeRecord(list, { name: '1', revision: at(5), server: serverOf('1') }),
 	)
 	assert.equal(idsOf(list), [])
 })
@@ -45,36 +50,48 @@
 test('server list: one that leaves does not come back', () => {
 	const list = createServerList()
 	const leaving = { ...serverOf('1'), leaving: true }
-	takeRecord(list, { name: '1', revision: 2, server: leaving })
+	takeRecord(list, { name: '1', revision: at(2), server: leaving })
 	assert.not(
-		takeRecord(list, { name: '1', revision: 3, server: serverOf('1') }),
+		takeRecord(list, { name: '1', revision: at(3), server: serverOf('1') }),
 	)
 	assert.equal(idsOf(list), [])
-	assert.is(
+	assert.equal(
 		list.revision,
-		3,
+		at(3),
 		'a record that is passed over is known all the same',
 	)
 })
 
 test('server list: a removal while the source was away is doubted', () => {
 	const list = createServerList()
-	takeRecord(list, { name: '1', revision: 2, server: serverOf('1') })
-	takeRecord(list, { name: '2', revision: 2, server: serverOf('2') })
-	for (const record of findMissing(list, new Set(), 7))
+	takeRecord(list, { name: '1', revision: at(2), server: serverOf('1') })
+	takeRecord(list, { name: '2', revision: at(2), server: serverOf('2') })
+	for (const record of findMissing(list, new Set(), at(7)))
 		doubtRemoval(list, record, 1_000)
 	assert.equal(idsOf(list), ['1', '2'])
-	takeRecord(list, { name: '2', revision: 8, server: serverOf('2') })
+	takeRecord(list, { name: '2', revision: at(8), server: serverOf('2') })
 	assert.equal(settleRemovals(list, 999), [])
-	assert.equal(settleRemovals(list, 1_000), ['1'])
+	const settled = settleRemovals(list, 1_000)
+	assert.equal(
+		settled.map(({ name }) => name),
+		['1'],
+	)
 	assert.equal(idsOf(list), ['2'])
 })
 
 test('server list: the newest id of an address is the one there', () => {
 	const list = createServerList()
 	const there = '10.0.0.9:80'
-	takeRecord(list, { name: 'old', revision: 2, server: serverOf('old', there) })
-	takeRecord(list, { name: 'new', revision: 6, server: serverOf('new', there) })
+	takeRecord(list, {
+		name: 'old',
+		revision: at(2),
+		server: serverOf('old', there),
+	})
+	takeRecord(list, {
+		name: 'new',
+		revision: at(6),
+		server: serverOf('new', there),
+	})
 	assert.equal(idsOf(list), ['new'])
 	noteDisplaced(list, 'new')
 	assert.equal(idsOf(list), [])
@@ -94,54 +111,54 @@
 	{
 		name: 'one that left and started again is there again',
 		records: [
-			{ revision: 2, server: lifeOf('1', 10) },
-			{ revision: 3, server: lifeOf('1', 10, true) },
-			{ revision: 5, server: lifeOf('1', 20) },
+			{ revision: at(2), server: lifeOf('1', 10) },
+			{ revision: at(3), server: lifeOf('1', 10, true) },
+			{ revision: at(5), server: lifeOf('1', 20) },
 		],
 		serving: ['1@20'],
 	},
 	{
 		name: 'news of the new life come before that of the end',
 		records: [
-			{ revision: 2, server: lifeOf('1', 10) },
-			{ revision: 5, server: lifeOf('1', 20) },
-			{ revision: 4, server: undefined },
-			{ revision: 3, server: lifeOf('1', 10, true) },
+			{ revision: at(2), server: lifeOf('1', 10) },
+			{ revision: at(5), server: lifeOf('1', 20) },
+			{ revision: at(4), server: undefined },
+			{ revision: at(3), server: lifeOf('1', 10, true) },
 		],
 		serving: ['1@20'],
 	},
 	{
 		name: 'two starts within one heartbeat',
 		records: [
-			{ revision: 2, server: lifeOf('1', 10) },
-			{ revision: 3, server: lifeOf('1', 20) },
-			{ revision: 4, server: lifeOf('1', 30) },
+			{ revision: at(2), server: lifeOf('1', 10) },
+			{ revision: at(3), server: lifeOf('1', 20) },
+			{ revision: at(4), server: lifeOf('1', 30) },
 		],
 		serving: ['1@30'],
 	},
 	{
 		name: 'a life that leaves stays gone behind an entry that cannot be read',
 		records: [
-			{ revision: 2, server: lifeOf('1', 10, true) },
-			{ revision: 3, server: undefined, fault: 'not JSON' },
-			{ revision: 4, server: lifeOf('1', 10) },
+			{ revision: at(2), server: lifeOf('1', 10, true) },
+			{ revision: at(3), server: undefined, fault: 'not JSON' },
+			{ revision: at(4), server: lifeOf('1', 10) },
 		],
 		serving: [],
 	},
 	{
 		name: 'an entry that cannot be read names nobody until it can',
 		records: [
-			{ revision: 2, server: lifeOf('1', 10) },
-			{ revision: 3, server: undefined, fault: 'not JSON' },
+			{ revision: at(2), server: lifeOf('1', 10) },
+			{ revision: at(3), server: undefined, fault: 'not JSON' },
 		],
 		serving: [],
 	},
 	{
 		name: 'and the same life once it can',
 		records: [
-			{ revision: 2, server: lifeOf('1', 10) },
-			{ revision: 3, server: undefined, fault: 'not JSON' },
-			{ revision: 4, server: lifeOf('1', 10) },
+			{ revision: at(2), server: lifeOf('1', 10) },
+			{ revision: at(3), server: undefined, fault: 'not JSON' },
+			{ revision: at(4), server: lifeOf('1', 10) },
 		],
 		serving: ['1@10'],
 	},
@@ -158,8 +175,12 @@
 	const list = createServerList()
 	const there = '10.0.0.9:80'
 	const foreign = { ...serverOf('new', there), service: 'unheard of' }
-	takeRecord(list, { name: 'old', revision: 2, server: serverOf('old', there) })
-	takeRecord(list, { name: 'new', revision: 6, server: foreign })
+	takeRecord(list, {
+		name: 'old',
+		revision: at(2),
+		server: serverOf('old', there),
+	})
+	takeRecord(list, { name: 'new', revision: at(6), server: foreign })
 	assert.equal(idsOf(list), ['old'])
 })
 
--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -294,7 +294,8 @@
 		reason,
 		tookMs: Math.round(readElapsed() - request.arrivedAt),
 		config: request.routes.config.version,
-		list: ctx.list.revision,
+		list: ctx.list.revision.revision,
+		term: ctx.list.revision.term || undefined,
 		perSecond: perSecondOf(ctx.rateLimits, serverId),
 		...inputs,
 	})
--- a/packages/gateway/src/catalog.ts
+++ b/packages/gateway/src/catalog.ts
@@ -3,13 +3,22 @@
  * and by what peers pass on. What is newer wins, whoever tells it.
  */
 
-import type { ListedServer, ServerRecord } from '@juniperhook/core'
+import type {
+	ListedServer,
+	ServerRecord,
+	TermRevision,
+} from '@juniperhook/core'
 import {
 	createRouteTable,
 	doubtRemoval,
 	findMissing,
+	formatRevision,
+	isSameRevision,
 	noteDisplaced,
 	settleRemovals,
+	settleReturns,
+	takeCopied,
+	takeLeft,
 	takeRecord,
 } from '@juniperhook/core'
 import { readElapsed, readNow, sleep } from '@juniperhook/runtime'
@@ -74,6 +83,8 @@
 	/** Removals are doubted until then, ms. */
 	doubtUntil: number
 	away: boolean
+	/** Term in which everything was last read; undefined before. */
+	term: number | undefined
 }
 
 /** Follows a source until the process ends. */
@@ -81,12 +92,13 @@
 	ctx: GatewayContext,
 	source: CatalogSource,
 ): Promise<void> {
-	const follower = {
+	const follower: CatalogFollower = {
 		answeredAt: readElapsed(),
 		doubtUntil: 0,
 		away: false,
+		term: undefined,
 	}
-	let revision: number | undefined
+	let revision: TermRevision | undefined
 	let hasFailed = false
 	let pause = MIN_PAUSE_MS
 	let gatherMs = GATHER_MS
@@ -107,13 +119,16 @@
 		if (!result.ok) {
 			ctx.log.write('source call failed', {
 				call: whole ? 'read' : 'watch',
-				after: revision,
+				after: revision && formatRevision(revision),
 				reason: result.reason,
 				bytes: result.bytes,
 				tookMs: Math.round(now - begunAt),
 			})
 			noteAway(ctx, follower, now, result.reason)
-			if (result.lostHistory) revision = undefined
+			if (result.lostHistory) {
+				revision = undefined
+				pause = MIN_PAUSE_MS
+			}
 			await sleep(pause * (0.5 + ctx.random()))
 			pause = Math.min(pause * 2, MAX_PAUSE_MS)
 			continue
@@ -121,7 +136,7 @@
 		pause = MIN_PAUSE_MS
 		noteBack(ctx, follower, now)
 		takeSnapshot(ctx, result.value, whole, follower, now)
-		const isNews = !whole && result.value.revision !== revision
+		const isNews = !whole && !isSameRevision(result.value.revision, revision!)
 		revision = result.value.revision
 		if (!isNews) continue
 		gatherMs = now - begunAt < SERIES_MS ? gatherMs * 2 : GATHER_MS
@@ -141,6 +156,7 @@
 ): void {
 	if (follower.away || now - follower.answeredAt < AWAY_AFTER_MS) return
 	follower.away = true
+	ctx.sourceAway = true
 	ctx.log.write('source lost', {
 		reason,
 		silentMs: Math.round(now - follower.answeredAt),
@@ -154,6 +170,7 @@
 ): void {
 	if (follower.away) {
 		follower.away = false
+		ctx.sourceAway = false
 		follower.doubtUntil = now + LAPSED_GRACE_MS
 		ctx.log.write('source back', {
 			awayMs: Math.round(now - follower.answeredAt),
@@ -172,26 +189,73 @@
 	for (const reason of snapshot.faults)
 		ctx.log.write('published value refused', { reason })
 	if (snapshot.config) adoptConfig(ctx, snapshot.config, 'source')
-	const records = [...snapshot.servers]
-	if (whole) {
-		const present = new Set(records.map(record => record.name))
-		records.push(...findMissing(ctx.list, present, snapshot.revision))
-	}
-	takeRecords(
-		ctx,
-		records,
-		'source',
-		now < follower.doubtUntil ? follower.doubtUntil : 0,
-	)
+	const isCopy = whole && isOlderCopy(ctx, follower, snapshot.revision)
+	if (whole) follower.term = snapshot.revision.term
+	if (isCopy) follower.doubtUntil = now + LAPSED_GRACE_MS
+	const missing = whole ? listMissing(ctx, snapshot) : []
+	const before = ctx.list.revision
+	takeRecords(ctx, [...snapshot.servers, ...missing], {
+		from: 'source',
+		doubtUntil: now < follower.doubtUntil ? follower.doubtUntil : 0,
+		isCopy,
+	})
+	if (isCopy) logTerm(ctx, before, snapshot, missing.length)
 }
 
-/** Takes records of servers; removals are doubted until `doubtUntil`, if set. */
+function listMissing(
+	{ list }: GatewayContext,
+	{ servers, revision }: CatalogSnapshot,
+): ServerRecord[] {
+	const present = new Set(servers.map(record => record.name))
+	return findMissing(list, present, revision)
+}
+
+/** Whether the source has come back from an older copy since it was last read. */
+function isOlderCopy(
+	{ list }: GatewayContext,
+	follower: CatalogFollower,
+	{ term }: TermRevision,
+): boolean {
+	if (follower.term !== undefined) return term > follower.term
+	const told = [...list.records.values()]
+	return told.some(({ server, revision }) => server && revision.term < term)
+}
+
+function logTerm(
+	ctx: GatewayContext,
+	before: TermRevision,
+	{ revision, servers }: CatalogSnapshot,
+	missing: number,
+): void {
+	const { list } = ctx
+	ctx.metrics.sourceTerm.set(revision.term)
+	ctx.metrics.sourceTerms.inc()
+	ctx.log.write('source went back', {
+		before: formatRevision(before),
+		revision: formatRevision(revision),
+		listed: servers.length,
+		missing,
+		doubted: list.doubted.size,
+		returning: list.returning.size,
+	})
+}
+
+/** Where records come from, and how far they are believed. */
+interface RecordOrigin {
+	readonly from: string
+	/** Until when removals are doubted, ms; 0 for not at all. */
+	readonly doubtUntil?: number
+	/** Whether they may be of an older copy of the source. */
+	readonly isCopy?: boolean
+}
+
+/** Takes records of servers. */
 export function takeRecords(
 	ctx: GatewayContext,
 	records: readonly ServerRecord[],
-	from: string,
-	doubtUntil = 0,
+	{ from, doubtUntil = 0, isCopy = false }: RecordOrigin,
 ): void {
+	const now = readElapsed()
 	let changed = false
 	for (const record of records) {
 		const mayHaveLapsed = !record.server && record.fault === undefined
@@ -199,7 +263,10 @@
 			doubtRemoval(ctx.list, record, doubtUntil)
 			continue
 		}
-		if (!takeRecord(ctx.list, record)) continue
+		const isNews = isCopy
+			? takeCopied(ctx.list, record, now)
+			: takeRecord(ctx.list, record)
+		if (!isNews) continue
 		changed = true
 		logRecord(ctx, record, from)
 	}
@@ -219,7 +286,7 @@
 		fault,
 		service: server?.service,
 		address: server?.address,
-		revision: record.revision,
+		revision: formatRevision(record.revision),
 		from,
 	})
 }
@@ -230,12 +297,26 @@
 	return server.leaving ? 'leaving' : 'serving'
 }
 
+/** Takes ids of servers that another entry knows to have left. */
+export function takeToldLeft(
+	ctx: GatewayContext,
+	ids: readonly string[],
+	from: string,
+): void {
+	if (!takeLeft(ctx.list, ids)) return
+	ctx.log.write('servers left', { servers: ids.length, from })
+	refreshFleet(ctx)
+}
+
 /** Believes removals whose time has come. */
 export function tickCatalog(ctx: GatewayContext): void {
 	const settled = settleRemovals(ctx.list, readElapsed())
-	for (const server of settled)
-		ctx.log.write('server', { server, state: 'gone', from: 'not back' })
-	if (settled.length > 0) refreshFleet(ctx)
+	for (const { name } of settled)
+		ctx.log.write('server', { server: name, state: 'gone', from: 'not back' })
+	ctx.settledRemovals.push(...settled)
+	const returned = settleReturns(ctx.list, readElapsed())
+	for (const record of returned) logRecord(ctx, record, 'still listed')
+	if (settled.length + returned.length > 0) refreshFleet(ctx)
 }
 
 /** Puts a configuration in force unless it is older; true when it is news. */
--- a/packages/gateway/src/context.ts
+++ b/packages/gateway/src/context.ts
@@ -8,6 +8,7 @@
 	RetryWindow,
 	RouteTable,
 	ServerList,
+	ServerRecord,
 	Spell,
 } from '@juniperhook/core'
 import type { EventLog } from '@juniperhook/runtime'
@@ -63,6 +64,10 @@
 	readonly fleet: Fleet
 	readonly pool: ServerPool
 	readonly list: ServerList
+	/** Removals that were doubted, for peers without the source. */
+	readonly settledRemovals: ServerRecord[]
+	/** Whether the source does not answer this entry. */
+	sourceAway: boolean
 	/** The configuration in force, indexed. */
 	routes: RouteTable | undefined
 	published: PublishedConfig | undefined
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -63,6 +63,8 @@
 		fleet: createFleet(),
 		pool: createServerPool(),
 		list: createServerList(),
+		settledRemovals: [],
+		sourceAway: false,
 		routes: undefined,
 		published: undefined,
 		toldVersion: -1,
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -36,6 +36,9 @@
 	readonly sourceCalls: Counter<'outcome'>
 	/** Bytes that came from the source, those of failed calls too. */
 	readonly sourceBytes: Counter
+	/** Term of the source, and how often it went back to an older copy. */
+	readonly sourceTerm: Gauge
+	readonly sourceTerms: Counter
 	/** Entries of the list that named no server. */
 	readonly unreadableEntries: Counter
 	/** Questions to peers for what they have and this entry lacks. */
@@ -133,6 +136,16 @@
 			help: 'Bytes that came from the configuration source',
 			registers,
 		}),
+		sourceTerm: new Gauge({
+			name: 'juniperhook_source_term',
+			help: 'Term of the configuration source',
+			registers,
+		}),
+		sourceTerms: new Counter({
+			name: 'juniperhook_source_terms_total',
+			help: 'Times that the configuration source went back to an older copy',
+			registers,
+		}),
 		unreadableEntries: new Counter({
 			name: 'juniperhook_unreadable_entries_total',
 			help: 'Entries of the server list that named no server',
--- a/packages/gateway/src/peerMessages.ts
+++ b/packages/gateway/src/peerMessages.ts
@@ -2,6 +2,11 @@
 
 import * as v from 'valibot'
 
+/** A place in what the source has published. */
+const TermRevisionSchema = v.object({
+	term: v.number(),
+	revision: v.number(),
+})
 /** Whether a lock-step group runs, its slow ranks and its limit. */
 const GroupStatusSchema = v.object({
 	/** Whether it refuses at every rank. */
@@ -52,7 +57,7 @@
 	name: v.string(),
 	control: v.string(),
 	config: v.number(),
-	list: v.number(),
+	list: TermRevisionSchema,
 	held: v.record(v.string(), v.number()),
 	dataCentre: v.optional(v.string(), ''),
 	/** Requests a second that come to it and that end, by service. */
@@ -60,6 +65,10 @@
 		v.record(v.string(), v.object({ come: v.number(), end: v.number() })),
 		{},
 	),
+	/** Ids of servers that left; told on a new link. */
+	left: v.optional(v.array(v.string()), []),
+	/** Whether it learns of servers from its peers alone. */
+	sourceAway: v.optional(v.boolean(), false),
 	/** Limits of servers; absent while none has one. */
 	rates: v.optional(v.array(RateNewsSchema), []),
 	/** Control addresses of entries; not told each time. */
@@ -138,19 +147,20 @@
 /** See {@link PieceSchema}. */
 export type Piece = v.InferOutput<typeof PieceSchema>
 /** Asks for records of servers that are newer than a revision. */
-export const RecordsRequestSchema = v.object({ after: v.number() })
+export const RecordsRequestSchema = v.object({ after: TermRevisionSchema })
+const RecordSchema = v.object({
+	name: v.string(),
+	revision: TermRevisionSchema,
+	server: v.optional(ServerSchema),
+	fault: v.optional(v.string()),
+})
 /** Newer records, oldest first. */
 export const RecordsSchema = v.object({
 	/** Whether there are more after these. */
 	hasMore: v.boolean(),
-	records: v.array(
-		v.object({
-			name: v.string(),
-			revision: v.number(),
-			server: v.optional(ServerSchema),
-			fault: v.optional(v.string()),
-		}),
-	),
+	records: v.array(RecordSchema),
 })
+/** Removals that were doubted for a while, for an entry without the source. */
+export const RemovalsSchema = v.object({ records: v.array(RecordSchema) })
 /** See {@link RecordsSchema}. */
 export type Records = v.InferOutput<typeof RecordsSchema>
--- a/packages/gateway/src/peerNews.ts
+++ b/packages/gateway/src/peerNews.ts
@@ -6,6 +6,13 @@
  * each does so twice a second.
  */
 
+import type { ServerRecord, TermRevision } from '@juniperhook/core'
+import {
+	compareRevisions,
+	isLater,
+	laterOf,
+	NO_REVISION,
+} from '@juniperhook/core'
 import type { RpcLink } from '@juniperhook/runtime'
 import { call, messageOf, readNow } from '@juniperhook/runtime'
 import * as v from 'valibot'
@@ -13,7 +20,11 @@
 import { fetchConfig } from './configTransfer.ts'
 import type { GatewayContext } from './context.ts'
 import type { Records, State } from './peerMessages.ts'
-import { RecordsRequestSchema, RecordsSchema } from './peerMessages.ts'
+import {
+	RecordsRequestSchema,
+	RecordsSchema,
+	RemovalsSchema,
+} from './peerMessages.ts'
 import type { CatalogSource } from './ports.ts'
 
 /**
@@ -39,8 +50,7 @@
 
 /** Something newer that a peer has. */
 interface Lack {
-	/** Version or revision. */
-	readonly newest: number
+	readonly newest: TermRevision
 	readonly since: number
 }
 
@@ -59,7 +69,9 @@
 	state: State,
 	link: RpcLink,
 ): void {
-	if (isLacking(news, 'config', heldVersion(ctx), state.config))
+	if (
+		isLacking(news, 'config', asPlace(heldVersion(ctx)), asPlace(state.config))
+	)
 		void pull(ctx, news, 'config', state, () =>
 			pullConfig(ctx, news.source, state, link),
 		)
@@ -73,16 +85,22 @@
 function isLacking(
 	{ lacking }: PeerNews,
 	kind: PullKind,
-	held: number,
-	told: number,
+	held: TermRevision,
+	told: TermRevision,
 ): boolean {
-	if (told <= held) return false
+	if (!isLater(told, held)) return false
 	const now = readNow()
 	const lack = lacking.get(kind)
-	if (lack && held < lack.newest)
-		return held <= 0 || now - lack.since >= GRACE_MS
+	const hasNothing = !isLater(held, NO_REVISION)
+	if (lack && isLater(lack.newest, held))
+		return hasNothing || now - lack.since >= GRACE_MS
 	lacking.set(kind, { newest: told, since: now })
-	return held <= 0
+	return hasNothing
+}
+
+/** A configuration's version; its order knows no terms. */
+function asPlace(version: number): TermRevision {
+	return { term: 0, revision: version }
 }
 
 /** Version of the configuration in force; -1 before the first. */
@@ -159,15 +177,10 @@
 	for (;;) {
 		const reply = await call(link, 'records', { after })
 		const page = v.parse(RecordsSchema, reply)
-		const records = page.records.map(({ name, revision, server, fault }) => ({
-			name,
-			revision,
-			server,
-			fault,
-		}))
-		takeRecords(ctx, records, peer)
+		const records = page.records.map(readRecord)
+		takeRecords(ctx, records, { from: peer, isCopy: true })
 		count += records.length
-		after = Math.max(after, ...records.map(record => record.revision))
+		after = records.reduce((last, one) => laterOf(last, one.revision), after)
 		if (!page.hasMore || records.length === 0) break
 	}
 	return { outcome: count > 0 ? 'taken' : 'known', bytes: 0 }
@@ -177,10 +190,27 @@
 export function answerRecords(ctx: GatewayContext, params: unknown): Records {
 	const { after } = v.parse(RecordsRequestSchema, params)
 	const newer = [...ctx.list.records.values()]
-		.filter(record => record.revision > after)
-		.sort((a, b) => a.revision - b.revision)
+		.filter(record => isLater(record.revision, after))
+		.sort((a, b) => compareRevisions(a.revision, b.revision))
 	const last = newer[PAGE_RECORDS - 1]?.revision
 	const records =
-		last === undefined ? newer : newer.filter(one => one.revision <= last)
+		last === undefined
+			? newer
+			: newer.filter(one => !isLater(one.revision, last))
 	return { hasMore: records.length < newer.length, records }
 }
+
+/** Takes removals that a peer had doubted, where the source is out of reach. */
+export function takeRemovals(ctx: GatewayContext, params: unknown): void {
+	const { records } = v.parse(RemovalsSchema, params)
+	takeRecords(ctx, records.map(readRecord), { from: 'peer' })
+}
+
+function readRecord({
+	name,
+	revision,
+	server,
+	fault,
+}: Records['records'][number]): ServerRecord {
+	return { name, revision, server, fault }
+}
--- a/packages/gateway/src/peerStates.ts
+++ b/packages/gateway/src/peerStates.ts
@@ -3,7 +3,12 @@
  * held, what comes to each, and how many requests each has at every server.
  */
 
+import type { TermRevision } from '@juniperhook/core'
 import {
+	isLater,
+	isSameRevision,
+	listLeft,
+	NO_REVISION,
 	noteEntryHeard,
 	noteEntryNamed,
 	PEER_SILENT_MS,
@@ -18,6 +23,7 @@
 	readNow,
 } from '@juniperhook/runtime'
 import * as v from 'valibot'
+import { takeToldLeft } from './catalog.ts'
 import type { GatewayContext } from './context.ts'
 import { settleDemand, tellFlows } from './entryDemand.ts'
 import { dropPeerLoad, notePeerLoad } from './fleet.ts'
@@ -50,6 +56,8 @@
 	/** When each peer, by name, was last heard, ms. */
 	readonly heardAt: Map<string, number>
 	readonly news: PeerNews
+	/** Links to peers that learn of servers from their peers alone. */
+	readonly withoutSource: Set<RpcLink>
 	/** When what is held was last settled, and last told whole, ms. */
 	settledAt: number
 	heartbeatAt: number
@@ -63,7 +71,7 @@
 /** What a peer that has heard everything knows of this entry. */
 interface ToldState {
 	readonly config: number
-	readonly list: number
+	readonly list: TermRevision
 	readonly held: ReadonlyMap<string, number>
 }
 
@@ -72,11 +80,12 @@
 	return {
 		heardAt: new Map(),
 		news,
+		withoutSource: new Set(),
 		settledAt: readNow(),
 		heartbeatAt: 0,
 		rosterAt: 0,
 		rosterOf: 0,
-		told: { config: -1, list: -1, held: new Map() },
+		told: { config: -1, list: NO_REVISION, held: new Map() },
 	}
 }
 
@@ -86,16 +95,18 @@
 	peers: PeerLinks,
 	link: RpcLink,
 ): void {
-	tell(ctx, link, { ...loadOf(ctx), peers: [...peers.links.keys()] })
+	const left = listLeft(ctx.list)
+	tell(ctx, link, { ...loadOf(ctx), left, peers: [...peers.links.keys()] })
 }
 
 /** What an entry tells each time: all of its state but its peers. */
-function loadOf(ctx: GatewayContext): Omit<State, 'peers'> {
+function loadOf(ctx: GatewayContext): Omit<State, 'peers' | 'left'> {
 	return {
 		name: ctx.settings.name,
 		control: ctx.settings.control,
 		config: heldVersion(ctx),
 		list: ctx.list.revision,
+		sourceAway: ctx.sourceAway,
 		held: Object.fromEntries(ctx.fleet.held),
 		dataCentre: ctx.settings.dataCentre,
 		flows: tellFlows(ctx.fleet),
@@ -122,10 +133,11 @@
 		list: state.list,
 		held: new Map(ctx.fleet.held),
 	}
-	const isNews = state.config !== told.config || state.list !== told.list
+	const isNews =
+		state.config !== told.config || !isSameRevision(state.list, told.list)
 	if (isNews || now - states.heartbeatAt >= HEARTBEAT_MS) {
 		states.heartbeatAt = now
-		const whole = { ...state, peers: rosterNow(peers, states, now) }
+		const whole = { ...state, left: [], peers: rosterNow(peers, states, now) }
 		for (const link of links) tell(ctx, link, whole)
 		return
 	}
@@ -190,6 +202,9 @@
 	if (isOtherEntry(ctx, state.control))
 		noteEntryHeard(roster, state.control, readElapsed())
 	takeToldRates(ctx, state.rates, state.name)
+	takeToldLeft(ctx, state.left, state.name)
+	if (state.sourceAway) states.withoutSource.add(link)
+	else states.withoutSource.delete(link)
 	const { dataCentre, flows } = state
 	const held = new Map(Object.entries(state.held))
 	ctx.fleet.peerDemand.set(state.name, { dataCentre, flows })
@@ -197,7 +212,7 @@
 	ctx.toldVersion = Math.max(ctx.toldVersion, state.config)
 	// A peer that is behind may not be reached from here but by its own link.
 	const isBehind =
-		state.config < heldVersion(ctx) || state.list < ctx.list.revision
+		state.config < heldVersion(ctx) || isLater(ctx.list.revision, state.list)
 	if (isBehind && link.opened === 'there') tellAll(ctx, peers, link)
 	takeNews(ctx, states.news, state, link)
 }
@@ -232,3 +247,12 @@
 	const seeds = ctx.settings.seeds.length
 	ctx.entries = Math.max(states.heardAt.size + 1, seeds)
 }
+
+/** Tells removals that were doubted here to peers that cannot learn of them otherwise. */
+export function tellRemovals(ctx: GatewayContext, states: PeerStates): void {
+	const records = ctx.settledRemovals.splice(0)
+	if (records.length === 0) return
+	for (const link of states.withoutSource)
+		if (link.socket.destroyed) states.withoutSource.delete(link)
+		else notify(link, 'removals', { records })
+}
--- a/packages/gateway/src/peers.ts
+++ b/packages/gateway/src/peers.ts
@@ -30,7 +30,7 @@
 	PieceRequestSchema,
 	RatesSchema,
 } from './peerMessages.ts'
-import { answerRecords, createPeerNews } from './peerNews.ts'
+import { answerRecords, createPeerNews, takeRemovals } from './peerNews.ts'
 import {
 	createPeerStates,
 	forgetSilent,
@@ -38,6 +38,7 @@
 	takeState,
 	tellAll,
 	tellPeers,
+	tellRemovals,
 } from './peerStates.ts'
 import { answerPermits, lookAtHomes } from './permitHome.ts'
 import type { CatalogSource } from './ports.ts'
@@ -79,6 +80,7 @@
 				link,
 			),
 		records: (params: unknown) => answerRecords(ctx, params),
+		removals: (params: unknown) => takeRemovals(ctx, params),
 		paces: (params: unknown, link: RpcLink) => {
 			const news = takePaces(ctx, params)
 			if (news) tellOn(peers, news, link)
@@ -100,6 +102,7 @@
 		lookAtHomes(ctx, address => peers.kept.has(address))
 		tellEnds(ctx, peers)
 		tellRates(ctx, peers)
+		tellRemovals(ctx, states)
 		tellPeers(ctx, peers, states)
 		forgetSilent(ctx, states)
 		forgetGroups(ctx, readElapsed())
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -3,6 +3,7 @@
 import type {
 	ListedServer,
 	ServerRecord,
+	TermRevision,
 	TrafficConfig,
 } from '@juniperhook/core'
 
@@ -15,7 +16,7 @@
 
 /** Everything published, as of a revision. */
 export interface CatalogSnapshot {
-	readonly revision: number
+	readonly revision: TermRevision
 	readonly config: PublishedConfig | undefined
 	readonly servers: readonly ServerRecord[]
 	/** Values that could not be decoded, and why. */
@@ -34,9 +35,12 @@
 export interface CatalogSource {
 	/** Reads everything. */
 	read(): Promise<SourceResult<CatalogSnapshot>>
-	/** Waits for changes after a revision; none when the time is over. */
+	/**
+	 * Waits for changes after a revision; none when the time is over. Where a later term
+	 * has begun, history is lost.
+	 */
 	watch(
-		revision: number,
+		revision: TermRevision,
 		waitMs: number,
 	): Promise<SourceResult<CatalogSnapshot>>
 	/** Decodes a configuration's text that a peer passed on. */
--- a/packages/gateway/test/gatewayState.test.ts
+++ b/packages/gateway/test/gatewayState.test.ts
@@ -13,6 +13,7 @@
 	callGateway,
 	createCatalog,
 	ENGINE,
+	revisionOf,
 	startBackends,
 	WIRE,
 } from './standIns.ts'
@@ -36,7 +37,7 @@
 	const [first] = backends.listed
 	const leaving = { ...first!, leaving: true }
 	catalog.tell({
-		servers: [{ name: first!.name, revision: 2, server: leaving }],
+		servers: [{ name: first!.name, revision: revisionOf(2), server: leaving }],
 	})
 	await until(() => other.ctx.fleet.servers.length === 1)
 	for (let count = 0; count < 8; count++)
@@ -74,7 +75,7 @@
 	await until(() => fleet.held.get(born(10).id) === 1)
 	assert.ok(fleet.table.failureRate[0]! > 0)
 	catalog.tell({
-		servers: [{ name: first!.name, revision: 2, server: born(20) }],
+		servers: [{ name: first!.name, revision: revisionOf(2), server: born(20) }],
 	})
 	await until(() => fleet.table.rowOf.has(born(20).id))
 	assert.is(fleet.table.failureRate[0], 0)
@@ -104,8 +105,8 @@
 	catalog.tell({
 		config: { config, text: JSON.stringify(config) },
 		servers: [
-			{ name: first!.name, revision: 2, server: undefined },
-			{ name: second!.name, revision: 2, server: second },
+			{ name: first!.name, revision: revisionOf(2), server: undefined },
+			{ name: second!.name, revision: revisionOf(2), server: second },
 		],
 	})
 	const answers = await Promise.all(open)
@@ -123,13 +124,15 @@
 	catalog.down = true
 	await new Promise(resolve => setTimeout(resolve, 1_500))
 	catalog.tell({
-		servers: [{ name, revision: 2, server: undefined, fault: 'not JSON' }],
+		servers: [
+			{ name, revision: revisionOf(2), server: undefined, fault: 'not JSON' },
+		],
 	})
 	catalog.down = false
 	await until(() => other.ctx.fleet.servers.length === 2)
 	assert.is(other.ctx.fleet.servers.length, 2)
 	assert.is(other.ctx.list.doubted.size, 0)
-	catalog.tell({ servers: [{ name, revision: 3, server: first }] })
+	catalog.tell({ servers: [{ name, revision: revisionOf(3), server: first }] })
 	await until(() => other.ctx.fleet.servers.length === 3)
 	assert.is(other.ctx.fleet.servers.length, 3)
 })
@@ -141,7 +144,9 @@
 	await new Promise(resolve => setTimeout(resolve, 1_500))
 	const [first] = backends.listed
 	catalog.tell({
-		servers: [{ name: first!.name, revision: 2, server: undefined }],
+		servers: [
+			{ name: first!.name, revision: revisionOf(2), server: undefined },
+		],
 	})
 	catalog.down = false
 	await until(() => entry.ctx.fleet.servers.length === 2)
--- a/packages/gateway/test/mortalServers.ts
+++ b/packages/gateway/test/mortalServers.ts
@@ -5,7 +5,7 @@
 import type { AddressInfo, Socket } from 'node:net'
 import type { ListedServer } from '@juniperhook/core'
 import type { StandInCatalog } from './standIns.ts'
-import { WIRE } from './standIns.ts'
+import { nextRevision, WIRE } from './standIns.ts'
 
 /** A body with this in it ends the server that begins to run it. */
 export const DEADLY = 'deadly'
@@ -164,7 +164,7 @@
 	serve(all, mortal)
 	mortal.server.listen(mortal.port, '127.0.0.1')
 	for (const catalog of all.catalogs) {
-		const revision = catalog.snapshot.revision + 1
+		const revision = nextRevision(catalog)
 		catalog.tell({
 			servers: [
 				{ name: before, revision, server: undefined },
--- a/packages/gateway/test/peers.test.ts
+++ b/packages/gateway/test/peers.test.ts
@@ -73,7 +73,7 @@
 		name: 'secretive',
 		control,
 		config: version,
-		list: 0,
+		list: { term: 0, revision: 0 },
 		held: {},
 		peers: [],
 	}
--- a/packages/gateway/test/quarantine.test.ts
+++ b/packages/gateway/test/quarantine.test.ts
@@ -11,7 +11,7 @@
 import { DEADLY, end, SLOW } from './mortalServers.ts'
 import type { OpenGateway } from './openGateway.ts'
 import { createOpener, until } from './openGateway.ts'
-import { ENGINE, startBackends } from './standIns.ts'
+import { ENGINE, revisionOf, startBackends } from './standIns.ts'
 
 const openWorld = createWorlds(23_500)
 /** Ends further apart than what ends together, ms. */
@@ -191,7 +191,7 @@
 	entry.ctx.runs.running.clear()
 	noteBroken(entry.ctx, server)
 	await until(() => entry.ctx.ends.doubts.size === 0)
-	const gone = { name: server.name, revision: 9, server: undefined }
+	const gone = { name: server.name, revision: revisionOf(9), server: undefined }
 	servers.catalogs[0]!.tell({ servers: [gone] })
 	await until(() => entry.ctx.gate.quarantine.ends.size > 0)
 	const [end] = entry.ctx.gate.quarantine.ends.values()
--- a/packages/gateway/test/standIns.ts
+++ b/packages/gateway/test/standIns.ts
@@ -6,6 +6,7 @@
 import type {
 	EngineProfile,
 	ListedServer,
+	TermRevision,
 	TrafficConfig,
 	TrafficRoute,
 } from '@juniperhook/core'
@@ -274,6 +275,16 @@
 	tell(changes: Partial<CatalogSnapshot>): void
 }
 
+/** A revision of the only term that stand-in catalogs have. */
+export function revisionOf(revision: number): TermRevision {
+	return { term: 1, revision }
+}
+
+/** The revision after a catalog's. */
+export function nextRevision({ snapshot }: StandInCatalog): TermRevision {
+	return revisionOf(snapshot.revision.revision + 1)
+}
+
 const DOWN = {
 	ok: false,
 	lostHistory: false,
@@ -298,17 +309,17 @@
 		watchMs: 0,
 		reads: 0,
 		snapshot: {
-			revision: 1,
+			revision: revisionOf(1),
 			config: config && published(config),
 			servers: listed.map(server => ({
 				name: server.name,
-				revision: 1,
+				revision: revisionOf(1),
 				server,
 			})),
 			faults: [],
 		},
 		tell(told) {
-			const revision = catalog.snapshot.revision + 1
+			const revision = nextRevision(catalog)
 			catalog.snapshot = { ...catalog.snapshot, ...told, revision }
 			changes = told
 			wake()
