--- a/packages/core/src/core/serverList.ts
+++ b/packages/core/src/core/serverList.ts
@@ -45,6 +45,8 @@
 	readonly returning: Map<string, { record: ServerRecord; until: number }>
 	/** The latest revision among the records that came. */
 	revision: TermRevision
+	/** Up to where this process has itself read what is published. */
+	readAt: TermRevision
 }
 
 /** Makes an empty list. */
@@ -57,6 +59,7 @@
 		gone: new Set(),
 		returning: new Map(),
 		revision: NO_REVISION,
+		readAt: NO_REVISION,
 	}
 }
 
@@ -126,6 +129,24 @@
 	return false
 }
 
+/**
+ * Takes a record that another process tells; true when it is news. What this one has read
+ * past is not: of a server that was removed since it may not know.
+ */
+export function takeTold(
+	list: ServerList,
+	record: ServerRecord,
+	now: number,
+): boolean {
+	if (!isLater(record.revision, list.readAt)) return false
+	return takeCopied(list, record, now)
+}
+
+/** Notes up to where this process has itself read what is published. */
+export function noteRead(list: ServerList, revision: TermRevision): void {
+	list.readAt = laterOf(list.readAt, revision)
+}
+
 /** Believes the returns whose time has come; gives the records taken. */
 export function settleReturns(list: ServerList, now: number): ServerRecord[] {
 	const settled: ServerRecord[] = []
@@ -167,6 +188,7 @@
 	until: number,
 ): void {
 	const known = list.records.get(record.name)
+	if (list.returning.has(record.name)) takeRecord(list, record)
 	if (!known?.server || !isLater(record.revision, known.revision)) return
 	if (known.server.leaving) takeRecord(list, record)
 	else if (!list.doubted.has(record.name))
@@ -217,8 +239,8 @@
 	revision: TermRevision,
 ): ServerRecord[] {
 	const missing: ServerRecord[] = []
-	for (const record of list.records.values())
-		if (record.server && !present.has(record.name))
-			missing.push({ name: record.name, revision, server: undefined })
+	for (const { name, server } of list.records.values())
+		if ((server || list.returning.has(name)) && !present.has(name))
+			missing.push({ name, revision, server: undefined })
 	return missing
 }
--- a/packages/gateway/src/catalog.ts
+++ b/packages/gateway/src/catalog.ts
@@ -15,11 +15,13 @@
 	formatRevision,
 	isSameRevision,
 	noteDisplaced,
+	noteRead,
 	settleRemovals,
 	settleReturns,
 	takeCopied,
 	takeLeft,
 	takeRecord,
+	takeTold,
 } from '@juniperhook/core'
 import { readElapsed, readNow, sleep } from '@juniperhook/runtime'
 import type { GatewayContext } from './context.ts'
@@ -195,10 +197,10 @@
 	const missing = whole ? listMissing(ctx, snapshot) : []
 	const before = ctx.list.revision
 	takeRecords(ctx, [...snapshot.servers, ...missing], {
-		from: 'source',
-		doubtUntil: now < follower.doubtUntil ? follower.doubtUntil : 0,
-		isCopy,
+		from: isCopy ? 'copy' : 'source',
+		doubtUntil: follower.doubtUntil,
 	})
+	noteRead(ctx.list, snapshot.revision)
 	if (isCopy) logTerm(ctx, before, snapshot, missing.length)
 }
 
@@ -240,37 +242,40 @@
 	})
 }
 
-/** Where records come from, and how far they are believed. */
-interface RecordOrigin {
-	readonly from: string
-	/** Until when removals are doubted, ms; 0 for not at all. */
-	readonly doubtUntil?: number
-	/** Whether they may be of an older copy of the source. */
-	readonly isCopy?: boolean
-}
+/** Where records come from: the source, an older copy of it, or another entry. */
+export type RecordOrigin =
+	| { readonly from: 'source' | 'copy'; readonly doubtUntil: number }
+	| { readonly from: 'peer'; readonly peer: string }
 
 /** Takes records of servers. */
 export function takeRecords(
 	ctx: GatewayContext,
 	records: readonly ServerRecord[],
-	{ from, doubtUntil = 0, isCopy = false }: RecordOrigin,
+	origin: RecordOrigin,
 ): void {
 	const now = readElapsed()
-	let changed = false
-	for (const record of records) {
-		const mayHaveLapsed = !record.server && record.fault === undefined
-		if (mayHaveLapsed && doubtUntil > 0) {
-			doubtRemoval(ctx.list, record, doubtUntil)
-			continue
-		}
-		const isNews = isCopy
-			? takeCopied(ctx.list, record, now)
-			: takeRecord(ctx.list, record)
-		if (!isNews) continue
-		changed = true
-		logRecord(ctx, record, from)
+	const from = origin.from === 'peer' ? origin.peer : origin.from
+	const news = records.filter(record => takeFrom(ctx, record, origin, now))
+	for (const record of news) logRecord(ctx, record, from)
+	if (news.length > 0) refreshFleet(ctx)
+}
+
+/** Takes a record as far as its origin is believed; true when it is news. */
+function takeFrom(
+	{ list }: GatewayContext,
+	record: ServerRecord,
+	origin: RecordOrigin,
+	now: number,
+): boolean {
+	if (origin.from === 'peer') return takeTold(list, record, now)
+	const mayHaveLapsed = !record.server && record.fault === undefined
+	if (mayHaveLapsed && now < origin.doubtUntil) {
+		doubtRemoval(list, record, origin.doubtUntil)
+		return false
 	}
-	if (changed) refreshFleet(ctx)
+	return origin.from === 'copy'
+		? takeCopied(list, record, now)
+		: takeRecord(list, record)
 }
 
 function logRecord(
--- a/packages/gateway/src/peerNews.ts
+++ b/packages/gateway/src/peerNews.ts
@@ -172,13 +172,13 @@
 	peer: string,
 	link: RpcLink,
 ): Promise<PullEnd> {
-	let after = ctx.list.revision
+	let after = laterOf(ctx.list.revision, ctx.list.readAt)
 	let count = 0
 	for (;;) {
 		const reply = await call(link, 'records', { after })
 		const page = v.parse(RecordsSchema, reply)
 		const records = page.records.map(readRecord)
-		takeRecords(ctx, records, { from: peer, isCopy: true })
+		takeRecords(ctx, records, { from: 'peer', peer })
 		count += records.length
 		after = records.reduce((last, one) => laterOf(last, one.revision), after)
 		if (!page.hasMore || records.length === 0) break
@@ -203,7 +203,7 @@
 /** Takes removals that a peer had doubted, where the source is out of reach. */
 export function takeRemovals(ctx: GatewayContext, params: unknown): void {
 	const { records } = v.parse(RemovalsSchema, params)
-	takeRecords(ctx, records.map(readRecord), { from: 'peer' })
+	takeRecords(ctx, records.map(readRecord), { from: 'peer', peer: 'a peer' })
 }
 
 function readRecord({
