--- a/soak/src/main.ts
+++ b/soak/src/main.ts
@@ -23,6 +23,7 @@
 		only: { type: 'string', default: '' },
 		harmless: { type: 'boolean', default: false },
 		unlimited: { type: 'boolean', default: false },
+		steady: { type: 'boolean', default: false },
 		verbose: { type: 'boolean', default: false },
 	},
 })
@@ -40,6 +41,7 @@
 		only: values.only,
 		deadly: !values.harmless,
 		limited: !values.unlimited,
+		rewinds: !values.steady,
 		timed: true,
 		folder: join(tmpdir(), 'juniperhook-soak', `seed-${seed}`),
 	}
--- a/soak/src/soak.ts
+++ b/soak/src/soak.ts
@@ -5,6 +5,7 @@
 import { judgeDeadly, runDeadlyCaller } from './deadly.ts'
 import { endUnderRequest, playFaults } from './faults.ts'
 import { judgeLimits, playLimits } from './limits.ts'
+import { playRewinds } from './rewinds.ts'
 import { watchStalls } from './stalls.ts'
 import type { Record, SoakOptions } from './types.ts'
 import { sleep } from './types.ts'
@@ -40,6 +41,7 @@
 		void runDeadlyCaller(world)
 	}
 	if (options.limited) void playLimits(world)
+	if (options.rewinds) void playRewinds(world)
 	await playFaults(world)
 	await sleep(RECOVERY_MS)
 	const calmSince = performance.now()
--- a/soak/src/types.ts
+++ b/soak/src/types.ts
@@ -91,6 +91,8 @@
 	readonly deadly: boolean
 	/** Whether servers name limits, one after the other. */
 	readonly limited: boolean
+	/** Whether the store goes back to older copies. */
+	readonly rewinds: boolean
 	/** Whether promises with a time bound are judged. */
 	readonly timed: boolean
 	/** Folder for settings and logs. */
--- a/soak/test/soak.process.test.ts
+++ b/soak/test/soak.process.test.ts
@@ -18,13 +18,15 @@
 	readonly cause: string
 	readonly deadly?: boolean
 	readonly limited?: boolean
+	readonly rewinds?: boolean
 }[] = [
 	{ seed: 7, cause: 'none: a first one' },
 	{ seed: 8, cause: 'none: with a request that ends servers', deadly: true },
 	{ seed: 9, cause: 'none: with servers that name limits', limited: true },
+	{ seed: 10, cause: 'none: with a store that goes back', rewinds: true },
 ]
 
-for (const { seed, cause, deadly = false, limited = false } of SEEDS)
+for (const { seed, cause, ...what } of SEEDS)
 	test(`soak: seed ${seed} (${cause}) breaks no promise`, async () => {
 		const record = await runSoak({
 			seed,
@@ -36,8 +38,9 @@
 			faults: 10,
 			net: 14,
 			only: '',
-			deadly,
-			limited,
+			deadly: what.deadly ?? false,
+			limited: what.limited ?? false,
+			rewinds: what.rewinds ?? false,
 			timed: false,
 			folder: join(tmpdir(), 'juniperhook-soak', `test-${seed}`),
 		})
