--- a/packages/core/test/config.test.ts
+++ b/packages/core/test/config.test.ts
@@ -1,6 +1,6 @@
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
-import { readConfig } from '../src/index.ts'
+import { createRevisionState, offerRevision, readConfig } from '../src/index.ts'
 
 const VALID = `[dataCentre.a]
 region = r
@@ -102,4 +102,14 @@
 	assert.is(verdict.valid, false)
 })
 
+test('configuration: an older copy, or a revision given out again, takes nothing back', () => {
+	const state = createRevisionState()
+	const other = `${VALID}\n# another text\n`
+	assert.is(offerRevision(state, 9, VALID), 'adopted')
+	assert.is(offerRevision(state, 7, other), 'stale')
+	assert.is(offerRevision(state, 9, other), 'known')
+	assert.is(state.held?.document, VALID)
+	assert.is(offerRevision(state, 10, other), 'adopted')
+})
+
 test.run()
--- a/packages/entry/src/explain.ts
+++ b/packages/entry/src/explain.ts
@@ -81,6 +81,7 @@
 		case 'source lost':
 		case 'source back':
 			return isHere ? event : undefined
+		case 'source went back':
 		case 'source call failed':
 		case 'peer asked':
 			return isHere && isRecent ? event : undefined
@@ -130,14 +131,14 @@
 		case 'noServer':
 			return 'No server of its service was listed as serving.'
 		case 'noAnswer':
-			return `Its server had not answered when its time was over${describeSends(own)}.`
+			return `Its server had not answered when its time was over${describeSends(own)}${describeRewind(last, state)}.`
 		case 'linkLost':
 		case 'truncated':
-			return `The connection to its server broke after it may have run${describeSends(own)}${describeEnds(state)}.`
+			return `The connection to its server broke after it may have run${describeSends(own)}${describeEnds(state)}${describeRewind(last, state)}.`
 		case 'quarantined':
 			return explainQuarantine(last, state)
 		case 'unreachable':
-			return `No server that it was sent to took it${describeSends(own)}.`
+			return `No server that it was sent to took it${describeSends(own)}${describeRewind(last, state)}.`
 		default:
 			return `It was refused by this entry: ${error}.`
 	}
@@ -152,6 +153,13 @@
 	return `All servers of its service take only so many requests a second (${limits.join(', ')}), and none had one left in time.`
 }
 
+/** Whether what was believed of servers may have been from before the source went back. */
+function describeRewind(last: LogLine, state: readonly LogLine[]): string {
+	const went = state.find(({ event }) => event === 'source went back')
+	if (!went) return ''
+	return `; the source had gone back from ${went.backFrom} to ${went.backTo} ${last.time - went.time} ms before`
+}
+
 /** How far this entry was behind, and where to look for the reason. */
 function describeNewer(last: LogLine, state: readonly LogLine[]): string {
 	const newer = state.findLast(line => isNewerElsewhere(line, last))
--- a/packages/entry/src/logLines.ts
+++ b/packages/entry/src/logLines.ts
@@ -43,6 +43,9 @@
 	config: number,
 	list: number,
 	version: number,
+	/** Where a source was, and where it came back, as `term:revision`. */
+	backFrom: text,
+	backTo: text,
 	limit: number,
 	/** Requests that a server takes, a second. */
 	perSecond: number,
--- a/packages/entry/test/explain.test.ts
+++ b/packages/entry/test/explain.test.ts
@@ -100,6 +100,21 @@
 		],
 		cause: 'i-1, i-7 ended while they ran it (c.abc); it is sent to none.',
 	},
+	{
+		name: 'a server that an older copy of the source named',
+		lines: [
+			line(1_000, 'source went back', { backFrom: '1:40', backTo: '2:24' }),
+			line(1_400, 'attempt', {
+				req: ID,
+				server: 'i-1',
+				outcome: 'notSent',
+				reason: 'ECONNREFUSED',
+			}),
+			line(1_410, 'request failed', { req: ID, error: 'unreachable' }),
+		],
+		cause:
+			'No server that it was sent to took it (i-1 notSent ECONNREFUSED); the source had gone back from 1:40 to 2:24 410 ms before.',
+	},
 	{
 		name: 'servers that take only so many requests',
 		lines: [
--- a/packages/gateway/src/catalog.ts
+++ b/packages/gateway/src/catalog.ts
@@ -233,8 +233,8 @@
 	ctx.metrics.sourceTerm.set(revision.term)
 	ctx.metrics.sourceTerms.inc()
 	ctx.log.write('source went back', {
-		before: formatRevision(before),
-		revision: formatRevision(revision),
+		backFrom: formatRevision(before),
+		backTo: formatRevision(revision),
 		listed: servers.length,
 		missing,
 		doubted: list.doubted.size,
