--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -1,14 +1,9 @@
 /** One attempt: a server with room, a call to it, and what its head proves. */
 
 import type { ListedServer, TryResult } from '@juniperhook/core'
-import {
-	createRetryWindow,
-	noteTry,
-	perSecondOf,
-	takeRetry,
-} from '@juniperhook/core'
+import { createRetryWindow, noteTry, takeRetry } from '@juniperhook/core'
 import { readElapsed, readNow } from '@juniperhook/runtime'
-import { dropDisplaced } from './catalog.ts'
+import { logAttempt } from './attemptLog.ts'
 import {
 	closedWaitMs,
 	closeGroup,
@@ -28,7 +23,7 @@
 import { callServer } from './serverCall.ts'
 import { noteAlive, noteBroken, watchLeft } from './serverEnds.ts'
 import { buildServerHeaders } from './serverHeaders.ts'
-import { judgeTimes } from './timeliness.ts'
+import { dropDisplaced } from './serverRecords.ts'
 import { awaitServer, serveWaiting } from './waiting.ts'
 
 /** A request that was sent before may wait for this part of its target time. */
@@ -274,48 +269,3 @@
 function readHeader(value: string | string[] | undefined): string | undefined {
 	return Array.isArray(value) ? value[0] : value
 }
-
-/** Writes how an attempt went. */
-export function logAttempt(
-	ctx: GatewayContext,
-	job: Job,
-	serverId: string,
-	outcome: string,
-	reason: string,
-	inputs: object = {},
-): void {
-	const { request } = job
-	ctx.log.write('attempt', {
-		req: request.id,
-		server: serverId,
-		service: job.service,
-		send: job.sends,
-		outcome,
-		reason,
-		tookMs: Math.round(readElapsed() - request.arrivedAt),
-		config: request.routes.config.version,
-		list: ctx.list.revision.revision,
-		term: ctx.list.revision.term || undefined,
-		perSecond: perSecondOf(ctx.rateLimits, serverId),
-		...inputs,
-	})
-}
-
-/** Writes and counts that a request was answered, and whether in time. */
-export function logAnswer(
-	ctx: GatewayContext,
-	job: Job,
-	serverId: string,
-	reason: string,
-): void {
-	const { route } = job.request
-	const { startMs, longestPauseMs } = job.times
-	const timeliness = judgeTimes(route, job.times)
-	ctx.metrics.served.inc({ kind: route.kind, timeliness })
-	logAttempt(ctx, job, serverId, 'answered', reason, {
-		route: route.name,
-		timeliness,
-		startMs: Math.round(startMs),
-		longestPauseMs: Math.round(longestPauseMs),
-	})
-}
--- /dev/null
+++ b/packages/gateway/src/attemptLog.ts
@@ -0,0 +1,52 @@
+/** What is written and counted of each attempt. */
+
+import { perSecondOf } from '@juniperhook/core'
+import { readElapsed } from '@juniperhook/runtime'
+import type { GatewayContext } from './context.ts'
+import type { Job } from './job.ts'
+import { judgeTimes } from './timeliness.ts'
+
+/** Writes how an attempt went. */
+export function logAttempt(
+	ctx: GatewayContext,
+	job: Job,
+	serverId: string,
+	outcome: string,
+	reason: string,
+	inputs: object = {},
+): void {
+	const { request } = job
+	ctx.log.write('attempt', {
+		req: request.id,
+		server: serverId,
+		service: job.service,
+		send: job.sends,
+		outcome,
+		reason,
+		tookMs: Math.round(readElapsed() - request.arrivedAt),
+		config: request.routes.config.version,
+		list: ctx.list.revision.revision,
+		term: ctx.list.revision.term || undefined,
+		perSecond: perSecondOf(ctx.rateLimits, serverId),
+		...inputs,
+	})
+}
+
+/** Writes and counts that a request was answered, and whether in time. */
+export function logAnswer(
+	ctx: GatewayContext,
+	job: Job,
+	serverId: string,
+	reason: string,
+): void {
+	const { route } = job.request
+	const { startMs, longestPauseMs } = job.times
+	const timeliness = judgeTimes(route, job.times)
+	ctx.metrics.served.inc({ kind: route.kind, timeliness })
+	logAttempt(ctx, job, serverId, 'answered', reason, {
+		route: route.name,
+		timeliness,
+		startMs: Math.round(startMs),
+		longestPauseMs: Math.round(longestPauseMs),
+	})
+}
--- a/packages/gateway/src/catalog.ts
+++ b/packages/gateway/src/catalog.ts
@@ -3,39 +3,26 @@
  * and by what peers pass on. What is newer wins, whoever tells it.
  */
 
-import type {
-	ListedServer,
-	ServerRecord,
-	TermRevision,
-} from '@juniperhook/core'
+import type { ServerRecord, TermRevision } from '@juniperhook/core'
 import {
 	createRouteTable,
-	doubtRemoval,
 	findMissing,
 	formatRevision,
 	isSameRevision,
-	noteDisplaced,
 	noteRead,
 	settleRemovals,
 	settleReturns,
-	takeCopied,
-	takeLeft,
-	takeRecord,
-	takeTold,
 } from '@juniperhook/core'
 import { readElapsed, readNow, sleep } from '@juniperhook/runtime'
 import type { GatewayContext } from './context.ts'
-import { applyServerList } from './fleet.ts'
 import type {
 	CatalogSnapshot,
 	CatalogSource,
 	PublishedConfig,
 	SourceResult,
 } from './ports.ts'
-import { settleByList } from './serverEnds.ts'
-import { closeIdle } from './serverPool.ts'
+import { logRecord, refreshFleet, takeRecords } from './serverRecords.ts'
 import { unlessSuspended } from './suspension.ts'
-import { serveWaiting } from './waiting.ts'
 
 /**
  * Part of the contact time that a watch waits. One whose path was cut and healed,
@@ -192,7 +179,7 @@
 		ctx.log.write('published value refused', { reason })
 	if (snapshot.config) adoptConfig(ctx, snapshot.config, 'source')
 	const isCopy = whole && isOlderCopy(ctx, follower, snapshot.revision)
-	if (whole) follower.term = snapshot.revision.term
+	if (whole) noteTerm(ctx, follower, snapshot.revision)
 	if (isCopy) follower.doubtUntil = now + LAPSED_GRACE_MS
 	const missing = whole ? listMissing(ctx, snapshot) : []
 	const before = ctx.list.revision
@@ -204,6 +191,15 @@
 	if (isCopy) logTerm(ctx, before, snapshot, missing.length)
 }
 
+function noteTerm(
+	ctx: GatewayContext,
+	follower: CatalogFollower,
+	{ term }: TermRevision,
+): void {
+	follower.term = term
+	ctx.metrics.sourceTerm.set(term)
+}
+
 function listMissing(
 	{ list }: GatewayContext,
 	{ servers, revision }: CatalogSnapshot,
@@ -230,7 +226,6 @@
 	missing: number,
 ): void {
 	const { list } = ctx
-	ctx.metrics.sourceTerm.set(revision.term)
 	ctx.metrics.sourceTerms.inc()
 	ctx.log.write('source went back', {
 		backFrom: formatRevision(before),
@@ -242,77 +237,6 @@
 	})
 }
 
-/** Where records come from: the source, an older copy of it, or another entry. */
-export type RecordOrigin =
-	| { readonly from: 'source' | 'copy'; readonly doubtUntil: number }
-	| { readonly from: 'peer'; readonly peer: string }
-
-/** Takes records of servers. */
-export function takeRecords(
-	ctx: GatewayContext,
-	records: readonly ServerRecord[],
-	origin: RecordOrigin,
-): void {
-	const now = readElapsed()
-	const from = origin.from === 'peer' ? origin.peer : origin.from
-	const news = records.filter(record => takeFrom(ctx, record, origin, now))
-	for (const record of news) logRecord(ctx, record, from)
-	if (news.length > 0) refreshFleet(ctx)
-}
-
-/** Takes a record as far as its origin is believed; true when it is news. */
-function takeFrom(
-	{ list }: GatewayContext,
-	record: ServerRecord,
-	origin: RecordOrigin,
-	now: number,
-): boolean {
-	if (origin.from === 'peer') return takeTold(list, record, now)
-	const mayHaveLapsed = !record.server && record.fault === undefined
-	if (mayHaveLapsed && now < origin.doubtUntil) {
-		doubtRemoval(list, record, origin.doubtUntil)
-		return false
-	}
-	return origin.from === 'copy'
-		? takeCopied(list, record, now)
-		: takeRecord(list, record)
-}
-
-function logRecord(
-	ctx: GatewayContext,
-	record: ServerRecord,
-	from: string,
-): void {
-	const { server, fault } = record
-	if (fault !== undefined) ctx.metrics.unreadableEntries.inc()
-	ctx.log.write('server', {
-		server: server?.id ?? record.name,
-		state: stateOf(record),
-		fault,
-		service: server?.service,
-		address: server?.address,
-		revision: formatRevision(record.revision),
-		from,
-	})
-}
-
-function stateOf({ server, fault }: ServerRecord): string {
-	if (fault !== undefined) return 'unreadable'
-	if (!server) return 'gone'
-	return server.leaving ? 'leaving' : 'serving'
-}
-
-/** Takes ids of servers that another entry knows to have left. */
-export function takeToldLeft(
-	ctx: GatewayContext,
-	ids: readonly string[],
-	from: string,
-): void {
-	if (!takeLeft(ctx.list, ids)) return
-	ctx.log.write('servers left', { servers: ids.length, from })
-	refreshFleet(ctx)
-}
-
 /** Believes removals whose time has come. */
 export function tickCatalog(ctx: GatewayContext): void {
 	const settled = settleRemovals(ctx.list, readElapsed())
@@ -346,36 +270,3 @@
 	refreshFleet(ctx)
 	return true
 }
-
-/** Takes a server out that has said that it is another one. */
-export function dropDisplaced(ctx: GatewayContext, id: string): void {
-	noteDisplaced(ctx.list, id)
-	ctx.log.write('server', { server: id, state: 'displaced', from: 'answer' })
-	refreshFleet(ctx)
-}
-
-function refreshFleet(ctx: GatewayContext): void {
-	const { fleet, list, routes, settings } = ctx
-	const before = fleet.servers
-	applyServerList(fleet, list, settings.dataCentre, routes)
-	closeEnded(ctx, before)
-	settleByList(ctx)
-	serveWaiting(ctx)
-}
-
-/**
- * Closes idle connections to former lives of servers: behind a cut they stay open
- * without a word, and what is sent on one is lost.
- */
-function closeEnded(
-	{ fleet, list, pool, log }: GatewayContext,
-	before: readonly ListedServer[],
-): void {
-	for (const { id, name, address } of before) {
-		if (fleet.table.rowOf.has(id)) continue
-		closeIdle(pool, address)
-		const now = list.records.get(name)?.server
-		if (now && now.id !== id)
-			log.write('server started again', { server: now.id, before: id })
-	}
-}
--- a/packages/gateway/src/forward.ts
+++ b/packages/gateway/src/forward.ts
@@ -4,13 +4,8 @@
 import type { ErrorKind } from '@juniperhook/core'
 import { drawService, ERRORS, noteRequest } from '@juniperhook/core'
 import { readElapsed, readNow } from '@juniperhook/runtime'
-import {
-	logAnswer,
-	logAttempt,
-	makeAttempt,
-	mayTryAgain,
-	retriesOf,
-} from './attempt.ts'
+import { makeAttempt, mayTryAgain, retriesOf } from './attempt.ts'
+import { logAnswer, logAttempt } from './attemptLog.ts'
 import { readCallerRequest } from './callerRequest.ts'
 import { isGrouped } from './closedGroups.ts'
 import { chooseComeBack } from './comeBack.ts'
--- a/packages/gateway/src/peerNews.ts
+++ b/packages/gateway/src/peerNews.ts
@@ -16,7 +16,7 @@
 import type { RpcLink } from '@juniperhook/runtime'
 import { call, messageOf, readNow } from '@juniperhook/runtime'
 import * as v from 'valibot'
-import { adoptConfig, takeRecords } from './catalog.ts'
+import { adoptConfig } from './catalog.ts'
 import { fetchConfig } from './configTransfer.ts'
 import type { GatewayContext } from './context.ts'
 import type { Records, State } from './peerMessages.ts'
@@ -26,6 +26,7 @@
 	RemovalsSchema,
 } from './peerMessages.ts'
 import type { CatalogSource } from './ports.ts'
+import { takeRecords } from './serverRecords.ts'
 
 /**
  * Records handed over in one answer; one is some 250 bytes. Those of a single
--- a/packages/gateway/src/peerStates.ts
+++ b/packages/gateway/src/peerStates.ts
@@ -23,7 +23,6 @@
 	readNow,
 } from '@juniperhook/runtime'
 import * as v from 'valibot'
-import { takeToldLeft } from './catalog.ts'
 import type { GatewayContext } from './context.ts'
 import { settleDemand, tellFlows } from './entryDemand.ts'
 import { dropPeerLoad, notePeerLoad } from './fleet.ts'
@@ -34,6 +33,7 @@
 import type { PeerNews } from './peerNews.ts'
 import { heldVersion, takeNews } from './peerNews.ts'
 import { listRates, takeToldRates } from './rateLimits.ts'
+import { takeToldLeft } from './serverRecords.ts'
 
 /**
  * Between states told to peers while something changes, ms: so much at least, and
--- a/packages/gateway/src/permitGate.ts
+++ b/packages/gateway/src/permitGate.ts
@@ -117,7 +117,7 @@
 	if (perSecond === undefined) return
 	const home = homeOf(ctx, server)
 	if (home === ctx.settings.control) {
-		takePermits(ctx, held, perSecond, givePermits(ctx, server, perSecond, wish))
+		keepPermits(ctx, held, perSecond, givePermits(ctx, server, perSecond, wish))
 		return
 	}
 	const word = tellRate(ctx, server)
@@ -153,7 +153,7 @@
 ): void {
 	switch (reply.type) {
 		case 'permits':
-			takePermits(ctx, held, perSecond, reply)
+			keepPermits(ctx, held, perSecond, reply)
 			return
 		case 'notHome':
 			noteNone(ctx, held, 'notHome')
@@ -163,7 +163,7 @@
 	}
 }
 
-function takePermits(
+function keepPermits(
 	ctx: GatewayContext,
 	held: HeldPermits,
 	perSecond: number,
--- a/packages/gateway/src/streamRelay.ts
+++ b/packages/gateway/src/streamRelay.ts
@@ -5,7 +5,8 @@
 
 import type { ServerResponse } from 'node:http'
 import { readElapsed, readNow } from '@juniperhook/runtime'
-import { logAnswer, logAttempt, mayTryAgain } from './attempt.ts'
+import { mayTryAgain } from './attempt.ts'
+import { logAnswer, logAttempt } from './attemptLog.ts'
 import type { GatewayContext } from './context.ts'
 import type { StreamEvent } from './eventSplitter.ts'
 import { createEventSplitter, splitEvents } from './eventSplitter.ts'
