--- a/packages/core/src/core/serverList.ts
+++ b/packages/core/src/core/serverList.ts
@@ -190,8 +190,13 @@
 	const known = list.records.get(record.name)
 	if (list.returning.has(record.name)) takeRecord(list, record)
 	if (!known?.server || !isLater(record.revision, known.revision)) return
-	if (known.server.leaving) takeRecord(list, record)
-	else if (!list.doubted.has(record.name))
+	if (known.server.leaving) {
+		takeRecord(list, record)
+		return
+	}
+	const doubted = list.doubted.get(record.name)?.record.revision
+	// After another copy the server has its time to be written again anew.
+	if (!doubted || record.revision.term > doubted.term)
 		list.doubted.set(record.name, { record, until })
 }
 
--- a/packages/core/test/serverList.test.ts
+++ b/packages/core/test/serverList.test.ts
@@ -79,6 +79,19 @@
 	assert.equal(idsOf(list), ['2'])
 })
 
+test('server list: a second copy without a server gives it its time anew', () => {
+	const list = createServerList()
+	const missingAt = (term: number) =>
+		findMissing(list, new Set(), { term, revision: 5 })
+	takeRecord(list, { name: '1', revision: at(7), server: serverOf('1') })
+	for (const record of missingAt(2)) doubtRemoval(list, record, 1_000)
+	for (const record of missingAt(3)) doubtRemoval(list, record, 1_800)
+	assert.equal(settleRemovals(list, 1_000), [])
+	assert.equal(idsOf(list), ['1'])
+	assert.is(settleRemovals(list, 1_800).length, 1)
+	assert.equal(idsOf(list), [])
+})
+
 test('server list: the newest id of an address is the one there', () => {
 	const list = createServerList()
 	const there = '10.0.0.9:80'
