Permits: what is held, asking, and the outlook are modules of their own; notices, not words

Three jobs stood in one file of 233 lines, and rateLimits.ts and permitGate.ts imported each other. Waiting in the queue is a function of its own. Moved and renamed, nothing changed.

--- a/packages/core/src/core/rateLimits.ts
+++ b/packages/core/src/core/rateLimits.ts
@@ -1,11 +1,11 @@
 /**
  * How many requests a second servers say they take from all entries together. A server
- * says so in its answers for as long as it holds; the newest word about it wins, whoever
+ * says so in its answers for as long as it holds; the newest notice about it wins, whoever
  * heard it.
  */
 
-/** A server's last word. */
-export interface RateWord {
+/** A server's last notice. */
+export interface RateNotice {
 	/** Requests a second; undefined for as many as come. */
 	readonly perSecond: number | undefined
 	/** When the server last said so, ms. */
@@ -14,12 +14,12 @@
 	readonly since: number
 }
 
-/** Last words, by server id. */
-export type RateLimits = Map<string, RateWord>
+/** Last notices, by server id. */
+export type RateLimits = Map<string, RateNotice>
 
 /**
- * Of a server that is not listed, or that has no limit any more, the last word is kept
- * for this long, ms: an older word that comes late must not count as news.
+ * Of a server that is not listed, or that has no limit any more, the last notice is kept
+ * for this long, ms: an older notice that comes late must not count as news.
  */
 const KEPT_MS = 60_000
 
@@ -34,11 +34,11 @@
 	return Number.isFinite(perSecond) && perSecond >= 0 ? perSecond : undefined
 }
 
-/** Takes a server's word unless a newer one is known; true if it changes the limit. */
-export function takeRateWord(
+/** Takes a server's notice unless a newer one is known; true if it changes the limit. */
+export function takeRateNotice(
 	limits: RateLimits,
 	server: string,
-	{ perSecond, at }: Pick<RateWord, 'perSecond' | 'at'>,
+	{ perSecond, at }: Pick<RateNotice, 'perSecond' | 'at'>,
 ): boolean {
 	const known = limits.get(server)
 	if (!known && perSecond === undefined) return false
@@ -57,8 +57,8 @@
 	return limits.get(server)?.perSecond
 }
 
-/** Forgets old words of servers that have no limit or, by `isListed`, are gone. */
-export function forgetRateWords(
+/** Forgets old notices of servers that have no limit or, by `isListed`, are gone. */
+export function forgetRateNotices(
 	limits: RateLimits,
 	isListed: (server: string) => boolean,
 	now: number,
--- a/packages/core/test/models/permitNet.ts
+++ b/packages/core/test/models/permitNet.ts
@@ -29,7 +29,7 @@
 	perSecondOf,
 	takeGiven,
 	takePermits,
-	takeRateWord,
+	takeRateNotice,
 	usePermit,
 } from '../../src/index.ts'
 
@@ -244,7 +244,7 @@
 
 function tell(net: Net, from: Entry, to: Entry): void {
 	if (!isUp(net, from) || !isUp(net, to)) return
-	const words = [...from.limits].map(([server, { perSecond, at }]) => ({
+	const notices = [...from.limits].map(([server, { perSecond, at }]) => ({
 		server,
 		perSecond,
 		agoMs: net.now - at,
@@ -254,19 +254,19 @@
 		for (const address of named)
 			if (address !== to.address) noteEntryNamed(to.roster, address, net.now)
 		noteEntryHeard(to.roster, from.address, net.now)
-		for (const { server, perSecond, agoMs } of words)
-			takeWord(net, to, server, perSecond, net.now - agoMs)
+		for (const { server, perSecond, agoMs } of notices)
+			takeNotice(net, to, server, perSecond, net.now - agoMs)
 	})
 }
 
-function takeWord(
+function takeNotice(
 	net: Net,
 	entry: Entry,
 	server: string,
 	perSecond: number | undefined,
 	at: number,
 ): void {
-	if (!takeRateWord(entry.limits, server, { perSecond, at })) return
+	if (!takeRateNotice(entry.limits, server, { perSecond, at })) return
 	entry.held = createHeldPermits()
 	if (perSecond === undefined) entry.pool = undefined
 	tellOthers(net, entry)
@@ -376,5 +376,5 @@
 	const known = entry.limits.get(SERVER)
 	const isOld = known?.perSecond !== undefined && sentAt <= known.since
 	if (perSecond === undefined && (!known || isOld)) return
-	takeWord(net, entry, SERVER, perSecond, net.now)
+	takeNotice(net, entry, SERVER, perSecond, net.now)
 }
--- a/packages/gateway/src/comeBack.ts
+++ b/packages/gateway/src/comeBack.ts
@@ -4,7 +4,7 @@
 import { readNow } from '@juniperhook/runtime'
 import { expectOpenMs } from './closedGroups.ts'
 import type { GatewayContext } from './context.ts'
-import { outlookOf } from './permitGate.ts'
+import { outlookOf } from './permitOutlook.ts'
 import { pressureOf } from './pressure.ts'
 
 /** For a refusal to reach its caller, who reckons from then on, ms. */
--- a/packages/gateway/src/peerMessages.ts
+++ b/packages/gateway/src/peerMessages.ts
@@ -31,7 +31,7 @@
 /** Asks a server's home for permits. */
 export const PermitAskSchema = v.object({
 	/** What the asker knows of the server's limit. */
-	word: RateNewsSchema,
+	notice: RateNewsSchema,
 	count: v.pipe(v.number(), v.integer(), v.minValue(1), v.maxValue(1_000)),
 	/** How long its callers can wait, ms. */
 	withinMs: v.pipe(v.number(), v.finite()),
--- a/packages/gateway/src/permitGate.ts
+++ b/packages/gateway/src/permitGate.ts
@@ -1,29 +1,18 @@
 /**
- * The side of an entry that asks for permits: a server with a limit is sent nothing
- * without one. A request does not wait for a permit while another server has room; the
- * next one finds it here.
+ * The permits that an entry has been given: a server with a limit is sent nothing without
+ * one.
  */
 
-import type { HeldPermits, Permits, PermitWish } from '@juniperhook/core'
+import type { HeldPermits } from '@juniperhook/core'
 import {
 	createHeldPermits,
 	hasPermit,
-	isAskDue,
-	listDueMs,
 	perSecondOf,
-	takeGiven,
 	usePermit,
 } from '@juniperhook/core'
-import { messageOf, readElapsed } from '@juniperhook/runtime'
+import { readElapsed } from '@juniperhook/runtime'
 import type { GatewayContext } from './context.ts'
 import type { PermitAsk, PermitReply } from './peerMessages.ts'
-import { givePermits, homeOf } from './permitHome.ts'
-import { tellRate } from './rateLimits.ts'
-
-/** Permits that one question asks for at most. */
-const MAX_ASKED = 16
-/** Before a home is asked again that did not give an answer, ms. */
-const ASK_AGAIN_MS = 100
 
 /** Asks a home; undefined while there is no link to it. */
 export type AskHome = (
@@ -77,28 +66,11 @@
 	if (held) usePermit(held, readElapsed())
 }
 
-/**
- * Asks for permits of a service's servers that have none left. `onAnswer` follows
- * answers that come later.
- */
-export function askForPermits(
-	ctx: GatewayContext,
-	service: string,
-	wish: PermitWish,
-	onAnswer: () => void,
-): void {
-	if (ctx.rateLimits.size === 0) return
-	const count = Math.min(MAX_ASKED, wish.count)
-	const { withinMs } = wish
-	for (const row of listLimited(ctx, service).spent) {
-		const { id } = ctx.fleet.servers[row]!
-		const held = heldOf(ctx, id)
-		if (isAskDue(held, withinMs, readElapsed()))
-			askFor(ctx, id, held, { count, withinMs }, onAnswer)
-	}
-}
-
-function heldOf({ permits }: GatewayContext, server: string): HeldPermits {
+/** What is held of a server's permits. */
+export function heldOf(
+	{ permits }: GatewayContext,
+	server: string,
+): HeldPermits {
 	const known = permits.held.get(server)
 	if (known) return known
 	const held = createHeldPermits()
@@ -106,119 +78,6 @@
 	return held
 }
 
-function askFor(
-	ctx: GatewayContext,
-	server: string,
-	held: HeldPermits,
-	wish: PermitWish,
-	onAnswer: () => void,
-): void {
-	const perSecond = perSecondOf(ctx.rateLimits, server)
-	if (perSecond === undefined) return
-	const home = homeOf(ctx, server)
-	if (home === ctx.settings.control) {
-		keepPermits(ctx, held, perSecond, givePermits(ctx, server, perSecond, wish))
-		return
-	}
-	const word = tellRate(ctx, server)
-	const reply = word && ctx.permits.askHome(home, { word, ...wish })
-	if (!reply) {
-		noteNone(ctx, held, 'unlinked')
-		return
-	}
-	held.isAsking = true
-	void reply
-		.then(
-			got => takeReply(ctx, held, perSecond, got),
-			err => {
-				ctx.log.write('permit not given', {
-					server,
-					home,
-					reason: messageOf(err),
-				})
-				noteNone(ctx, held, 'failed')
-			},
-		)
-		.finally(() => {
-			held.isAsking = false
-			onAnswer()
-		})
-}
-
-function takeReply(
-	ctx: GatewayContext,
-	held: HeldPermits,
-	perSecond: number,
-	reply: PermitReply,
-): void {
-	switch (reply.type) {
-		case 'permits':
-			keepPermits(ctx, held, perSecond, reply)
-			return
-		case 'notHome':
-			noteNone(ctx, held, 'notHome')
-			return
-		default:
-			reply satisfies never
-	}
-}
-
-function keepPermits(
-	ctx: GatewayContext,
-	held: HeldPermits,
-	perSecond: number,
-	permits: Permits,
-): void {
-	takeGiven(held, perSecond, permits, readElapsed())
-	const outcome = permits.dueMs.length > 0 ? 'given' : 'wait'
-	ctx.metrics.permits.inc({ outcome })
-}
-
-function noteNone(
-	ctx: GatewayContext,
-	held: HeldPermits,
-	outcome: 'unlinked' | 'failed' | 'notHome',
-): void {
-	held.notBefore = readElapsed() + ASK_AGAIN_MS
-	ctx.metrics.permits.inc({ outcome })
-}
-
-/** When a service's next permits may be used, if all of its servers have limits. */
-export interface PermitOutlook {
-	/** From now, the soonest first, ms; those that are held. */
-	readonly dueMs: readonly number[]
-	/** From now until more may be given, ms. */
-	readonly moreMs: number
-}
-
-/** What a service's callers may expect; undefined unless all its servers have limits. */
-export function outlookOf(
-	ctx: GatewayContext,
-	service: string,
-): PermitOutlook | undefined {
-	if (ctx.rateLimits.size === 0) return undefined
-	const { fleet, rateLimits } = ctx
-	const rows = fleet.rowsOf.get(service) ?? []
-	const ids = rows.map(row => fleet.servers[row]!.id)
-	const isLimited = (id: string) => perSecondOf(rateLimits, id) !== undefined
-	if (ids.length === 0 || !ids.every(isLimited)) return undefined
-	const now = readElapsed()
-	const all = ids.map(id => heldOf(ctx, id))
-	const dueMs = all.flatMap(held => listDueMs(held, now)).sort((a, b) => a - b)
-	const more = all.map(({ isAsking, notBefore }) =>
-		isAsking ? 0 : Math.max(0, notBefore - now),
-	)
-	return { dueMs, moreMs: Math.min(...more) }
-}
-
-/** How long the request after `before` others will wait for a permit, ms. */
-export function permitWaitMs(
-	{ dueMs, moreMs }: PermitOutlook,
-	before: number,
-): number {
-	return dueMs[before] ?? moreMs
-}
-
 /** Drops what is held of a server whose limit has changed. */
 export function dropPermits({ permits }: GatewayContext, server: string): void {
 	permits.held.delete(server)
--- a/packages/gateway/src/permitHome.ts
+++ b/packages/gateway/src/permitHome.ts
@@ -91,9 +91,9 @@
 	ctx: GatewayContext,
 	params: unknown,
 ): PermitReply {
-	const { word, count, withinMs } = v.parse(PermitAskSchema, params)
-	const { server } = word
-	takeToldRates(ctx, [word], 'peer')
+	const { notice, count, withinMs } = v.parse(PermitAskSchema, params)
+	const { server } = notice
+	takeToldRates(ctx, [notice], 'peer')
 	if (homeOf(ctx, server) !== ctx.settings.control) return { type: 'notHome' }
 	const perSecond = perSecondOf(ctx.rateLimits, server)
 	// What is believed to have no limit any more: the asker will hear of it.
--- a/packages/gateway/src/rateLimits.ts
+++ b/packages/gateway/src/rateLimits.ts
@@ -3,12 +3,12 @@
  * tell each other.
  */
 
-import type { RateWord } from '@juniperhook/core'
+import type { RateNotice } from '@juniperhook/core'
 import {
-	forgetRateWords,
+	forgetRateNotices,
 	parsePerSecond,
 	perSecondOf,
-	takeRateWord,
+	takeRateNotice,
 } from '@juniperhook/core'
 import { readElapsed } from '@juniperhook/runtime'
 import type { GatewayContext } from './context.ts'
@@ -34,7 +34,7 @@
 	const at = readElapsed()
 	if (hint.text !== undefined) {
 		const perSecond = parsePerSecond(hint.text)
-		if (perSecond !== undefined) takeWord(ctx, server, { perSecond, at })
+		if (perSecond !== undefined) takeNotice(ctx, server, { perSecond, at })
 		else ctx.log.write('server limit unreadable', { server, text: hint.text })
 		return
 	}
@@ -42,23 +42,23 @@
 	if (known?.perSecond === undefined || !hint.ran) return
 	// An answer to a request from before the limit says nothing of its end.
 	if (hint.sentAt <= known.since) return
-	takeWord(ctx, server, { perSecond: undefined, at })
+	takeNotice(ctx, server, { perSecond: undefined, at })
 }
 
-function takeWord(
+function takeNotice(
 	ctx: GatewayContext,
 	server: string,
-	word: Pick<RateWord, 'perSecond' | 'at'>,
+	notice: Pick<RateNotice, 'perSecond' | 'at'>,
 	from = 'answer',
 ): void {
 	const { rateLimits } = ctx
 	const before = perSecondOf(rateLimits, server)
-	if (!takeRateWord(rateLimits, server, word)) return
+	if (!takeRateNotice(rateLimits, server, notice)) return
 	ctx.untoldRates.add(server)
 	dropPermits(ctx, server)
 	ctx.log.write('server limit', {
 		server,
-		perSecond: word.perSecond,
+		perSecond: notice.perSecond,
 		before,
 		from,
 	})
@@ -76,7 +76,7 @@
 ): void {
 	const now = readElapsed()
 	for (const { server, perSecond, agoMs } of told)
-		takeWord(ctx, server, { perSecond, at: now - agoMs }, from)
+		takeNotice(ctx, server, { perSecond, at: now - agoMs }, from)
 }
 
 /** What is known of a server's limit, as it is told. */
@@ -84,10 +84,10 @@
 	{ rateLimits }: GatewayContext,
 	server: string,
 ): RateNews | undefined {
-	const word = rateLimits.get(server)
-	if (!word) return undefined
-	const agoMs = Math.max(0, Math.round(readElapsed() - word.at))
-	return { server, perSecond: word.perSecond, agoMs }
+	const notice = rateLimits.get(server)
+	if (!notice) return undefined
+	const agoMs = Math.max(0, Math.round(readElapsed() - notice.at))
+	return { server, perSecond: notice.perSecond, agoMs }
 }
 
 /** All that is known of limits. */
@@ -103,9 +103,9 @@
 	return news.filter(one => one !== undefined)
 }
 
-/** Forgets what old words say of servers. */
+/** Forgets old notices of servers. */
 export function forgetRates({ rateLimits, fleet }: GatewayContext): void {
 	if (rateLimits.size === 0) return
 	const isListed = (id: string) => fleet.table.rowOf.has(id)
-	forgetRateWords(rateLimits, isListed, readElapsed())
+	forgetRateNotices(rateLimits, isListed, readElapsed())
 }
--- a/packages/gateway/src/waiting.ts
+++ b/packages/gateway/src/waiting.ts
@@ -18,14 +18,10 @@
 import type { GatewayContext } from './context.ts'
 import { isRationed, isTaken } from './entryDemand.ts'
 import { groupOf, meterOf, noteHeld, queueOf } from './fleet.ts'
-import type { PermitOutlook } from './permitGate.ts'
-import {
-	askForPermits,
-	listLimited,
-	outlookOf,
-	permitWaitMs,
-	spendPermit,
-} from './permitGate.ts'
+import { askForPermits } from './permitAsk.ts'
+import { listLimited, spendPermit } from './permitGate.ts'
+import type { PermitOutlook } from './permitOutlook.ts'
+import { outlookOf, permitWaitMs } from './permitOutlook.ts'
 import type { Pressure } from './pressure.ts'
 import { pressureOf } from './pressure.ts'
 import type { Grant, ServerWish, Waiter } from './waiter.ts'
@@ -64,6 +60,16 @@
 	const outlook = outlookOf(ctx, wish.service)
 	if (waitsTooLong(queue, wish, pressure, outlook, now))
 		return Promise.resolve({ kind: outlook ? 'limited' : 'full' })
+	return waitInQueue(ctx, queue, wish, now)
+}
+
+/** Waits until a server has room, and no longer than is wished. */
+function waitInQueue(
+	ctx: GatewayContext,
+	queue: FairQueue<Waiter>,
+	wish: ServerWish,
+	now: number,
+): Promise<Grant> {
 	return new Promise(resolve => {
 		const leave = (grant: Grant) => {
 			clearTimeout(timer)
