--- a/bench/rollback.ts
+++ b/bench/rollback.ts
@@ -143,6 +143,9 @@
 		retries: { ratio: 0.2, slack: 40, windowMs: 10_000 },
 		retryAfterShare: 1 / 3,
 		eventTimeout: { minMs: 2_000, targetFactor: 4, pauseFactor: 8 },
+		coldAllowance: { factor: 1, extra: 0 },
+		memoryMb: 256,
+		underPressure: false,
 	}
 	const log = { ...createEventLog('bench'), write: () => {}, flush: () => {} }
 	const source = createStoreSource(createClient(fleet))
--- a/packages/core/src/core/dispatch.ts
+++ b/packages/core/src/core/dispatch.ts
@@ -8,8 +8,8 @@
 import {
 	estimateUnreportedLoad,
 	isEjected,
+	penaltyLoads,
 	randomIndex,
-	recordResult,
 } from '../internal.ts'
 
 /** Inputs for a selection. */
@@ -50,14 +50,6 @@
 /** Largest share of a service's servers that may be ejected at the same time. */
 const MAX_EJECTED_SHARE = 0.5
 
-/** Smoothing weight of a new sample in the failure rate and the service time. */
-const RESULT_WEIGHT = 0.2
-/** Half-life of the failure and slowness penalties, ms. */
-const PENALTY_HALF_LIFE_MS = 3_000
-/** Load added to a server that fails every attempt while the others fail none. */
-const FAILURE_LOAD = 3
-/** Load added to a server that is twice as slow as the fastest. */
-const SLOW_LOAD = 0.25
 /**
  * Load added to a rank that is twice as slow as normal: its requests lengthen every
  * pass of its group, not only their own.
@@ -71,98 +63,6 @@
  */
 const GROUP_SLOWDOWN_LOAD = 0.6
 const MAX_GROUP_LOAD = 1
-/** Maximum slowness factor counted against a server. */
-const MAX_SLOWNESS = 6
-/** Consecutive failures counted for one connection that could not be established. */
-const FAILURES_PER_UNREACHED = 3
-
-/** Outcome of an attempt on a server. */
-export type AttemptOutcome =
-	/** With the time of a complete answer; undefined for a stream, whose length varies. */
-	| { readonly kind: 'good'; readonly tookMs: number | undefined }
-	| { readonly kind: 'failed' }
-	/** No connection could be established. */
-	| { readonly kind: 'unreached' }
-
-/** Records the outcome of an attempt. */
-export function recordAttempt(
-	table: ServerTable,
-	row: number,
-	outcome: AttemptOutcome,
-	now: number,
-): void {
-	decayFailureRate(table, row, now)
-	const rate = table.failureRate[row]!
-	const failed = outcome.kind === 'good' ? 0 : 1
-	table.failureRate[row] = rate + RESULT_WEIGHT * (failed - rate)
-	switch (outcome.kind) {
-		case 'good':
-			if (outcome.tookMs !== undefined)
-				recordServiceTime(table, row, outcome.tookMs)
-			recordResult(table, row, true, now)
-			return
-		case 'failed':
-			recordResult(table, row, false, now)
-			return
-		case 'unreached':
-			for (let count = 0; count < FAILURES_PER_UNREACHED; count++)
-				recordResult(table, row, false, now)
-			return
-		default:
-			outcome satisfies never
-	}
-}
-
-function recordServiceTime(
-	table: ServerTable,
-	row: number,
-	tookMs: number,
-): void {
-	const smoothed = table.serviceMs[row]! || tookMs
-	table.serviceMs[row] = smoothed + RESULT_WEIGHT * (tookMs - smoothed)
-}
-
-/** Decays the failure rate, so that a server that failed is tried again. */
-function decayFailureRate(table: ServerTable, row: number, now: number): void {
-	const age = now - table.smoothedAt[row]!
-	table.smoothedAt[row] = now
-	table.failureRate[row]! *= 0.5 ** (age / PENALTY_HALF_LIFE_MS)
-}
-
-/** Returns failure and slowness penalties as load, relative to the best of `rows`. */
-function penaltyLoads(
-	table: ServerTable,
-	rows: readonly number[],
-	now: number,
-): Map<number, number> {
-	const rates = rows.map(row => {
-		const age = now - table.smoothedAt[row]!
-		return table.failureRate[row]! * 0.5 ** (age / PENALTY_HALF_LIFE_MS)
-	})
-	const times = rows.map(row => table.serviceMs[row]!).filter(time => time > 0)
-	const lowestRate = Math.min(...rates)
-	const fastest = Math.min(...times)
-	const penalties = new Map<number, number>()
-	for (const [at, row] of rows.entries()) {
-		const failing = FAILURE_LOAD * (rates[at]! - lowestRate)
-		penalties.set(row, failing + slownessLoad(table, row, fastest, now))
-	}
-	return penalties
-}
-
-function slownessLoad(
-	table: ServerTable,
-	row: number,
-	fastest: number,
-	now: number,
-): number {
-	const time = table.serviceMs[row]!
-	if (time === 0) return 0
-	const ratio = Math.min(MAX_SLOWNESS, time / fastest)
-	const age = now - table.smoothedAt[row]!
-	return SLOW_LOAD * (ratio - 1) * 0.5 ** (age / PENALTY_HALF_LIFE_MS)
-}
-
 /** Selects a server. */
 export function chooseRow(
 	table: ServerTable,
@@ -296,36 +196,6 @@
 	return rows.filter(isAssigned)
 }
 
-/**
- * Returns the lock-step groups that are full. `hasRoom` decides for each group with a
- * limit, given its free capacity: the sum of its ranks' limits less their requests in
- * flight. A limit may be fractional: a rank may then have up to the next whole number in
- * flight, but not all ranks at once. Loads reported by other entries are multiplied by
- * `peerScale`, to account for entries that have not reported.
- */
-export function listFullGroups(
-	table: ServerTable,
-	hasRoom: (group: number, capacity: number) => boolean = hasWholeSlot,
-	peerScale = 1,
-): Set<number> {
-	const capacities = new Map<number, number>()
-	for (const [row, group] of table.group.entries()) {
-		const limit = table.maxInFlight[row]!
-		if (group < 0 || limit === Number.POSITIVE_INFINITY) continue
-		const ofPeers = peerScale * Math.max(0, table.reportedLoad[row]!)
-		const free = limit - ofPeers - table.sentSinceReport[row]!
-		capacities.set(group, (capacities.get(group) ?? 0) + free)
-	}
-	const full = [...capacities].filter(
-		([group, capacity]) => !hasRoom(group, capacity),
-	)
-	return new Set(full.map(([group]) => group))
-}
-
-function hasWholeSlot(_group: number, capacity: number): boolean {
-	return capacity >= 1
-}
-
 /** Returns the requests known to be in flight at a server. */
 export function countInFlight(table: ServerTable, row: number): number {
 	return Math.max(0, table.reportedLoad[row]!) + table.sentSinceReport[row]!
--- a/packages/core/src/types/traffic.ts
+++ b/packages/core/src/types/traffic.ts
@@ -80,6 +80,24 @@
 	readonly experts: ExpertLayout | undefined
 }
 
+/** Limits of a service's servers for some time after their start. */
+export interface ColdStart {
+	/** Time for which a server is cold after a start during traffic, ms. */
+	readonly forMs: number
+	/** Requests that a cold server bears from all entries together, per second. */
+	readonly perSecond: number
+}
+
+/** Work that a request asks of an engine, as its caller states it. */
+export interface RequestSize {
+	/** Tokens of the prompt; undefined if not stated. */
+	readonly promptTokens: number | undefined
+	/** Maximum number of tokens to generate; undefined if not stated. */
+	readonly maxAnswerTokens: number | undefined
+	/** The caller's estimate of the tokens to generate, which is often far off. */
+	readonly answerHintTokens: number | undefined
+}
+
 /** A service and the properties of its servers. */
 export interface TrafficService {
 	readonly name: string
@@ -88,6 +106,8 @@
 	readonly maxConnections: number
 	/** Undefined for a plain service. */
 	readonly engine: EngineProfile | undefined
+	/** Undefined if its servers take their full load from the start. */
+	readonly cold?: ColdStart | undefined
 }
 
 /** A team and its API keys. */
--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -52,7 +52,7 @@
 		priority: request.priority,
 		tried: job.tried,
 		// With a draw of 0, a retried request is admitted before those never sent.
-		admissionDraw: job.sends > 0 ? 0 : job.admissionDraw,
+		candidate: job.sends > 0 ? { ...job.candidate, draw: 0 } : job.candidate,
 		waitMs: Math.min(waitMs, request.timeoutAt - now),
 		slotsFreeOneByOne: !isClosed,
 		signal: job.signal,
--- a/packages/gateway/src/callerRequest.ts
+++ b/packages/gateway/src/callerRequest.ts
@@ -7,7 +7,7 @@
 	TrafficRoute,
 	TrafficTeam,
 } from '@juniperhook/core'
-import { findRoute } from '@juniperhook/core'
+import { findRoute, urgencyOf } from '@juniperhook/core'
 import { readElapsed } from '@juniperhook/runtime'
 import type { GatewayContext } from './context.ts'
 import type { CallerRequest } from './job.ts'
@@ -60,6 +60,8 @@
 			timeoutAt: arrivedAt + Math.min(deadline, route.timeoutMs),
 			deadlineAt: arrivedAt + deadline,
 			priority: team?.priority ?? route.priority,
+			urgency: urgencyOf(team?.priority, route.priority),
+			size: ctx.readRequestSize(req.headers),
 			repeatable: isRepeatable(route),
 			lastEventId: typeof lastEventId === 'string' ? lastEventId : undefined,
 			fingerprint: undefined,
--- a/packages/gateway/src/catalog.ts
+++ b/packages/gateway/src/catalog.ts
@@ -15,6 +15,7 @@
 } from '@juniperhook/core'
 import { readElapsed, readNow, sleep } from '@juniperhook/runtime'
 import type { GatewayContext } from './context.ts'
+import { deriveFeatures } from './features.ts'
 import type {
 	CatalogSnapshot,
 	CatalogSource,
@@ -268,6 +269,7 @@
 	const active = ctx.routes?.config.version
 	if (active !== undefined && version <= active) return false
 	ctx.routes = createRouteTable(published.config)
+	ctx.features = deriveFeatures(published.config, ctx.settings)
 	ctx.published = published
 	ctx.configAppliedAt = readNow()
 	ctx.metrics.configVersion.set(version)
--- a/packages/gateway/src/context.ts
+++ b/packages/gateway/src/context.ts
@@ -15,6 +15,7 @@
 } from '@juniperhook/core'
 import type { EventLog } from '@juniperhook/runtime'
 import type { CrashDetector } from './crashDetectorState.ts'
+import type { ServiceFeatures } from './features.ts'
 import type { Fleet } from './fleet.ts'
 import type { CallerRequest, CancelRequest } from './job.ts'
 import type { GatewayMetrics } from './metrics.ts'
@@ -59,6 +60,20 @@
 	 */
 	readonly retryAfterShare: number
 	readonly eventTimeout: EventTimeoutPolicy
+	/** How far the sum over all entries may exceed the rate of a cold server. */
+	readonly coldAllowance: ColdAllowance
+	/** Memory of this process, MB. */
+	readonly memoryMb: number
+	/** Whether callers are expected to press beyond capacity and to read slowly. */
+	readonly underPressure: boolean
+}
+
+/** Requests that a cold server may get from all entries in any second. */
+export interface ColdAllowance {
+	/** Factor on the published rate. */
+	readonly factor: number
+	/** Added requests. */
+	readonly extra: number
 }
 
 /** State of a running gateway. */
@@ -67,6 +82,7 @@
 	settings: GatewaySettings
 	readonly wire: WireNames
 	readonly readStatement: ServerWire['readStatement']
+	readonly readRequestSize: ServerWire['readRequestSize']
 	readonly unrecognizedSignals: UnrecognizedSignals
 	readonly log: EventLog
 	readonly metrics: GatewayMetrics
@@ -82,6 +98,8 @@
 	readonly settledRemovals: ServerRecord[]
 	/** Whether calls of this entry to the source fail. */
 	sourceAway: boolean
+	/** Features in use, by service; see {@link ServiceFeatures}. */
+	features: ReadonlyMap<string, ServiceFeatures>
 	/** Configuration in force, indexed. */
 	routes: RouteTable | undefined
 	published: PublishedConfig | undefined
--- a/packages/gateway/src/entryDemand.ts
+++ b/packages/gateway/src/entryDemand.ts
@@ -9,6 +9,7 @@
 import type { GatewayContext } from './context.ts'
 import type { Fleet, FlowMeter, RequestFlow } from './fleet.ts'
 import { applyPeerLoads, meterOf, serviceOfGroup } from './fleet.ts'
+import type { AdmissionCandidate } from './waiter.ts'
 
 /**
  * Time constant of the exponential smoothing of request rates, ms: callers that move to
@@ -23,7 +24,11 @@
 const HORIZON_INTERVALS = 2
 
 /** Counts an arriving request. */
-export function countArrival(fleet: Fleet, service: string): void {
+export function countArrival(
+	fleet: Fleet,
+	service: string,
+	_candidate: AdmissionCandidate,
+): void {
 	meterOf(fleet, service).arrived++
 }
 
@@ -39,15 +44,12 @@
 	return Math.round(value * 10) / 10
 }
 
-/**
- * Whether a request is admitted to a group with `room` free slots; `draw` is the
- * request's random number in [0, 1).
- */
+/** Whether a request is admitted to a group with `room` free slots. */
 export function isAdmitted(
 	fleet: Fleet,
 	group: number,
 	room: number,
-	draw: number,
+	{ draw }: AdmissionCandidate,
 ): boolean {
 	const meter = meterOf(fleet, serviceOfGroup(fleet, group))
 	if (!meter.traffic) return room >= 1
@@ -116,7 +118,7 @@
 ): void {
 	const { fleet, settings } = ctx
 	const peers = [...fleet.peerDemand]
-	const sum = (rate: keyof RequestFlow) =>
+	const sum = (rate: 'come' | 'end') =>
 		meter.flow[rate] +
 		fleet.peerScale *
 			peers.reduce(
--- a/packages/gateway/src/fleet.ts
+++ b/packages/gateway/src/fleet.ts
@@ -48,6 +48,15 @@
 	readonly come: number
 	/** Requests that end at a server. */
 	readonly end: number
+	/** Arrivals by urgency; only where room is allocated by urgency. */
+	readonly byUrgency?: Readonly<Record<string, number>> | undefined
+	/** Arrivals of the teams that stand out; only where room is allocated by urgency. */
+	readonly byTeam?: Readonly<Record<string, number>> | undefined
+	/**
+	 * Refused callers that were told to come back, by the quarter second from now on in
+	 * which they are due; only where their places are kept.
+	 */
+	readonly returns?: readonly number[] | undefined
 }
 
 /** Counts the requests of a service at this entry. */
--- a/packages/gateway/src/forward.ts
+++ b/packages/gateway/src/forward.ts
@@ -29,6 +29,7 @@
 import { mayRetry, retryWindowOf } from './retryDecision.ts'
 import { readAnswerBody } from './serverCall.ts'
 import { relayStream } from './streamRelay.ts'
+import type { AdmissionCandidate } from './waiter.ts'
 
 const SERVER_ERROR = 500
 /** Errors of a cancelled request: if a server may have run it, and otherwise. */
@@ -93,7 +94,7 @@
 		service,
 		signal: control.signal,
 		tried: new Set(),
-		admissionDraw: ctx.random(),
+		candidate: describeCandidate(request, ctx.random()),
 		sends: 0,
 		refusedSends: 0,
 		groupRefusals: 0,
@@ -112,7 +113,7 @@
 	}
 	// Quarantined requests count neither as demand nor towards the retry budget.
 	recordRequest(retryWindowOf(ctx, service), ctx.settings.retries, readNow())
-	countArrival(ctx.fleet, service)
+	countArrival(ctx.fleet, service, job.candidate)
 	const leftMs = request.timeoutAt - readElapsed()
 	const timer = setTimeout(() => cancel('timeout'), leftMs)
 	ctx.cancelByRequest.set(request, cancel)
@@ -124,6 +125,13 @@
 	await runAttempts(ctx, job, res)
 }
 
+function describeCandidate(
+	{ urgency, team, size }: CallerRequest,
+	draw: number,
+): AdmissionCandidate {
+	return { draw, urgency, team: team?.name ?? '', size, isReturn: false }
+}
+
 /** Ends a request with an error, without a server's response. */
 function failRequest(
 	ctx: GatewayContext,
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -64,7 +64,7 @@
 /** Starts a gateway; resolves once it listens. */
 export async function startGateway(
 	settings: GatewaySettings,
-	{ names, readStatement }: ServerWire,
+	{ names, readStatement, readRequestSize }: ServerWire,
 	source: CatalogSource,
 	log: EventLog,
 ): Promise<GatewayContext> {
@@ -74,6 +74,7 @@
 		settings,
 		wire: names,
 		readStatement,
+		readRequestSize,
 		unrecognizedSignals: createUnrecognizedSignals(),
 		log,
 		metrics: createGatewayMetrics(),
@@ -85,6 +86,7 @@
 		hasPeerState: false,
 		settledRemovals: [],
 		sourceAway: false,
+		features: new Map(),
 		routes: undefined,
 		published: undefined,
 		newestPeerVersion: -1,
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -2,6 +2,7 @@
 
 export type { GatewayContext, GatewaySettings } from './context.ts'
 export * from './eventSplitter.ts'
+export { applySettings } from './features.ts'
 export type { FingerprintInput } from './fingerprint.ts'
 export { bodyLengthOf, computeFingerprint } from './fingerprint.ts'
 export { endOpenRequests, startGateway } from './gateway.ts'
--- a/packages/gateway/src/job.ts
+++ b/packages/gateway/src/job.ts
@@ -2,13 +2,15 @@
 
 import type {
 	ErrorKind,
+	RequestSize,
 	RouteTable,
 	TrafficRoute,
 	TrafficTeam,
+	Urgency,
 } from '@juniperhook/core'
 import type { ServerAnswer } from './serverCall.ts'
 import type { AnswerTimes } from './timeliness.ts'
-import type { AcquireOptions } from './waiter.ts'
+import type { AdmissionCandidate } from './waiter.ts'
 
 /** A request that has been read completely and validated. */
 export interface CallerRequest {
@@ -29,8 +31,10 @@
 	readonly timeoutAt: number
 	/** When its caller stops waiting, ms. */
 	readonly deadlineAt: number
-	/** 0 is the most urgent. */
+	/** The team's priority, or else the route's; 0 is the most urgent. */
 	readonly priority: number
+	readonly urgency: Urgency
+	readonly size: RequestSize
 	/** Whether servers may run it more than once. */
 	readonly repeatable: boolean
 	/** Last event that the caller received; undefined at the start of a stream. */
@@ -47,8 +51,7 @@
 	readonly signal: AbortSignal
 	/** Ids of servers that it has been sent to. */
 	readonly tried: Set<string>
-	/** See {@link AcquireOptions}. */
-	readonly admissionDraw: AcquireOptions['admissionDraw']
+	readonly candidate: AdmissionCandidate
 	/** Sends so far. */
 	sends: number
 	/** Sends that provably were not run. */
--- a/packages/gateway/src/peerMessages.ts
+++ b/packages/gateway/src/peerMessages.ts
@@ -80,6 +80,15 @@
 ])
 /** See {@link PermitReplySchema}. */
 export type PermitReply = v.InferOutput<typeof PermitReplySchema>
+const RateSchema = v.pipe(v.number(), v.finite(), v.minValue(0))
+/** Demand for a service at one entry, a second; see `RequestFlow`. */
+const FlowSchema = v.object({
+	come: v.number(),
+	end: v.number(),
+	byUrgency: v.optional(v.record(v.string(), RateSchema)),
+	byTeam: v.optional(v.record(v.string(), RateSchema)),
+	returns: v.optional(v.pipe(v.array(RateSchema), v.readonly())),
+})
 /** An entry's state, sent to its peers. */
 export const PeerStateSchema = v.object({
 	name: v.string(),
@@ -89,10 +98,7 @@
 	held: v.record(v.string(), v.number()),
 	dataCentre: v.optional(v.string(), ''),
 	/** Rates of arriving and finished requests, a second, by service. */
-	flows: v.optional(
-		v.record(v.string(), v.object({ come: v.number(), end: v.number() })),
-		{},
-	),
+	flows: v.optional(v.record(v.string(), FlowSchema), {}),
 	/** Whether it has lost the source and depends on its peers. */
 	sourceAway: v.optional(v.boolean(), false),
 	/** Rate limits of servers; absent while there are none. */
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -3,6 +3,7 @@
 import type { IncomingHttpHeaders } from 'node:http'
 import type {
 	ListedServer,
+	RequestSize,
 	ServerRecord,
 	TermRevision,
 	TrafficConfig,
@@ -76,6 +77,8 @@
 	readonly names: WireNames
 	/** Parses the signals that a response carries about its server. */
 	readStatement(status: number, headers: IncomingHttpHeaders): ServerStatement
+	/** Parses the size that a request states; values that cannot be right are left out. */
+	readRequestSize(headers: IncomingHttpHeaders): RequestSize
 }
 
 /** Numbers of requests that run and that wait at a server. */
--- a/packages/gateway/src/serverQueue.ts
+++ b/packages/gateway/src/serverQueue.ts
@@ -26,7 +26,12 @@
 import type { Pressure } from './pressure.ts'
 import { pressureOf } from './pressure.ts'
 import { listBackingOff } from './serverBackoffs.ts'
-import type { AcquireOptions, Grant, Waiter } from './waiter.ts'
+import type {
+	AcquireOptions,
+	AdmissionCandidate,
+	Grant,
+	Waiter,
+} from './waiter.ts'
 
 /**
  * Requests that an engine may queue beyond its slots: none. A request queued there
@@ -52,7 +57,7 @@
 			ctx,
 			options.service,
 			options.tried,
-			options.admissionDraw,
+			options.candidate,
 		)
 		if (grant.kind === 'server') {
 			recordDispatch(pressure.dispatchRate, now)
@@ -125,12 +130,7 @@
 
 function serveQueue(ctx: GatewayContext, queue: FairQueue<Waiter>): void {
 	for (let next = queue.waiting[0]; next; next = queue.waiting[0]) {
-		const grant = chooseServer(
-			ctx,
-			next.service,
-			next.tried,
-			next.admissionDraw,
-		)
+		const grant = chooseServer(ctx, next.service, next.tried, next.candidate)
 		if (grant.kind === 'full') {
 			refuseLate(ctx, queue)
 			return
@@ -175,7 +175,7 @@
 	ctx: GatewayContext,
 	service: string,
 	triedIds: ReadonlySet<string>,
-	admissionDraw: number,
+	candidate: AdmissionCandidate,
 ): Grant {
 	const { fleet, routes } = ctx
 	const tried = new Set<number>()
@@ -190,7 +190,7 @@
 		rows: fleet.rowsByService.get(service) ?? [],
 		tried,
 		queueCapacity: isEngine ? ENGINE_QUEUE_CAPACITY : PLAIN_QUEUE_CAPACITY,
-		closedGroups: listUnavailableGroups(ctx, admissionDraw, now),
+		closedGroups: listUnavailableGroups(ctx, candidate, now),
 		localRows: fleet.localRows,
 		unreportedSends: meterOf(fleet, service).unreportedSends,
 		permitted,
@@ -210,7 +210,7 @@
 
 function listUnavailableGroups(
 	ctx: GatewayContext,
-	admissionDraw: number,
+	candidate: AdmissionCandidate,
 	now: number,
 ): Set<number> {
 	const unavailable = new Set<number>()
@@ -218,7 +218,7 @@
 		if (isGroupClosed(ctx.closures, group, now)) unavailable.add(number)
 	const { fleet } = ctx
 	const accepts = (group: number, freeSlots: number) =>
-		isAdmitted(fleet, group, freeSlots, admissionDraw)
+		isAdmitted(fleet, group, freeSlots, candidate)
 	const full = listFullGroups(fleet.table, accepts, fleet.peerScale)
 	for (const number of full) unavailable.add(number)
 	return unavailable
--- a/packages/gateway/src/waiter.ts
+++ b/packages/gateway/src/waiter.ts
@@ -1,6 +1,20 @@
 /** Types of requests that acquire a server of a service. */
 
-import type { QueueItem } from '@juniperhook/core'
+import type { QueueItem, RequestSize, Urgency } from '@juniperhook/core'
+
+/** Properties of a request that decide whether a nearly full group admits it. */
+export interface AdmissionCandidate {
+	/**
+	 * Random number from 0 to 1, drawn once per request. A nearly full group admits
+	 * only a fraction of the requests: those whose draw is below the fraction.
+	 */
+	readonly draw: number
+	readonly urgency: Urgency
+	readonly team: string
+	readonly size: RequestSize
+	/** Whether it comes back after a refusal, at the time that it was told. */
+	readonly isReturn: boolean
+}
 
 /** Result of acquiring a server. */
 export type Grant =
@@ -19,8 +33,7 @@
 	readonly service: string
 	/** Ids of servers that it has been sent to. */
 	readonly tried: ReadonlySet<string>
-	/** See {@link AcquireOptions}. */
-	readonly admissionDraw: number
+	readonly candidate: AdmissionCandidate
 	/** End of the time that it may wait, ms. */
 	readonly until: number
 	/** Ends the wait with a result. */
@@ -34,11 +47,7 @@
 	readonly priority: number
 	/** Ids of servers that the request has been sent to. */
 	readonly tried: ReadonlySet<string>
-	/**
-	 * Random number from 0 to 1, drawn once per request. A nearly full group admits
-	 * only a fraction of the requests: those whose draw is below the fraction.
-	 */
-	readonly admissionDraw: number
+	readonly candidate: AdmissionCandidate
 	/** Maximum wait, ms. */
 	readonly waitMs: number
 	/**
--- a/packages/gateway/test/fakeBackends.ts
+++ b/packages/gateway/test/fakeBackends.ts
@@ -66,6 +66,17 @@
 			unknown: Object.keys(headers).filter(name => name.startsWith('x-new')),
 		}
 	},
+	readRequestSize(headers) {
+		const read = (name: string) => {
+			const text = headers[name]?.toString()
+			return text === undefined ? undefined : Number(text)
+		}
+		return {
+			promptTokens: read('x-prompt-tokens'),
+			maxAnswerTokens: read('x-answer-tokens'),
+			answerHintTokens: read('x-answer-hint'),
+		}
+	},
 }
 
 /** What a fake server does with one request. */
--- a/packages/gateway/test/openGateway.ts
+++ b/packages/gateway/test/openGateway.ts
@@ -69,6 +69,9 @@
 		retries: { ratio: 0.2, slack: 1_000, windowMs: 10_000 },
 		retryAfterShare: 1 / 3,
 		eventTimeout: { minMs: 2_000, targetFactor: 4, pauseFactor: 8 },
+		coldAllowance: { factor: 1, extra: 0 },
+		memoryMb: 256,
+		underPressure: false,
 	}
 	const ctx = await startGateway(settings, SERVER_WIRE, source, log)
 	return { ctx, callers, readiness, control }
--- a/packages/gateway/test/pressure.test.ts
+++ b/packages/gateway/test/pressure.test.ts
@@ -8,6 +8,7 @@
 import { pressureOf, waitBudgetMs } from '../src/pressure.ts'
 import { chooseRetryAfterMs } from '../src/retryAfter.ts'
 import { acquireServer } from '../src/serverQueue.ts'
+import type { AdmissionCandidate } from '../src/waiter.ts'
 import { CONFIG, createCatalog, startBackends } from './fakeBackends.ts'
 import { createOpener } from './openGateway.ts'
 
@@ -26,12 +27,21 @@
 	return pressure
 }
 
+function createCandidate(draw: number): AdmissionCandidate {
+	const size = {
+		promptTokens: undefined,
+		maxAnswerTokens: undefined,
+		answerHintTokens: undefined,
+	}
+	return { draw, urgency: 0, team: 't', size, isReturn: false }
+}
+
 function acquire(waitMs: number, slotsFreeOneByOne = true, admissionDraw = 0) {
 	return acquireServer(ctx, {
 		service: SERVICE,
 		team: 't',
 		priority: 1,
-		admissionDraw,
+		candidate: createCandidate(admissionDraw),
 		tried: new Set(),
 		waitMs,
 		slotsFreeOneByOne,
