--- a/packages/gateway/src/fleet.ts
+++ b/packages/gateway/src/fleet.ts
@@ -71,6 +71,8 @@
 	traffic: GroupTraffic | undefined
 	/** Least fraction of requests that one of its groups admitted since the last update. */
 	minAdmittedFraction: number
+	/** Refused callers of all entries that are due back, a second; their room is kept. */
+	returnsPerSecond: number
 }
 
 /** Servers by row, their load, and the queues of waiting requests. */
@@ -199,6 +201,7 @@
 		flow,
 		traffic: undefined,
 		minAdmittedFraction: 1,
+		returnsPerSecond: 0,
 	}
 	fleet.meters.set(service, meter)
 	return meter
