Admit requests by urgency and team while there is too little room

Cause: while a group was nearly full, all requests were admitted with one fraction, whatever their urgency; a team with ten times the demand of the others displaced them; the head of a queue held up those behind it; a request that was not admitted waited. Change: where a service's streams publish several priorities, entries report demand by urgency and by the teams that stand out, and allocate the slots that become free by level, with a floor of a third of the common fraction; teams over the even part are cut first (max-min); rising urgent demand keeps room free of less urgent requests; waiting requests start by urgency and time left, and one that is not admitted is refused at once unless a slot of its level is expected. Ruled out: one queue for all entries (a hop and a leader), strict priorities and quotas (shut out or idle). Services without the feature keep the formula of before.

--- a/packages/core/src/core/entryShare.ts
+++ b/packages/core/src/core/entryShare.ts
@@ -17,7 +17,7 @@
  * Added to the demand of every entry, requests per second, so that an entry without
  * recent requests may still send the first one that arrives.
  */
-const MIN_PER_SECOND = 0.5
+export const MIN_PER_SECOND = 0.5
 const SECOND_MS = 1_000
 
 function weightOf({ perSecond }: EntryDemand): number {
@@ -43,11 +43,25 @@
  */
 export function admittedFraction(
 	freeSlots: number,
-	{ arrivalsPerSecond, completionsPerSecond, horizonMs }: GroupTraffic,
+	traffic: GroupTraffic,
 ): number {
-	const slotsPerSecond =
-		completionsPerSecond + (freeSlots * SECOND_MS) / horizonMs
-	return slotsPerSecond / Math.max(arrivalsPerSecond, MIN_PER_SECOND)
+	return fractionOf(slotsPerSecond(freeSlots, traffic), traffic)
+}
+
+/** Returns the fraction of all arriving requests that `perSecond` slots serve. */
+export function fractionOf(
+	perSecond: number,
+	{ arrivalsPerSecond }: GroupTraffic,
+): number {
+	return perSecond / Math.max(arrivalsPerSecond, MIN_PER_SECOND)
+}
+
+/** Returns the rate at which slots of a group are to be filled, per second. */
+export function slotsPerSecond(
+	freeSlots: number,
+	{ completionsPerSecond, horizonMs }: GroupTraffic,
+): number {
+	return completionsPerSecond + (freeSlots * SECOND_MS) / horizonMs
 }
 
 /** A server to be assigned to an entry. */
--- a/packages/core/src/core/fairQueue.ts
+++ b/packages/core/src/core/fairQueue.ts
@@ -46,13 +46,21 @@
 export function dequeue<T extends QueueItem>(
 	queue: FairQueue<T>,
 ): T | undefined {
-	const next = queue.waiting.shift()
-	if (!next) return undefined
-	queue.virtualNow = Math.max(queue.virtualNow, next.virtualStart)
-	if (queue.waiting.length === 0) queue.finishByTeam.clear()
+	const next = queue.waiting[0]
+	if (next) startQueued(queue, next)
 	return next
 }
 
+/** Removes a request that starts, from any position in the queue. */
+export function startQueued<T extends QueueItem>(
+	queue: FairQueue<T>,
+	item: T,
+): void {
+	removeQueued(queue, item)
+	queue.virtualNow = Math.max(queue.virtualNow, item.virtualStart)
+	if (queue.waiting.length === 0) queue.finishByTeam.clear()
+}
+
 /** Removes `item` from any position in the queue. */
 export function removeQueued<T extends QueueItem>(
 	queue: FairQueue<T>,
--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -54,6 +54,7 @@
 		// With a draw of 0, a retried request is admitted before those never sent.
 		candidate: job.sends > 0 ? { ...job.candidate, draw: 0 } : job.candidate,
 		waitMs: Math.min(waitMs, request.timeoutAt - now),
+		startWithinMs: startBudgetMs(ctx, job, now),
 		slotsFreeOneByOne: !isClosed,
 		signal: job.signal,
 	})
@@ -61,15 +62,16 @@
 
 /** Returns how long a request may wait for a server with a free slot, ms. */
 function maxWaitMs(ctx: GatewayContext, job: Job, now: number): number {
-	const { targetMs } = job.request.route
-	const elapsedMs = now - job.request.arrivedAt
-	const budget = waitBudgetMs(
-		pressureOf(ctx.pressures, job.service),
-		targetMs,
-		elapsedMs,
-	)
+	const budget = startBudgetMs(ctx, job, now)
 	// A retried request that is late already is still worth a short wait.
 	return job.sends > 0
-		? Math.max(budget, targetMs * MIN_RETRY_WAIT_SHARE)
+		? Math.max(budget, job.request.route.targetMs * MIN_RETRY_WAIT_SHARE)
 		: budget
 }
+
+/** Returns the time in which a request has to start to meet its target, ms. */
+function startBudgetMs(ctx: GatewayContext, job: Job, now: number): number {
+	const { route, arrivedAt } = job.request
+	const pressure = pressureOf(ctx.pressures, job.service)
+	return waitBudgetMs(pressure, route.targetMs, now - arrivedAt)
+}
--- a/packages/gateway/src/entryDemand.ts
+++ b/packages/gateway/src/entryDemand.ts
@@ -1,14 +1,22 @@
 /**
- * Measures the request rates of this entry and its peers, and derives two things for each
- * service: the fraction of requests to admit while its groups are nearly full, and the
+ * Measures the request rates of this entry and its peers. From them follow, for each
+ * service, the fraction of requests to admit while its groups are nearly full, and the
  * servers that this entry prefers.
  */
 
 import type { EntryDemand } from '@juniperhook/core'
-import { admittedFraction, assignServers } from '@juniperhook/core'
+import { assignServers, estimateStreamMs } from '@juniperhook/core'
 import type { GatewayContext } from './context.ts'
+import { featuresOf } from './features.ts'
 import type { Fleet, FlowMeter, RequestFlow } from './fleet.ts'
-import { applyPeerLoads, meterOf, serviceOfGroup } from './fleet.ts'
+import { applyPeerLoads, meterOf } from './fleet.ts'
+import { createServiceLevels, mergeLevels } from './levelDemand.ts'
+import {
+	countLevelArrival,
+	describeLevels,
+	updateOwnLevels,
+} from './ownLevels.ts'
+import { clearRationing, reportRationing } from './rationing.ts'
 import type { AdmissionCandidate } from './waiter.ts'
 
 /**
@@ -27,16 +35,22 @@
 export function countArrival(
 	fleet: Fleet,
 	service: string,
-	_candidate: AdmissionCandidate,
+	candidate: AdmissionCandidate,
 ): void {
-	meterOf(fleet, service).arrived++
+	const meter = meterOf(fleet, service)
+	meter.arrived++
+	if (meter.levels) countLevelArrival(meter.levels.own, candidate)
 }
 
 /** Returns the request rates of this entry by service, for its peers. */
 export function reportFlows(fleet: Fleet): Record<string, RequestFlow> {
 	const flows: Record<string, RequestFlow> = {}
-	for (const [service, { flow }] of fleet.meters)
-		flows[service] = { come: round(flow.come), end: round(flow.end) }
+	for (const [service, { flow, levels }] of fleet.meters)
+		flows[service] = {
+			come: round(flow.come),
+			end: round(flow.end),
+			...(levels && describeLevels(levels.own)),
+		}
 	return flows
 }
 
@@ -44,25 +58,6 @@
 	return Math.round(value * 10) / 10
 }
 
-/** Whether a request is admitted to a group with `room` free slots. */
-export function isAdmitted(
-	fleet: Fleet,
-	group: number,
-	room: number,
-	{ draw }: AdmissionCandidate,
-): boolean {
-	const meter = meterOf(fleet, serviceOfGroup(fleet, group))
-	if (!meter.traffic) return room >= 1
-	const fraction = admittedFraction(room, meter.traffic)
-	meter.minAdmittedFraction = Math.min(meter.minAdmittedFraction, fraction)
-	return draw < fraction
-}
-
-/** Whether the groups of a service admit only a fraction of the requests. */
-export function isRationed(fleet: Fleet, service: string): boolean {
-	return meterOf(fleet, service).minAdmittedFraction < 1
-}
-
 /**
  * Updates rates and assignments with each report to peers, `elapsedMs` after the last
  * one. The demand of `unlinked` entries is unknown and extrapolated from the peers.
@@ -79,12 +74,28 @@
 	fleet.peerScale = 1 + Math.max(0, unlinked) / Math.max(1, reporting)
 	for (const service of fleet.rowsByService.keys()) {
 		const meter = meterOf(fleet, service)
+		reportRationing(ctx, service, meter, now)
+		switchLevels(ctx, service, meter)
 		updateMeter(meter, elapsedMs)
 		if (fleet.peerDemand.size > 0) updateTraffic(ctx, service, meter, elapsedMs)
 		else assignAllToSelf(fleet, service, meter)
 	}
 }
 
+/** Starts or ends the allocation by urgency as the configuration calls for it. */
+function switchLevels(
+	ctx: GatewayContext,
+	service: string,
+	meter: FlowMeter,
+): void {
+	if (featuresOf(ctx.features, service).urgency) {
+		meter.levels ??= createServiceLevels()
+		return
+	}
+	if (meter.levels) clearRationing(ctx, service, meter.levels)
+	meter.levels = undefined
+}
+
 function updateMeter(meter: FlowMeter, elapsedMs: number): void {
 	const decay = Math.exp(-elapsedMs / SMOOTHING_MS)
 	const perSecond = (count: number) => (count * SECOND_MS) / elapsedMs
@@ -92,6 +103,7 @@
 		come: meter.flow.come * decay + perSecond(meter.arrived) * (1 - decay),
 		end: meter.flow.end * decay + perSecond(meter.finished) * (1 - decay),
 	}
+	if (meter.levels) updateOwnLevels(meter.levels.own, elapsedMs, decay)
 	meter.arrived = 0
 	meter.finished = 0
 	meter.unreportedSends = 0
@@ -130,6 +142,7 @@
 		completionsPerSecond: sum('end'),
 		horizonMs: HORIZON_INTERVALS * elapsedMs,
 	}
+	updateLevels(fleet, service, meter, elapsedMs)
 	const { name, dataCentre } = settings
 	const own: EntryDemand = { name, dataCentre, perSecond: meter.flow.come }
 	const others = peers.map(([name, peer]) => ({
@@ -143,3 +156,38 @@
 	for (const [index, row] of rows.entries())
 		fleet.table.assignedElsewhere[row] = assigned.has(index) ? 0 : 1
 }
+
+/** Merges the demand by urgency with that of the peers, where room is allocated by it. */
+function updateLevels(
+	fleet: Fleet,
+	service: string,
+	{ levels, traffic }: FlowMeter,
+	elapsedMs: number,
+): void {
+	if (!levels || !traffic) return
+	const peers = [...fleet.peerDemand.values()]
+	const flows = peers.flatMap(peer => peer.flows[service] ?? [])
+	const { arrivalsPerSecond, completionsPerSecond } = traffic
+	const inFlight = countInFlightOf(fleet, service)
+	const streamMs = estimateStreamMs(inFlight, completionsPerSecond)
+	const { peerScale } = fleet
+	mergeLevels(
+		levels,
+		flows,
+		{ arrivalsPerSecond, peerScale, streamMs },
+		elapsedMs,
+	)
+}
+
+/** Returns the requests of all entries in flight at a service. */
+function countInFlightOf(fleet: Fleet, service: string): number {
+	const { reportedLoad, sentSinceReport } = fleet.table
+	const rows = fleet.rowsByService.get(service) ?? []
+	return rows.reduce(
+		(sum, row) =>
+			sum +
+			fleet.peerScale * Math.max(0, reportedLoad[row]!) +
+			sentSinceReport[row]!,
+		0,
+	)
+}
--- a/packages/gateway/src/fleet.ts
+++ b/packages/gateway/src/fleet.ts
@@ -14,6 +14,7 @@
 	createServerTable,
 	listServing,
 } from '@juniperhook/core'
+import type { ServiceLevels } from './levelDemand.ts'
 import type { ServerLoad } from './ports.ts'
 import type { Waiter } from './waiter.ts'
 
@@ -50,8 +51,15 @@
 	readonly end: number
 	/** Arrivals by urgency; only where room is allocated by urgency. */
 	readonly byUrgency?: Readonly<Record<string, number>> | undefined
-	/** Arrivals of the teams that stand out; only where room is allocated by urgency. */
-	readonly byTeam?: Readonly<Record<string, number>> | undefined
+	/**
+	 * Arrivals of the teams that stand out, by urgency and team; only where room is
+	 * allocated by urgency.
+	 */
+	readonly byTeam?:
+		| Readonly<Record<string, Readonly<Record<string, number>>>>
+		| undefined
+	/** Number of active teams, by urgency; only where room is allocated by urgency. */
+	readonly teams?: Readonly<Record<string, number>> | undefined
 	/**
 	 * Refused callers that were told to come back, by the quarter second from now on in
 	 * which they are due; only where their places are kept.
@@ -71,6 +79,8 @@
 	traffic: GroupTraffic | undefined
 	/** Least fraction of requests that one of its groups admitted since the last update. */
 	minAdmittedFraction: number
+	/** Demand by urgency and team; undefined unless room is allocated by urgency. */
+	levels: ServiceLevels | undefined
 	/** Refused callers of all entries that are due back, a second; their room is kept. */
 	returnsPerSecond: number
 }
@@ -201,6 +211,7 @@
 		flow,
 		traffic: undefined,
 		minAdmittedFraction: 1,
+		levels: undefined,
 		returnsPerSecond: 0,
 	}
 	fleet.meters.set(service, meter)
--- a/packages/gateway/src/forward.ts
+++ b/packages/gateway/src/forward.ts
@@ -147,6 +147,8 @@
 		route: request.route.name,
 		service: job.service,
 		error,
+		urgency: request.urgency,
+		team: request.team?.name,
 		sends: job.sends,
 		tried: [...job.tried],
 		tookMs: Math.round(readElapsed() - request.arrivedAt),
--- /dev/null
+++ b/packages/gateway/src/groupAdmission.ts
@@ -0,0 +1,78 @@
+/** Decides which requests a nearly full group admits, from the demand of all entries. */
+
+import type { GroupTraffic, Urgency } from '@juniperhook/core'
+import { fractionOf, slotsPerSecond } from '@juniperhook/core'
+import type { Fleet, FlowMeter } from './fleet.ts'
+import { meterOf, serviceOfGroup } from './fleet.ts'
+import { levelFraction } from './levelDemand.ts'
+import type { AdmissionCandidate } from './waiter.ts'
+
+const SECOND_MS = 1_000
+
+/** Decision of a group on a request. */
+export interface AdmissionDecision {
+	readonly isAdmitted: boolean
+	/**
+	 * Fraction of such requests that it admits; undefined without peers, as an entry
+	 * alone knows the free slots themselves.
+	 */
+	readonly fraction: number | undefined
+}
+
+/** Decides whether a request is admitted to a group with `room` free slots. */
+export function decideAdmission(
+	fleet: Fleet,
+	group: number,
+	room: number,
+	candidate: AdmissionCandidate,
+): AdmissionDecision {
+	const meter = meterOf(fleet, serviceOfGroup(fleet, group))
+	if (!meter.traffic) return { isAdmitted: room >= 1, fraction: undefined }
+	const fraction = fractionAt(meter, meter.traffic, room, candidate)
+	meter.minAdmittedFraction = Math.min(meter.minAdmittedFraction, fraction)
+	return { isAdmitted: isWithinFraction(candidate, fraction), fraction }
+}
+
+/**
+ * Whether a request is among the fraction that is admitted; one that comes back when it
+ * was told to is, as long as any of its urgency are.
+ */
+export function isWithinFraction(
+	{ draw, isReturn }: AdmissionCandidate,
+	fraction: number,
+): boolean {
+	return isReturn ? fraction > 0 : draw < fraction
+}
+
+/**
+ * Returns the time until a slot is expected for a request of one urgency behind `ahead`
+ * others, ms, if a `fraction` of such requests is admitted.
+ */
+export function expectedLevelWaitMs(
+	{ levels }: FlowMeter,
+	urgency: Urgency,
+	fraction: number,
+	ahead: number,
+): number {
+	const perSecond = levels?.own.get(urgency)?.perSecond ?? 0
+	const slotsPerSecond = Math.max(0, fraction) * perSecond
+	return ((ahead + 1) * SECOND_MS) / slotsPerSecond
+}
+
+function fractionAt(
+	{ levels, returnsPerSecond }: FlowMeter,
+	traffic: GroupTraffic,
+	room: number,
+	candidate: AdmissionCandidate,
+): number {
+	const kept = candidate.isReturn ? 0 : returnsPerSecond
+	const available = slotsPerSecond(room, traffic) - kept
+	if (!levels) return fractionOf(available, traffic)
+	levels.slotsPerSecond = available
+	return levelFraction(levels, available, candidate)
+}
+
+/** Whether the groups of a service admit only a fraction of the requests. */
+export function isRationed(fleet: Fleet, service: string): boolean {
+	return meterOf(fleet, service).minAdmittedFraction < 1
+}
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -35,6 +35,10 @@
 	readonly unknownHeaders: Counter<'header'>
 	/** Permit requests for rate-limited servers, by outcome. */
 	readonly permits: Counter<'outcome'>
+	/** Fraction of requests admitted, where room is allocated by urgency. */
+	readonly admittedFraction: Gauge<'service' | 'urgency'>
+	/** Teams that get less than the others of their urgency. */
+	readonly teamsCut: Gauge<'service'>
 	readonly firstByte: Histogram
 	readonly pauses: Histogram
 	readonly waiting: Histogram
@@ -134,6 +138,18 @@
 			labelNames: ['outcome'],
 			registers,
 		}),
+		admittedFraction: new Gauge({
+			name: 'juniperhook_admitted_fraction',
+			help: 'Fraction of requests admitted, by level of urgency',
+			labelNames: ['service', 'urgency'],
+			registers,
+		}),
+		teamsCut: new Gauge({
+			name: 'juniperhook_teams_cut',
+			help: 'Teams that get less than the others of their urgency',
+			labelNames: ['service'],
+			registers,
+		}),
 		firstByte: histogram(registry, 'first_byte', LATENCY_BUCKETS),
 		pauses: histogram(registry, 'event_pause', PAUSE_BUCKETS),
 		waiting: histogram(registry, 'queue', LATENCY_BUCKETS),
--- a/packages/gateway/src/peerMessages.ts
+++ b/packages/gateway/src/peerMessages.ts
@@ -86,7 +86,8 @@
 	come: v.number(),
 	end: v.number(),
 	byUrgency: v.optional(v.record(v.string(), RateSchema)),
-	byTeam: v.optional(v.record(v.string(), RateSchema)),
+	byTeam: v.optional(v.record(v.string(), v.record(v.string(), RateSchema))),
+	teams: v.optional(v.record(v.string(), RateSchema)),
 	returns: v.optional(v.pipe(v.array(RateSchema), v.readonly())),
 })
 /** An entry's state, sent to its peers. */
--- a/packages/gateway/src/serverQueue.ts
+++ b/packages/gateway/src/serverQueue.ts
@@ -1,48 +1,35 @@
-/** Queues requests for a server with a free slot, by priority and fairly by team. */
+/**
+ * Queues requests for a server with a free slot: by priority and fairly by team, or by
+ * urgency and time left where room is allocated by urgency.
+ */
 
 import {
-	chooseRow,
-	dequeue,
+	currentIntervalMs,
 	enqueue,
 	type FairQueue,
-	isGroupClosed,
-	listFullGroups,
 	markBlocked,
 	markUnblocked,
-	predictWaitMs,
-	recordBackoffProbe,
+	orderWaiting,
 	recordDispatch,
 	removeQueued,
-	tryEnterGroup,
+	startQueued,
 } from '@juniperhook/core'
-import { readElapsed, readNow } from '@juniperhook/runtime'
-import type { AvailabilityForecast } from './availabilityForecast.ts'
+import { readNow } from '@juniperhook/runtime'
 import { forecastAvailability, forecastWaitMs } from './availabilityForecast.ts'
 import type { GatewayContext } from './context.ts'
-import { isAdmitted, isRationed } from './entryDemand.ts'
-import { groupOf, meterOf, queueOf, trackInFlight } from './fleet.ts'
-import { consumePermitFor, listLimited } from './permitGate.ts'
+import { queueOf } from './fleet.ts'
+import { isRationed } from './groupAdmission.ts'
 import { requestPermits } from './permitRequest.ts'
-import type { Pressure } from './pressure.ts'
 import { pressureOf } from './pressure.ts'
-import { listBackingOff } from './serverBackoffs.ts'
-import type {
-	AcquireOptions,
-	AdmissionCandidate,
-	Grant,
-	Waiter,
-} from './waiter.ts'
-
-/**
- * Requests that an engine may queue beyond its slots: none. A request queued there
- * waits until one of that engine's few streams ends; in the queue here, until any
- * stream of the service ends.
- */
-const ENGINE_QUEUE_CAPACITY = 0
-/** Requests that a plain server may queue beyond its slots. */
-const PLAIN_QUEUE_CAPACITY = 6
+import { chooseServer } from './serverChoice.ts'
+import type { AcquireOptions, Grant, Waiter } from './waiter.ts'
+import {
+	isOrderedByUrgency,
+	isRefusedByLevel,
+	willExceedWait,
+} from './waitForecast.ts'
 
-/** Acquires a server with a free slot, to be freed with {@link trackInFlight}. */
+/** Acquires a server with a free slot, to be freed with `trackInFlight`. */
 export function acquireServer(
 	ctx: GatewayContext,
 	options: AcquireOptions,
@@ -52,13 +39,14 @@
 	const now = readNow()
 	const demand = queue.waiting.length + 1
 	requestPermitsAhead(ctx, options.service, demand, 0)
-	if (queue.waiting.length === 0) {
-		const grant = chooseServer(
-			ctx,
-			options.service,
-			options.tried,
-			options.candidate,
-		)
+	const isByUrgency = isOrderedByUrgency(ctx, options.service)
+	if (isByUrgency) serveQueue(ctx, queue)
+	let bestFraction: number | undefined
+	if (isByUrgency || queue.waiting.length === 0) {
+		const { service, tried, candidate } = options
+		const choice = chooseServer(ctx, service, tried, candidate)
+		bestFraction = choice.bestFraction
+		const { grant } = choice
 		if (grant.kind === 'server') {
 			recordDispatch(pressure.dispatchRate, now)
 			// A blockage goes on while the service admits only a fraction of requests.
@@ -70,7 +58,12 @@
 	markBlocked(pressure.blockage, now)
 	requestPermitsAhead(ctx, options.service, demand, options.waitMs)
 	const forecast = forecastAvailability(ctx, options.service)
-	if (willExceedWait(queue, options, pressure, forecast, now))
+	const isHopeless =
+		isByUrgency && isRefusedByLevel(ctx, queue, options, bestFraction)
+	if (
+		isHopeless ||
+		willExceedWait(ctx, queue, options, pressure, forecast, now)
+	)
 		return Promise.resolve({ kind: forecast?.kind ?? 'full' })
 	return waitInQueue(ctx, queue, options, now)
 }
@@ -95,6 +88,8 @@
 			})
 		const waiter: Waiter = {
 			...options,
+			urgency: options.candidate.urgency,
+			startBy: now + (options.startWithinMs ?? options.waitMs),
 			until: now + options.waitMs,
 			weight: 1,
 			virtualStart: 0,
@@ -107,42 +102,43 @@
 	})
 }
 
-/** Predicts whether a request would exceed its maximum wait, to refuse it at once. */
-function willExceedWait(
-	queue: FairQueue<Waiter>,
-	options: AcquireOptions,
-	{ dispatchRate }: Pressure,
-	forecast: AvailabilityForecast | undefined,
-	now: number,
-): boolean {
-	const before = queue.waiting.filter(
-		other => other.priority <= options.priority,
-	)
-	if (forecast) return forecastWaitMs(forecast, before.length) > options.waitMs
-	if (!options.slotsFreeOneByOne) return options.waitMs <= 0
-	return predictWaitMs(dispatchRate, before.length, now) > options.waitMs
-}
-
 /** Assigns servers with free slots to waiting requests. */
 export function serveQueues(ctx: GatewayContext): void {
 	for (const queue of ctx.fleet.queues.values()) serveQueue(ctx, queue)
 }
 
 function serveQueue(ctx: GatewayContext, queue: FairQueue<Waiter>): void {
-	for (let next = queue.waiting[0]; next; next = queue.waiting[0]) {
-		const grant = chooseServer(ctx, next.service, next.tried, next.candidate)
+	const [first] = queue.waiting
+	if (!first) return
+	const isByUrgency = isOrderedByUrgency(ctx, first.service)
+	for (const next of orderQueue(ctx, queue, isByUrgency)) {
+		// Permits that arrive while a request starts may start others.
+		if (!queue.waiting.includes(next)) continue
+		const { service, tried, candidate } = next
+		const { grant } = chooseServer(ctx, service, tried, candidate)
 		if (grant.kind === 'full') {
-			refuseLate(ctx, queue)
-			return
+			// Those behind it may be admitted, or may be sent to other servers.
+			if (isByUrgency) continue
+			break
 		}
-		dequeue(queue)
+		startQueued(queue, next)
 		if (grant.kind === 'server')
-			recordDispatch(
-				pressureOf(ctx.pressures, next.service).dispatchRate,
-				readNow(),
-			)
+			recordDispatch(pressureOf(ctx.pressures, service).dispatchRate, readNow())
 		next.grant(grant)
 	}
+	if (queue.waiting.length > 0) refuseLate(ctx, queue)
+}
+
+/** Returns the waiting requests in the order in which they start. */
+function orderQueue(
+	ctx: GatewayContext,
+	{ waiting }: FairQueue<Waiter>,
+	isByUrgency: boolean,
+): Waiter[] {
+	if (!isByUrgency) return [...waiting]
+	const now = readNow()
+	const { dispatchRate } = pressureOf(ctx.pressures, waiting[0]!.service)
+	return orderWaiting(waiting, now, currentIntervalMs(dispatchRate, now))
 }
 
 /** Requests permits in advance; permits that arrive later go to waiting requests. */
@@ -170,56 +166,3 @@
 		if (forecastWaitMs(forecast, before) > until - now)
 			grant({ kind: forecast.kind })
 }
-
-function chooseServer(
-	ctx: GatewayContext,
-	service: string,
-	triedIds: ReadonlySet<string>,
-	candidate: AdmissionCandidate,
-): Grant {
-	const { fleet, routes } = ctx
-	const tried = new Set<number>()
-	for (const id of triedIds) {
-		const row = fleet.table.rowOf.get(id)
-		if (row !== undefined) tried.add(row)
-	}
-	const now = readNow()
-	const isEngine = routes?.services.get(service)?.engine !== undefined
-	const { permitted, exhausted } = listLimited(ctx, service)
-	const query = {
-		rows: fleet.rowsByService.get(service) ?? [],
-		tried,
-		queueCapacity: isEngine ? ENGINE_QUEUE_CAPACITY : PLAIN_QUEUE_CAPACITY,
-		closedGroups: listUnavailableGroups(ctx, candidate, now),
-		localRows: fleet.localRows,
-		unreportedSends: meterOf(fleet, service).unreportedSends,
-		permitted,
-		withheld: new Set([...exhausted, ...listBackingOff(ctx, service)]),
-	}
-	const choice = chooseRow(fleet.table, query, now, ctx.random)
-	if (choice.kind !== 'row') return choice
-	const server = fleet.servers[choice.row]!
-	if (!tryEnterGroup(ctx.closures, groupOf(server), now))
-		return { kind: 'full' }
-	const { id } = server
-	consumePermitFor(ctx, id)
-	recordBackoffProbe(ctx.backoffs, id, readElapsed())
-	trackInFlight(fleet, id, 1)
-	return { kind: 'server', id }
-}
-
-function listUnavailableGroups(
-	ctx: GatewayContext,
-	candidate: AdmissionCandidate,
-	now: number,
-): Set<number> {
-	const unavailable = new Set<number>()
-	for (const [number, group] of ctx.fleet.groups.entries())
-		if (isGroupClosed(ctx.closures, group, now)) unavailable.add(number)
-	const { fleet } = ctx
-	const accepts = (group: number, freeSlots: number) =>
-		isAdmitted(fleet, group, freeSlots, candidate)
-	const full = listFullGroups(fleet.table, accepts, fleet.peerScale)
-	for (const number of full) unavailable.add(number)
-	return unavailable
-}
--- /dev/null
+++ b/packages/gateway/src/waitForecast.ts
@@ -0,0 +1,55 @@
+/** Predicts whether a request would wait too long, so that it is refused at once. */
+
+import { type FairQueue, predictWaitMs } from '@juniperhook/core'
+import type { AvailabilityForecast } from './availabilityForecast.ts'
+import { forecastWaitMs } from './availabilityForecast.ts'
+import type { GatewayContext } from './context.ts'
+import { featuresOf } from './features.ts'
+import { meterOf } from './fleet.ts'
+import { expectedLevelWaitMs, isWithinFraction } from './groupAdmission.ts'
+import type { Pressure } from './pressure.ts'
+import type { AcquireOptions, Waiter } from './waiter.ts'
+
+/** Whether the requests of a service wait in order of urgency and time left. */
+export function isOrderedByUrgency(
+	ctx: GatewayContext,
+	service: string,
+): boolean {
+	return featuresOf(ctx.features, service).urgency
+}
+
+/**
+ * Whether the requests of this urgency are admitted in part, not this one, and no slot
+ * for them is expected in time. A caller that is refused at once can still come back.
+ */
+export function isRefusedByLevel(
+	ctx: GatewayContext,
+	queue: FairQueue<Waiter>,
+	{ service, candidate, waitMs, slotsFreeOneByOne }: AcquireOptions,
+	bestFraction: number | undefined,
+): boolean {
+	if (!slotsFreeOneByOne || bestFraction === undefined) return false
+	if (isWithinFraction(candidate, bestFraction)) return false
+	const { urgency } = candidate
+	const ahead = queue.waiting.filter(other => other.urgency === urgency).length
+	const meter = meterOf(ctx.fleet, service)
+	return expectedLevelWaitMs(meter, urgency, bestFraction, ahead) > waitMs
+}
+
+/** Predicts whether a request would exceed its maximum wait, to refuse it at once. */
+export function willExceedWait(
+	ctx: GatewayContext,
+	queue: FairQueue<Waiter>,
+	options: AcquireOptions,
+	{ dispatchRate }: Pressure,
+	forecast: AvailabilityForecast | undefined,
+	now: number,
+): boolean {
+	const isBefore = isOrderedByUrgency(ctx, options.service)
+		? ({ urgency }: Waiter) => urgency <= options.candidate.urgency
+		: ({ priority }: Waiter) => priority <= options.priority
+	const before = queue.waiting.filter(isBefore)
+	if (forecast) return forecastWaitMs(forecast, before.length) > options.waitMs
+	if (!options.slotsFreeOneByOne) return options.waitMs <= 0
+	return predictWaitMs(dispatchRate, before.length, now) > options.waitMs
+}
--- a/packages/gateway/src/waiter.ts
+++ b/packages/gateway/src/waiter.ts
@@ -34,6 +34,9 @@
 	/** Ids of servers that it has been sent to. */
 	readonly tried: ReadonlySet<string>
 	readonly candidate: AdmissionCandidate
+	readonly urgency: Urgency
+	/** Until when it has to start to meet its target, ms. */
+	readonly startBy: number
 	/** End of the time that it may wait, ms. */
 	readonly until: number
 	/** Ends the wait with a result. */
@@ -50,6 +53,8 @@
 	readonly candidate: AdmissionCandidate
 	/** Maximum wait, ms. */
 	readonly waitMs: number
+	/** Time in which it has to start to meet its target, ms; `waitMs` by default. */
+	readonly startWithinMs?: number
 	/**
 	 * Whether slots become free one at a time, so that the wait can be predicted. Not so
 	 * while a group forms, since all of its slots become free at once.
--- a/scripts/ablation.ts
+++ b/scripts/ablation.ts
@@ -199,9 +199,9 @@
 	},
 	{
 		name: 'partTaken',
-		file: ENTRY_DEMAND,
-		on: '	if (!meter.traffic) return room >= 1',
-		off: '	if (!meter.traffic || meter.arrived >= 0) return room >= 1',
+		file: 'packages/gateway/src/groupAdmission.ts',
+		on: '	if (!meter.traffic) return { isAdmitted: room >= 1, fraction: undefined }',
+		off: '	if (!meter.traffic || meter.arrived >= 0) return { isAdmitted: room >= 1, fraction: undefined }',
 	},
 	{
 		name: 'dealtServers',
@@ -211,7 +211,7 @@
 	},
 	{
 		name: 'engineRoom',
-		file: WAITING,
+		file: 'packages/gateway/src/serverChoice.ts',
 		on: 'const ENGINE_QUEUE_CAPACITY = 0',
 		off: 'const ENGINE_QUEUE_CAPACITY = 2',
 	},
