--- a/packages/core/src/core/growthReserve.ts
+++ b/packages/core/src/core/growthReserve.ts
@@ -56,8 +56,9 @@
 	streamMs: number,
 ): number {
 	const deviation = Math.sqrt((current * SECOND_MS) / (2 * AVERAGED_MS))
-	const rise = current - smoothed - NOISE_DEVIATIONS * deviation
-	return Math.min(current, (Math.max(0, rise) * streamMs) / TREND_MS)
+	const rise = current - smoothed
+	if (rise <= NOISE_DEVIATIONS * deviation) return 0
+	return Math.min(current, (rise * streamMs) / TREND_MS)
 }
 
 /**
--- a/packages/core/src/core/roomAllocation.ts
+++ b/packages/core/src/core/roomAllocation.ts
@@ -56,10 +56,12 @@
 ): LevelShare[] {
 	const floor = FLOOR_SHARE * Math.min(1, slotsPerSecond / total)
 	let left = slotsPerSecond
+	let above = 1
 	return sorted.map(({ urgency, perSecond, growthPerSecond }, index) => {
 		const floorsBelow = floor * sumDemand(sorted.slice(index + 1))
 		const available = (left - floorsBelow) / perSecond
-		const fraction = Math.min(1, Math.max(floor, available))
+		const fraction = Math.min(above, Math.max(floor, available))
+		above = fraction
 		left -= fraction * perSecond + growthPerSecond
 		return { urgency, fraction }
 	})
