--- a/packages/gateway/src/groupAdmission.ts
+++ b/packages/gateway/src/groupAdmission.ts
@@ -1,7 +1,7 @@
 /** Decides which requests a nearly full group admits, from the demand of all entries. */
 
 import type { GroupTraffic, Urgency } from '@juniperhook/core'
-import { fractionOf, slotsPerSecond } from '@juniperhook/core'
+import { fractionOf, MIN_PER_SECOND, slotsPerSecond } from '@juniperhook/core'
 import type { Fleet, FlowMeter } from './fleet.ts'
 import { meterOf, serviceOfGroup } from './fleet.ts'
 import { levelFraction } from './levelDemand.ts'
@@ -28,7 +28,9 @@
 ): AdmissionDecision {
 	const meter = meterOf(fleet, serviceOfGroup(fleet, group))
 	if (!meter.traffic) return { isAdmitted: room >= 1, fraction: undefined }
-	const fraction = fractionAt(meter, meter.traffic, room, candidate)
+	const available = slotsPerSecond(room, meter.traffic)
+	const fraction = fractionAt(meter, meter.traffic, available, candidate)
+	if (meter.levels) meter.levels.slotsPerSecond = available
 	meter.minAdmittedFraction = Math.min(meter.minAdmittedFraction, fraction)
 	return { isAdmitted: isWithinFraction(candidate, fraction), fraction }
 }
@@ -55,21 +57,33 @@
 	ahead: number,
 ): number {
 	const perSecond = levels?.own.get(urgency)?.perSecond ?? 0
-	const slotsPerSecond = Math.max(0, fraction) * perSecond
-	return ((ahead + 1) * SECOND_MS) / slotsPerSecond
+	return ((ahead + 1) * SECOND_MS) / (Math.max(0, fraction) * perSecond)
+}
+
+/**
+ * Returns the fraction of the requests like `candidate` that will be admitted as slots
+ * become free at the present rate; undefined while none do, as after a start.
+ */
+export function expectedFraction(
+	meter: FlowMeter,
+	candidate: AdmissionCandidate,
+): number | undefined {
+	const { traffic } = meter
+	if (!traffic || traffic.completionsPerSecond < MIN_PER_SECOND)
+		return undefined
+	return fractionAt(meter, traffic, traffic.completionsPerSecond, candidate)
 }
 
 function fractionAt(
 	{ levels, returnsPerSecond }: FlowMeter,
 	traffic: GroupTraffic,
-	room: number,
+	perSecond: number,
 	candidate: AdmissionCandidate,
 ): number {
-	const kept = candidate.isReturn ? 0 : returnsPerSecond
-	const available = slotsPerSecond(room, traffic) - kept
-	if (!levels) return fractionOf(available, traffic)
-	levels.slotsPerSecond = available
-	return levelFraction(levels, available, candidate)
+	const available = perSecond - (candidate.isReturn ? 0 : returnsPerSecond)
+	return levels
+		? levelFraction(levels, available, candidate)
+		: fractionOf(available, traffic)
 }
 
 /** Whether the groups of a service admit only a fraction of the requests. */
--- a/packages/gateway/src/waitForecast.ts
+++ b/packages/gateway/src/waitForecast.ts
@@ -6,7 +6,11 @@
 import type { GatewayContext } from './context.ts'
 import { featuresOf } from './features.ts'
 import { meterOf } from './fleet.ts'
-import { expectedLevelWaitMs, isWithinFraction } from './groupAdmission.ts'
+import {
+	expectedFraction,
+	expectedLevelWaitMs,
+	isWithinFraction,
+} from './groupAdmission.ts'
 import type { Pressure } from './pressure.ts'
 import type { AcquireOptions, Waiter } from './waiter.ts'
 
@@ -29,11 +33,14 @@
 	bestFraction: number | undefined,
 ): boolean {
 	if (!slotsFreeOneByOne || bestFraction === undefined) return false
-	if (isWithinFraction(candidate, bestFraction)) return false
+	const meter = meterOf(ctx.fleet, service)
+	const expected = expectedFraction(meter, candidate)
+	if (expected === undefined) return false
+	const fraction = Math.max(bestFraction, expected)
+	if (isWithinFraction(candidate, fraction)) return false
 	const { urgency } = candidate
 	const ahead = queue.waiting.filter(other => other.urgency === urgency).length
-	const meter = meterOf(ctx.fleet, service)
-	return expectedLevelWaitMs(meter, urgency, bestFraction, ahead) > waitMs
+	return expectedLevelWaitMs(meter, urgency, fraction, ahead) > waitMs
 }
 
 /** Predicts whether a request would exceed its maximum wait, to refuse it at once. */
