Work of unequal size: forecast of a stream's end, unread prompts in the choice of server

Cause: a rank that is many times slower stretches every pass of its group. Long answers held their slots until their timeout cut them, while callers with short answers were refused for want of slots.

Change: the length of an answer is estimated from hint, maximum and what complete answers had; the pace of a group from the streams that the entry relays. A stream whose lower estimate cannot end in time at a pace far above the usual one is refused before any send (cannotFinish). A request beyond an engine's memory is refused at once (oversize). Prompt tokens sent and not yet read add to a server's load. All of it only where the feature is on.

Ruled out: 413 for oversize (callers treat it as final); cutting streams in progress; refusing by size at usual pace.

--- a/packages/core/src/core/dispatch.ts
+++ b/packages/core/src/core/dispatch.ts
@@ -30,6 +30,8 @@
 	readonly permitted: ReadonlySet<number>
 	/** Servers that must not be sent anything now: no permit, or in backoff. */
 	readonly withheld: ReadonlySet<number>
+	/** Load of each unread prompt token, see {@link loadPerUnreadToken}; 0 if omitted. */
+	readonly unreadLoad?: number
 }
 
 /** Result of a selection. */
@@ -89,6 +91,7 @@
 	)
 	if (withCapacity.length === 0) return { kind: 'full' }
 	const penalties = penaltyLoads(table, candidates, now)
+	const { unreadLoad = 0 } = query
 	let best = -1
 	let bestLoad = Number.POSITIVE_INFINITY
 	for (const row of sampleCandidates(table, query, withCapacity, random)) {
@@ -97,7 +100,11 @@
 		const inFlight =
 			countInFlight(table, row) + unreported * table.assignedElsewhere[row]!
 		const load =
-			inFlight / table.slots[row]! + remote + slow + penalties.get(row)!
+			inFlight / table.slots[row]! +
+			remote +
+			slow +
+			penalties.get(row)! +
+			unreadLoad * table.unreadTokens[row]!
 		if (load >= bestLoad) continue
 		best = row
 		bestLoad = load
--- a/packages/core/src/core/errors.ts
+++ b/packages/core/src/core/errors.ts
@@ -70,6 +70,20 @@
 		busy,
 		'No backend server can start this in time.',
 	),
+	cannotFinish: row(
+		503,
+		'no',
+		2000,
+		busy,
+		'At the present pace its answer could not end in time.',
+	),
+	oversize: row(
+		503,
+		'no',
+		0,
+		busy,
+		'It is larger than the memory of the servers that could run it.',
+	),
 	rateLimited: row(
 		503,
 		'no',
--- a/packages/core/src/core/routing.ts
+++ b/packages/core/src/core/routing.ts
@@ -42,6 +42,8 @@
 	readonly maxInFlight: Float64Array
 	/** 1 if the server is assigned to another entry, which prefers it. */
 	readonly assignedElsewhere: Uint8Array
+	/** Prompt tokens sent by this entry whose answers have not begun. */
+	readonly unreadTokens: Float64Array
 }
 
 /** Consecutive failures after which a server is ejected for some time. */
@@ -78,6 +80,7 @@
 		groupSlowdown: new Float64Array(size).fill(1),
 		maxInFlight: new Float64Array(size).fill(Number.POSITIVE_INFINITY),
 		assignedElsewhere: new Uint8Array(size),
+		unreadTokens: new Float64Array(size),
 	}
 }
 
@@ -103,6 +106,7 @@
 	to.groupSlowdown[row] = from.groupSlowdown[old]!
 	to.maxInFlight[row] = from.maxInFlight[old]!
 	to.assignedElsewhere[row] = from.assignedElsewhere[old]!
+	to.unreadTokens[row] = from.unreadTokens[old]!
 }
 
 /** Load report of an agent. */
--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -7,7 +7,8 @@
 import { pressureOf, waitBudgetMs } from './pressure.ts'
 import { acquireServer } from './serverQueue.ts'
 import { sendToServer } from './serverSend.ts'
-import type { Grant } from './waiter.ts'
+import type { AdmissionCandidate, Grant } from './waiter.ts'
+import { weighRequest } from './workDecision.ts'
 
 /** Minimum wait of a retried request, as a share of the route's target time. */
 const MIN_RETRY_WAIT_SHARE = 0.2
@@ -18,7 +19,11 @@
 	job: Job,
 ): Promise<AttemptResult> {
 	const requestedAt = readElapsed()
-	const grant = await requestServer(ctx, job, requestedAt)
+	const leftMs = job.request.timeoutAt - requestedAt
+	const decision = weighRequest(ctx, job, leftMs)
+	if (decision.kind === 'refused') return decision
+	const candidate = { ...job.candidate, work: decision.work }
+	const grant = await requestServer(ctx, job, candidate, requestedAt)
 	ctx.metrics.waiting.observe((readElapsed() - requestedAt) / 1_000)
 	switch (grant.kind) {
 		case 'full':
@@ -39,6 +44,7 @@
 function requestServer(
 	ctx: GatewayContext,
 	job: Job,
+	candidate: AdmissionCandidate,
 	now: number,
 ): Promise<Grant> {
 	const { request, service } = job
@@ -52,7 +58,7 @@
 		priority: request.priority,
 		tried: job.tried,
 		// With a draw of 0, a retried request is admitted before those never sent.
-		candidate: job.sends > 0 ? { ...job.candidate, draw: 0 } : job.candidate,
+		candidate: job.sends > 0 ? { ...candidate, draw: 0 } : candidate,
 		waitMs: Math.min(waitMs, request.timeoutAt - now),
 		slotsFreeOneByOne: !isClosed,
 		signal: job.signal,
--- a/packages/gateway/src/attemptLog.ts
+++ b/packages/gateway/src/attemptLog.ts
@@ -5,6 +5,7 @@
 import type { GatewayContext } from './context.ts'
 import type { Job } from './job.ts'
 import { classifyTimeliness } from './timeliness.ts'
+import { weighedEngineOf } from './workState.ts'
 
 /** Logs the outcome of an attempt. */
 export function logAttempt(
@@ -50,5 +51,13 @@
 		timeliness,
 		startMs: Math.round(startMs),
 		longestPauseMs: Math.round(longestPauseMs),
+		...describeLength(ctx, job),
 	})
 }
+
+/** Returns the events of a stream and its caller's hint, where work is weighed. */
+function describeLength(ctx: GatewayContext, job: Job): object {
+	const { route, size } = job.request
+	if (route.kind !== 'stream' || !weighedEngineOf(ctx, job.service)) return {}
+	return { events: job.eventsRelayed, hintTokens: size.answerHintTokens }
+}
--- a/packages/gateway/src/closedGroups.ts
+++ b/packages/gateway/src/closedGroups.ts
@@ -18,6 +18,7 @@
 import type { GatewayContext } from './context.ts'
 import { groupOf, serviceOf } from './fleet.ts'
 import type { CallerRequest } from './job.ts'
+import { forgetPace } from './workState.ts'
 
 const UNAVAILABLE = 503
 /**
@@ -110,6 +111,7 @@
 ): void {
 	const now = readNow()
 	if (!ctx.closures.has(group)) ctx.log.write('group closed', { group, from })
+	forgetPace(ctx, group)
 	markBlocked(blockageOf(ctx, group), now)
 	if (ctx.expectedOpenAt.has(group)) return
 	ctx.expectedOpenAt.set(
@@ -128,6 +130,7 @@
 	const since = ctx.closures.get(group)?.since
 	if (since === undefined || !clearGroupClosure(ctx.closures, group))
 		return false
+	forgetPace(ctx, group)
 	const now = readNow()
 	markUnblocked(blockageOf(ctx, group), now)
 	const closedMs = Math.round(now - since)
--- a/packages/gateway/src/context.ts
+++ b/packages/gateway/src/context.ts
@@ -33,6 +33,7 @@
 import type { ServerPool } from './serverPool.ts'
 import type { SuspensionWatch } from './suspensionWatch.ts'
 import type { UnrecognizedSignals } from './unrecognizedSignals.ts'
+import type { WorkState } from './workState.ts'
 
 /** Settings of a gateway on its VM. */
 export interface GatewaySettings {
@@ -118,6 +119,8 @@
 	readonly blockages: Map<string, BlockageTracker>
 	/** Load observations, by service. */
 	readonly pressures: Map<string, Pressure>
+	/** Lengths of answers and paces of groups. */
+	readonly work: WorkState
 	/** Retry budget windows, by service. */
 	readonly retries: Map<string, RetryWindow>
 	/** Number of entries considered alive, including this one. */
--- a/packages/gateway/src/forward.ts
+++ b/packages/gateway/src/forward.ts
@@ -101,6 +101,7 @@
 		mayHaveRun: false,
 		lastEventId: request.lastEventId,
 		times: { startMs: 0, longestPauseMs: 0 },
+		eventsRelayed: 0,
 	}
 	const cancel: CancelRequest = reason => {
 		const [mayHaveRunError, notRunError] = CANCEL_ERRORS[reason]
@@ -153,6 +154,7 @@
 		begun: res.headersSent,
 		config: request.routes.config.version,
 		fingerprint: request.fingerprint,
+		...job.forecast,
 	})
 	const retryAfterMs = retryAfterOf(ctx, job, error, leftMs)
 	writeFailure(ctx, res, error, request.id, retryAfterMs)
@@ -165,6 +167,8 @@
 	leftMs: number,
 ): number {
 	if (error === 'quarantined') return quarantinedForMs(ctx, job.request)
+	// A caller that is told to wait for all the time it has does not come back.
+	if (error === 'oversize') return leftMs
 	return ERRORS[error].ran === 'no'
 		? chooseRetryAfterMs(ctx, job.service, leftMs)
 		: 0
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -38,6 +38,8 @@
 import { checkSuspension } from './suspension.ts'
 import { createSuspensionWatch } from './suspensionWatch.ts'
 import { createUnrecognizedSignals } from './unrecognizedSignals.ts'
+import { reportWork } from './workReport.ts'
+import { createWorkState } from './workState.ts'
 
 /** Limit of the HTTP parser; the configuration's limit is lower. */
 const MAX_HEADER_BYTES = 65_536
@@ -95,6 +97,7 @@
 		expectedOpenAt: new Map(),
 		blockages: new Map(),
 		pressures: new Map(),
+		work: createWorkState(),
 		retries: new Map(),
 		entryCount: Math.max(1, settings.seeds.length),
 		sentRequests: createSentRequests(),
@@ -138,6 +141,7 @@
 	dropUnlimitedPermits(ctx)
 	expireBackoffs(ctx)
 	serveQueues(ctx)
+	reportWork(ctx)
 	const config = ctx.routes?.config
 	if (!config) return
 	resizeIdle(ctx.pool, config.services, ctx.entryCount)
--- a/packages/gateway/src/job.ts
+++ b/packages/gateway/src/job.ts
@@ -11,6 +11,8 @@
 import type { ServerAnswer } from './serverCall.ts'
 import type { AnswerTimes } from './timeliness.ts'
 import type { AdmissionCandidate } from './waiter.ts'
+import type { WorkForecast } from './workDecision.ts'
+import type { SentWork } from './workState.ts'
 
 /** A request that has been read completely and validated. */
 export interface CallerRequest {
@@ -64,6 +66,10 @@
 	lastEventId: string | undefined
 	/** Timing of the response to the caller. */
 	readonly times: AnswerTimes
+	/** Events of a stream passed on, of all its attempts. */
+	eventsRelayed: number
+	/** Set if some group's pace is too slow for the request. */
+	forecast?: WorkForecast
 }
 
 /** How a server's response ended. */
@@ -83,6 +89,8 @@
 			readonly kind: 'answer'
 			readonly answer: ServerAnswer
 			readonly serverId: string
+			/** Undefined if the request's work is not weighed. */
+			readonly work: SentWork | undefined
 			/** Ends the attempt and frees its slot; must be called exactly once. */
 			release(end: AnswerEnd): void
 	  }
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -38,6 +38,10 @@
 	readonly firstByte: Histogram
 	readonly pauses: Histogram
 	readonly waiting: Histogram
+	/** Time between the events of a stream, by lock-step group. */
+	readonly groupPace: Gauge<'group'>
+	/** Events per hinted token in the median, by service. */
+	readonly eventsPerHintToken: Gauge<'service'>
 	readonly configVersion: Gauge
 	readonly sourceCalls: Counter<'outcome'>
 	/** Bytes received from the source, including those of failed calls. */
@@ -137,6 +141,18 @@
 		firstByte: histogram(registry, 'first_byte', LATENCY_BUCKETS),
 		pauses: histogram(registry, 'event_pause', PAUSE_BUCKETS),
 		waiting: histogram(registry, 'queue', LATENCY_BUCKETS),
+		groupPace: new Gauge({
+			name: 'juniperhook_group_pace_seconds',
+			help: 'Time between the events of a stream',
+			labelNames: ['group'],
+			registers,
+		}),
+		eventsPerHintToken: new Gauge({
+			name: 'juniperhook_events_per_hint_token',
+			help: 'Events of complete answers per hinted token, median',
+			labelNames: ['service'],
+			registers,
+		}),
 	}
 }
 
--- a/packages/gateway/src/send.ts
+++ b/packages/gateway/src/send.ts
@@ -3,6 +3,7 @@
 import type { ListedServer } from '@juniperhook/core'
 import type { Job } from './job.ts'
 import type { SentRequest } from './sentRequests.ts'
+import type { SentWork } from './workState.ts'
 
 /** One send of a request to a server. */
 export interface Send {
@@ -16,6 +17,8 @@
 	readonly sentAtElapsed: number
 	/** Whether a server may have run the request before this send. */
 	readonly mayHaveRunBefore: boolean
+	/** Undefined if the request's work is not weighed. */
+	readonly work: SentWork | undefined
 	/** Frees the slot at the server. */
 	releaseSlot(): void
 }
--- a/packages/gateway/src/sendOutcome.ts
+++ b/packages/gateway/src/sendOutcome.ts
@@ -113,6 +113,7 @@
 		kind: 'answer',
 		answer,
 		serverId: server.id,
+		work: send.work,
 		release: end => endAnswer(ctx, send, end),
 	}
 }
--- a/packages/gateway/src/serverQueue.ts
+++ b/packages/gateway/src/serverQueue.ts
@@ -195,6 +195,7 @@
 		unreportedSends: meterOf(fleet, service).unreportedSends,
 		permitted,
 		withheld: new Set([...exhausted, ...listBackingOff(ctx, service)]),
+		unreadLoad: candidate.work?.unreadLoad ?? 0,
 	}
 	const choice = chooseRow(fleet.table, query, now, ctx.random)
 	if (choice.kind !== 'row') return choice
@@ -214,8 +215,11 @@
 	now: number,
 ): Set<number> {
 	const unavailable = new Set<number>()
+	const isUnfit = (group: string) =>
+		candidate.work?.unfitGroups.has(group) ?? false
 	for (const [number, group] of ctx.fleet.groups.entries())
-		if (isGroupClosed(ctx.closures, group, now)) unavailable.add(number)
+		if (isGroupClosed(ctx.closures, group, now) || isUnfit(group))
+			unavailable.add(number)
 	const { fleet } = ctx
 	const accepts = (group: number, freeSlots: number) =>
 		isAdmitted(fleet, group, freeSlots, candidate)
--- a/packages/gateway/src/serverSend.ts
+++ b/packages/gateway/src/serverSend.ts
@@ -12,6 +12,7 @@
 import { callServer } from './serverCall.ts'
 import { buildServerHeaders } from './serverHeaders.ts'
 import { serveQueues } from './serverQueue.ts'
+import { beginWork, endWork } from './workState.ts'
 
 /** No attempt is made with less time left than this, ms. */
 const MIN_LEFT_MS = 5
@@ -62,6 +63,7 @@
 	// Assumed until disproved, since the request may time out before that.
 	job.mayHaveRun = true
 	const sentRequest = trackRequest(ctx.sentRequests, server.id, job.request)
+	const work = beginWork(ctx, job, server)
 	return {
 		job,
 		server,
@@ -69,7 +71,9 @@
 		sentAt: readNow(),
 		sentAtElapsed: readElapsed(),
 		mayHaveRunBefore,
+		work,
 		releaseSlot: () => {
+			if (work) endWork(ctx, work)
 			untrackRequest(ctx.sentRequests, server.id, sentRequest)
 			releaseServer(ctx, server.id)
 		},
--- a/packages/gateway/src/streamRelay.ts
+++ b/packages/gateway/src/streamRelay.ts
@@ -12,6 +12,7 @@
 import type { AnswerEnd, AttemptResult, Job, NextStep } from './job.ts'
 import { writeStreamHead } from './reply.ts'
 import { mayRetry } from './retryDecision.ts'
+import { recordAnswer, recordWorkEvent } from './workState.ts'
 
 /** Relays the part of a stream that one server sends. */
 export function relayStream(
@@ -43,6 +44,8 @@
 			ctx.metrics.firstByte.observe(job.times.startMs / 1_000)
 		}
 		lastAt = now
+		job.eventsRelayed++
+		if (result.work) recordWorkEvent(ctx, result.work)
 		res.write(event.bytes)
 		if (event.id !== undefined) job.lastEventId = event.id
 	}
@@ -61,6 +64,7 @@
 			if (isComplete) {
 				if (!res.headersSent) writeStreamHead(ctx, res, message)
 				res.end()
+				recordAnswer(ctx, job)
 				logServed(ctx, job, serverId, 'stream ended')
 				resolve({ kind: 'done' })
 				return
--- a/packages/gateway/src/waiter.ts
+++ b/packages/gateway/src/waiter.ts
@@ -14,6 +14,16 @@
 	readonly size: RequestSize
 	/** Whether it comes back after a refusal, at the time that it was told. */
 	readonly isReturn: boolean
+	/** Undefined where requests are not weighed by their work. */
+	readonly work?: CandidateWork | undefined
+}
+
+/** What a request's work means for the choice of its server. */
+export interface CandidateWork {
+	/** Lock-step groups at which it cannot end in time. */
+	readonly unfitGroups: ReadonlySet<string>
+	/** Load of each unread prompt token at a server. */
+	readonly unreadLoad: number
 }
 
 /** Result of acquiring a server. */
