--- a/packages/core/src/core/answerLength.ts
+++ b/packages/core/src/core/answerLength.ts
@@ -151,7 +151,7 @@
 	{ maxAnswerTokens }: RequestSize,
 	usual: UsualAnswer,
 ): number {
-	if (!isStated(maxAnswerTokens)) return Number.POSITIVE_INFINITY
+	if (!isStatedTokens(maxAnswerTokens)) return Number.POSITIVE_INFINITY
 	const perToken = Math.min(
 		eventsPerToken(lengths, usual),
 		publishedEventsPerToken(usual),
@@ -164,15 +164,15 @@
 	{ answerHintTokens, maxAnswerTokens }: RequestSize,
 	{ usualAnswerTokens }: UsualAnswer,
 ): number | undefined {
-	if (!isStated(answerHintTokens)) return undefined
-	if (isStated(maxAnswerTokens))
+	if (!isStatedTokens(answerHintTokens)) return undefined
+	if (isStatedTokens(maxAnswerTokens))
 		return Math.min(answerHintTokens, maxAnswerTokens)
 	const most = MAX_HINT_FACTOR * Math.max(1, usualAnswerTokens)
 	return answerHintTokens <= most ? answerHintTokens : undefined
 }
 
 /** Whether a number of tokens is stated and usable. */
-function isStated(tokens: number | undefined): tokens is number {
+export function isStatedTokens(tokens: number | undefined): tokens is number {
 	return tokens !== undefined && Number.isFinite(tokens) && tokens > 0
 }
 
@@ -189,7 +189,7 @@
 	{ memoryTokens }: Pick<EngineProfile, 'memoryTokens'>,
 ): boolean {
 	const tokens =
-		(isStated(promptTokens) ? promptTokens : 0) +
-		(isStated(maxAnswerTokens) ? maxAnswerTokens : 0)
+		(isStatedTokens(promptTokens) ? promptTokens : 0) +
+		(isStatedTokens(maxAnswerTokens) ? maxAnswerTokens : 0)
 	return memoryTokens > 0 && tokens > memoryTokens
 }
--- a/packages/gateway/src/workState.ts
+++ b/packages/gateway/src/workState.ts
@@ -11,6 +11,7 @@
 	createAnswerLengths,
 	createGroupPace,
 	endStreamPace,
+	isStatedTokens,
 	recordAnswerLength,
 	recordStreamEvent,
 	resetPace,
@@ -81,10 +82,10 @@
 ): SentWork | undefined {
 	const engine = weighedEngineOf(ctx, service)
 	if (!engine) return undefined
-	const promptTokens = Math.min(
-		request.size.promptTokens ?? engine.usualPromptTokens,
-		engine.memoryTokens || Number.POSITIVE_INFINITY,
-	)
+	const { promptTokens: stated } = request.size
+	const promptTokens = isStatedTokens(stated)
+		? stated
+		: engine.usualPromptTokens
 	addUnread(ctx, server.id, promptTokens)
 	const isObserved = request.route.kind === 'stream' && engine.experts
 	const pace = isObserved ? paceOf(ctx.work, groupOf(server)) : undefined
