--- a/packages/gateway/src/serverChoice.ts
+++ b/packages/gateway/src/serverChoice.ts
@@ -61,6 +61,7 @@
 		unreportedSends: meterOf(fleet, service).unreportedSends,
 		permitted,
 		withheld: new Set([...exhausted, ...listBackingOff(ctx, service)]),
+		unreadLoad: candidate.work?.unreadLoad ?? 0,
 	}
 	const choice = chooseRow(fleet.table, query, now, ctx.random)
 	if (choice.kind !== 'row') return { grant: choice, bestFraction }
@@ -87,8 +88,11 @@
 ): GroupChoice {
 	const { fleet } = ctx
 	const unavailable = new Set<number>()
+	const isUnfit = (group: string) =>
+		candidate.work?.unfitGroups.has(group) ?? false
 	for (const [number, group] of fleet.groups.entries())
-		if (isGroupClosed(ctx.closures, group, now)) unavailable.add(number)
+		if (isGroupClosed(ctx.closures, group, now) || isUnfit(group))
+			unavailable.add(number)
 	const closed = new Set(unavailable)
 	let bestFraction: number | undefined
 	const accepts = (group: number, freeSlots: number) => {
