Callers who come back: forecast of room, bookings, recognition

Cause: each entry promised the same free slots to its own refused callers, and nobody kept them. Change: core forecasts the room of a service beyond new callers (level, trend, measured error), numbers it over all entries by their demand, and books refused callers into it; entries report what they booked and whom they refused, and recognize callers who come back as told. Ruled out: a Bloom filter, places by rounded shares (none for entries whose share is below one).

--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -44,7 +44,7 @@
 	const { request, service } = job
 	const isClosed = isServiceClosed(ctx, service)
 	const waitMs = isClosed
-		? maxClosedWaitMs(ctx, service, request)
+		? maxClosedWaitMs(ctx, service, request, job.candidate.isReturn)
 		: maxWaitMs(ctx, job, now)
 	return acquireServer(ctx, {
 		service,
--- a/packages/gateway/src/attemptLog.ts
+++ b/packages/gateway/src/attemptLog.ts
@@ -29,6 +29,7 @@
 		list: ctx.list.revision.revision,
 		term: ctx.list.revision.term || undefined,
 		perSecond: rateLimitOf(ctx.rateLimits, serverId),
+		returned: job.candidate.isReturn || undefined,
 		restMs: Math.round(backoffLeftMs(ctx.backoffs, serverId, now)) || undefined,
 		...inputs,
 	})
@@ -45,6 +46,7 @@
 	const { startMs, longestPauseMs } = job.times
 	const timeliness = classifyTimeliness(route, job.times)
 	ctx.metrics.served.inc({ kind: route.kind, timeliness })
+	if (job.candidate.isReturn) ctx.metrics.returns.inc({ outcome: 'served' })
 	logAttempt(ctx, job, serverId, 'answered', reason, {
 		route: route.name,
 		timeliness,
--- a/packages/gateway/src/closedGroups.ts
+++ b/packages/gateway/src/closedGroups.ts
@@ -1,6 +1,7 @@
 /** Closes lock-step groups whose ranks all refuse requests, and opens them again. */
 
 import type {
+	BlockageRange,
 	BlockageTracker,
 	ListedServer,
 	TrafficRoute,
@@ -9,6 +10,7 @@
 	clearGroupClosure,
 	createBlockageTracker,
 	estimateBlockageMs,
+	estimateBlockageRange,
 	markBlocked,
 	markUnblocked,
 	recordGroupRefused,
@@ -171,11 +173,33 @@
 	return Math.min(...blockages.map(one => estimateBlockageMs(one, now)))
 }
 
-/** Returns how long a request may wait for a closed service, ms. */
+/** Estimates when the first group of a closed service opens, ms from now. */
+export function estimateOpening(
+	ctx: GatewayContext,
+	service: string,
+	now: number,
+): BlockageRange {
+	if (!isServiceClosed(ctx, service)) return { expectedMs: 0, latestMs: 0 }
+	const rows = ctx.fleet.rowsByService.get(service) ?? []
+	const groups = new Set(rows.map(row => groupOf(ctx.fleet.servers[row]!)))
+	const ranges = [...groups].map(group =>
+		estimateBlockageRange(blockageOf(ctx, group), now),
+	)
+	return {
+		expectedMs: Math.min(...ranges.map(({ expectedMs }) => expectedMs)),
+		latestMs: Math.min(...ranges.map(({ latestMs }) => latestMs)),
+	}
+}
+
+/**
+ * Returns how long a request may wait for a closed service, ms. A caller that comes back
+ * as told waits as long as it can: it does not come a second time.
+ */
 export function maxClosedWaitMs(
 	ctx: GatewayContext,
 	service: string,
 	{ route, arrivedAt }: Pick<CallerRequest, 'route' | 'arrivedAt'>,
+	isReturn = false,
 ): number {
 	const rows = ctx.fleet.rowsByService.get(service) ?? []
 	const groups = new Set(rows.map(row => groupOf(ctx.fleet.servers[row]!)))
@@ -183,6 +207,7 @@
 	const now = readNow()
 	const waitUntil =
 		now - (readElapsed() - arrivedAt) + WAIT_SHARE * eventTimeoutMs(ctx, route)
+	if (isReturn) return waitUntil - now
 	return Math.min(Math.max(0, ...expected), waitUntil) - now
 }
 
--- a/packages/gateway/src/context.ts
+++ b/packages/gateway/src/context.ts
@@ -29,6 +29,7 @@
 } from './ports.ts'
 import type { Pressure } from './pressure.ts'
 import type { QuarantineGate } from './quarantineState.ts'
+import type { ReturnState } from './returnState.ts'
 import type { SentRequests } from './sentRequests.ts'
 import type { ServerPool } from './serverPool.ts'
 import type { SuspensionWatch } from './suspensionWatch.ts'
@@ -118,6 +119,8 @@
 	readonly blockages: Map<string, BlockageTracker>
 	/** Load observations, by service. */
 	readonly pressures: Map<string, Pressure>
+	/** Refused callers who were told to come back. */
+	readonly returns: ReturnState
 	/** Retry budget windows, by service. */
 	readonly retries: Map<string, RetryWindow>
 	/** Number of entries considered alive, including this one. */
--- a/packages/gateway/src/entryDemand.ts
+++ b/packages/gateway/src/entryDemand.ts
@@ -49,13 +49,13 @@
 	fleet: Fleet,
 	group: number,
 	room: number,
-	{ draw }: AdmissionCandidate,
+	{ draw, isReturn }: AdmissionCandidate,
 ): boolean {
 	const meter = meterOf(fleet, serviceOfGroup(fleet, group))
 	if (!meter.traffic) return room >= 1
 	const fraction = admittedFraction(room, meter.traffic)
 	meter.minAdmittedFraction = Math.min(meter.minAdmittedFraction, fraction)
-	return draw < fraction
+	return (isReturn ? 0 : draw) < fraction
 }
 
 /** Whether the groups of a service admit only a fraction of the requests. */
--- a/packages/gateway/src/fingerprint.ts
+++ b/packages/gateway/src/fingerprint.ts
@@ -18,6 +18,13 @@
 	return request.fingerprint
 }
 
+/** Returns the first 32 bits of the digest in a request's fingerprint. */
+export function shortFingerprintOf(request: CallerRequest): number {
+	const fingerprint = fingerprintOf(request)
+	const digest = fingerprint.slice(fingerprint.indexOf('.') + 1)
+	return Buffer.from(digest, 'base64url').readUInt32LE()
+}
+
 /** The parts of a request that its fingerprint covers. */
 export interface FingerprintInput {
 	readonly method: string
--- a/packages/gateway/src/fleet.ts
+++ b/packages/gateway/src/fleet.ts
@@ -40,6 +40,8 @@
 	readonly dataCentre: string
 	/** Request rates, by service. */
 	readonly flows: Readonly<Record<string, RequestFlow>>
+	/** When it was received, ms; its returns are counted from then on. */
+	readonly receivedAt?: number | undefined
 }
 
 /** Request rates of a service at one entry, per second, smoothed. */
--- a/packages/gateway/src/forward.ts
+++ b/packages/gateway/src/forward.ts
@@ -25,8 +25,10 @@
 	quarantinedForMs,
 } from './quarantineGate.ts'
 import { writeAnswer, writeFailure } from './reply.ts'
-import { chooseRetryAfterMs } from './retryAfter.ts'
+import type { RetryAfter } from './retryAfter.ts'
+import { chooseRetryAfter } from './retryAfter.ts'
 import { mayRetry, retryWindowOf } from './retryDecision.ts'
+import { isReturning } from './returnRecognition.ts'
 import { readAnswerBody } from './serverCall.ts'
 import { relayStream } from './streamRelay.ts'
 import type { AdmissionCandidate } from './waiter.ts'
@@ -94,7 +96,11 @@
 		service,
 		signal: control.signal,
 		tried: new Set(),
-		candidate: describeCandidate(request, ctx.random()),
+		candidate: describeCandidate(
+			request,
+			ctx.random(),
+			isReturning(ctx, service, request),
+		),
 		sends: 0,
 		refusedSends: 0,
 		groupRefusals: 0,
@@ -128,8 +134,9 @@
 function describeCandidate(
 	{ urgency, team, size }: CallerRequest,
 	draw: number,
+	isReturn: boolean,
 ): AdmissionCandidate {
-	return { draw, urgency, team: team?.name ?? '', size, isReturn: false }
+	return { draw, urgency, team: team?.name ?? '', size, isReturn }
 }
 
 /** Ends a request with an error, without a server's response. */
@@ -142,6 +149,9 @@
 	if (res.writableEnded || res.destroyed) return
 	const { request } = job
 	const leftMs = request.deadlineAt - readElapsed()
+	const retryAfter = retryAfterOf(ctx, job, error, leftMs)
+	if (job.candidate.isReturn && ERRORS[error].ran === 'no')
+		ctx.metrics.returns.inc({ outcome: 'refusedAgain' })
 	ctx.log.write('request failed', {
 		req: request.id,
 		route: request.route.name,
@@ -153,9 +163,24 @@
 		begun: res.headersSent,
 		config: request.routes.config.version,
 		fingerprint: request.fingerprint,
+		returned: job.candidate.isReturn || undefined,
+		...describePlace(retryAfter),
 	})
-	const retryAfterMs = retryAfterOf(ctx, job, error, leftMs)
-	writeFailure(ctx, res, error, request.id, retryAfterMs)
+	writeFailure(ctx, res, error, request.id, retryAfter.ms)
+}
+
+/** Returns the place of a refused caller for the log, and the forecast it rests on. */
+function describePlace(retryAfter: RetryAfter): object {
+	if (retryAfter.kind === 'scheduled') return {}
+	const { forecast, ms, place } = retryAfter
+	return {
+		place: place.kind,
+		returnInMs: Math.round(ms),
+		room: forecast.kind,
+		availableInMs: Math.round(forecast.availableInMs),
+		perSecond: Math.round(forecast.perSecond),
+		sure: Math.round(forecast.sure * 100) / 100,
+	}
 }
 
 function retryAfterOf(
@@ -163,11 +188,12 @@
 	job: Job,
 	error: ErrorKind,
 	leftMs: number,
-): number {
-	if (error === 'quarantined') return quarantinedForMs(ctx, job.request)
+): RetryAfter {
+	if (error === 'quarantined')
+		return { kind: 'scheduled', ms: quarantinedForMs(ctx, job.request) }
 	return ERRORS[error].ran === 'no'
-		? chooseRetryAfterMs(ctx, job.service, leftMs)
-		: 0
+		? chooseRetryAfter(ctx, job, leftMs)
+		: { kind: 'scheduled', ms: 0 }
 }
 
 async function runAttempts(
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -31,6 +31,7 @@
 import type { CatalogSource, ServerWire } from './ports.ts'
 import { createQuarantineGate } from './quarantineState.ts'
 import { expireRateLimits } from './rateLimits.ts'
+import { createReturnState } from './returnState.ts'
 import { createSentRequests, expireAbandoned } from './sentRequests.ts'
 import { expireBackoffs } from './serverBackoffs.ts'
 import { createServerPool, resizeIdle } from './serverPool.ts'
@@ -95,6 +96,7 @@
 		expectedOpenAt: new Map(),
 		blockages: new Map(),
 		pressures: new Map(),
+		returns: createReturnState(),
 		retries: new Map(),
 		entryCount: Math.max(1, settings.seeds.length),
 		sentRequests: createSentRequests(),
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -35,6 +35,10 @@
 	readonly unknownHeaders: Counter<'header'>
 	/** Permit requests for rate-limited servers, by outcome. */
 	readonly permits: Counter<'outcome'>
+	/** Refused callers: booked, returned as told, served on return, refused again. */
+	readonly returns: Counter<'outcome'>
+	/** Errors of the forecast room, as shares of the completions, by lead time. */
+	readonly forecastError: Gauge<'service' | 'lead_ms'>
 	readonly firstByte: Histogram
 	readonly pauses: Histogram
 	readonly waiting: Histogram
@@ -134,6 +138,18 @@
 			labelNames: ['outcome'],
 			registers,
 		}),
+		returns: new Counter({
+			name: 'juniperhook_returns_total',
+			help: 'Refused callers that were told when to come back, by outcome',
+			labelNames: ['outcome'],
+			registers,
+		}),
+		forecastError: new Gauge({
+			name: 'juniperhook_room_forecast_error',
+			help: 'Error of the forecast room as a share of the completions',
+			labelNames: ['service', 'lead_ms'],
+			registers,
+		}),
 		firstByte: histogram(registry, 'first_byte', LATENCY_BUCKETS),
 		pauses: histogram(registry, 'event_pause', PAUSE_BUCKETS),
 		waiting: histogram(registry, 'queue', LATENCY_BUCKETS),
--- a/packages/gateway/src/peerMessages.ts
+++ b/packages/gateway/src/peerMessages.ts
@@ -89,6 +89,15 @@
 	byTeam: v.optional(v.record(v.string(), RateSchema)),
 	returns: v.optional(v.pipe(v.array(RateSchema), v.readonly())),
 })
+/** A refused caller, so that other entries recognize it when it comes back. */
+const ReturnSchema = v.object({
+	fingerprint: v.pipe(v.number(), v.integer(), v.minValue(0)),
+	dueInMs: CountSchema,
+})
+/** See {@link ReturnSchema}. */
+export type WireReturn = v.InferOutput<typeof ReturnSchema>
+/** Refused callers since the last message; absent while there are none. */
+const RefusedSchema = v.optional(v.array(ReturnSchema))
 /** An entry's state, sent to its peers. */
 export const PeerStateSchema = v.object({
 	name: v.string(),
@@ -103,6 +112,7 @@
 	sourceAway: v.optional(v.boolean(), false),
 	/** Rate limits of servers; absent while there are none. */
 	limits: v.optional(v.array(WireUpdateSchema), []),
+	refused: RefusedSchema,
 	/** Control addresses of known entries; not part of every message. */
 	peers: v.optional(v.array(v.string()), []),
 })
@@ -111,6 +121,7 @@
 	name: v.string(),
 	/** Number of requests in flight by server id; 0 for none any more. */
 	changed: v.record(v.string(), v.number()),
+	refused: RefusedSchema,
 })
 /** See {@link InFlightDeltaSchema}. */
 export type InFlightDelta = v.InferOutput<typeof InFlightDeltaSchema>
--- a/packages/gateway/src/peerStates.ts
+++ b/packages/gateway/src/peerStates.ts
@@ -31,6 +31,8 @@
 import { InFlightDeltaSchema, PeerStateSchema } from './peerMessages.ts'
 import type { PeerPulls } from './peerPull.ts'
 import { activeVersion, pullIfBehind } from './peerPull.ts'
+import { addReturns, updateReturns } from './returnPlaces.ts'
+import { drainRefused, receiveRefused } from './returnRecognition.ts'
 import {
 	listAllUpdates,
 	listRateLimits,
@@ -116,7 +118,7 @@
 		sourceAway: ctx.sourceAway,
 		held: Object.fromEntries(ctx.fleet.inFlight),
 		dataCentre: ctx.settings.dataCentre,
-		flows: reportFlows(ctx.fleet),
+		flows: addReturns(ctx, reportFlows(ctx.fleet)),
 		limits: listRateLimits(ctx),
 	}
 }
@@ -140,6 +142,8 @@
 		return
 	states.broadcastAt = now
 	updateDemand(ctx, elapsedMs, countUnlinked(peers), now)
+	updateReturns(ctx, elapsedMs)
+	const refused = drainRefused(ctx)
 	const { lastSent } = states
 	const state = describeState(ctx)
 	states.lastSent = {
@@ -152,13 +156,14 @@
 		!isSameRevision(state.list, lastSent.list)
 	if (isVersionChanged || now - states.heartbeatAt >= HEARTBEAT_INTERVAL_MS) {
 		states.heartbeatAt = now
-		const fullState = { ...state, peers: listDueAddresses(peers, states, now) }
+		const addresses = listDueAddresses(peers, states, now)
+		const fullState = { ...state, refused, peers: addresses }
 		for (const link of links) sendState(ctx, link, fullState)
 		return
 	}
 	const changed = findChanged(lastSent.inFlight, states.lastSent.inFlight)
-	if (Object.keys(changed).length === 0) return
-	const delta: InFlightDelta = { name: state.name, changed }
+	if (Object.keys(changed).length === 0 && !refused) return
+	const delta: InFlightDelta = { name: state.name, changed, refused }
 	for (const link of links) notify(link, 'held', delta)
 }
 
@@ -222,7 +227,9 @@
 	else states.withoutSource.delete(link)
 	const { dataCentre, flows } = state
 	const inFlight = new Map(Object.entries(state.held))
-	ctx.fleet.peerDemand.set(state.name, { dataCentre, flows })
+	const demand = { dataCentre, flows, receivedAt: now }
+	ctx.fleet.peerDemand.set(state.name, demand)
+	receiveRefused(ctx, state.refused)
 	recordPeerLoad(ctx.fleet, state.name, inFlight, now)
 	ctx.newestPeerVersion = Math.max(ctx.newestPeerVersion, state.config)
 	// A peer that is behind may only be reachable through the link that it has opened.
@@ -237,7 +244,8 @@
 	ctx: GatewayContext,
 	params: unknown,
 ): void {
-	const { name, changed } = v.parse(InFlightDeltaSchema, params)
+	const { name, changed, refused } = v.parse(InFlightDeltaSchema, params)
+	receiveRefused(ctx, refused)
 	const known = ctx.fleet.inFlightByPeer.get(name)
 	// Changes are relative to a full state, which has not arrived yet.
 	if (!known) return
