--- a/packages/core/test/returningWorld.ts
+++ b/packages/core/test/returningWorld.ts
@@ -29,6 +29,8 @@
 const SMOOTHING_QUARTERS = 4
 /** Quarter seconds until a booking is known to the other entries. */
 const REPORT_QUARTERS = 2
+/** Share of the callers with a place who come. */
+const COMING_SHARE = 0.9
 const HONORED_MS = 2_600
 /** Quarter seconds for which a returning caller waits for a closed service. */
 const WAIT_QUARTERS = 6
@@ -53,9 +55,9 @@
 	/** Told a time that they honour, who came back then, and found room. */
 	returned: number
 	served: number
-	/** Free slots that stayed unused while callers were refused. */
-	unused: number
+	/** Slots in quarter seconds while refused callers wait, and those unused meanwhile. */
 	room: number
+	unused: number
 }
 
 interface Entry {
@@ -79,6 +81,7 @@
 	const blockage = createBlockageTracker(2_600)
 	const outcome = { refused: 0, returned: 0, served: 0, unused: 0, room: 0 }
 	const due: number[] = []
+	const booked: number[] = []
 	let free = SLOTS
 	let waiting = 0
 	let [come, end] = [0, 0]
@@ -94,7 +97,10 @@
 		const fresh = drawCount(random, pattern.load(at) * FULL)
 		const room = isOpen ? free : 0
 		const backServed = Math.min(room, back)
-		const freshServed = Math.min(room - backServed, fresh)
+		// Room is kept for all who are due, also for those who do not come.
+		const kept = Math.max(0, (booked[at] ?? 0) - back)
+		const open = Math.max(0, room - backServed - kept)
+		const freshServed = Math.min(open, fresh)
 		free -= backServed + freshServed
 		const refused = fresh - freshServed
 		// Callers that come back to a closed service wait a while.
@@ -122,7 +128,8 @@
 			const place = bookAt(entries, Math.floor(random() * entryCount))
 			if (place.dueInMs > HONORED_MS) continue
 			const back = at + Math.max(1, Math.floor(place.dueInMs / QUARTER_MS))
-			due[back] = (due[back] ?? 0) + 1
+			booked[back] = (booked[back] ?? 0) + 1
+			if (random() < COMING_SHARE) due[back] = (due[back] ?? 0) + 1
 		}
 		function bookAt(all: readonly Entry[], index: number): ReturnPlace {
 			return bookPlace(all, index, { forecast, book, random, now })
@@ -131,8 +138,10 @@
 		outcome.refused += refused
 		outcome.returned += due[at] ?? 0
 		outcome.served += backServed
-		outcome.room += room
-		if (refused > 0) outcome.unused += isOpen ? free : 0
+		const away = due.slice(at + 1).reduce((sum, count) => sum + (count ?? 0), 0)
+		if (away + refused === 0 || !isOpen) continue
+		outcome.room += SLOTS
+		outcome.unused += Math.min(free, away + refused)
 	}
 	return outcome
 }
