--- a/packages/core/src/core/returnBookings.ts
+++ b/packages/core/src/core/returnBookings.ts
@@ -150,14 +150,14 @@
 		FORECAST_QUARTERS - 1,
 		Math.floor(maxHonoredMs / QUARTER_MS),
 	)
-	let [room, ownBooked, allBooked] = [0, 0, 0]
+	let [room, ownSlots, ownBooked, allBooked] = [0, 0, 0, 0]
 	let earliest: number | undefined
 	for (let at = 0; at <= last; at++) {
+		ownSlots += countOwnSlots(share, bookings.position + room, rooms[at]!)
 		room += rooms[at]!
 		ownBooked += own[at]!
 		allBooked += own[at]! + (ofPeers[at] ?? 0)
 		const left = isReserved && at < RESERVED_QUARTERS ? 1 - RESERVED_SHARE : 1
-		const ownSlots = countOwnSlots(share, bookings.position, room)
 		const allSlots = countSlots(bookings.position, room)
 		const isFull =
 			ownBooked + 1 > Math.floor(left * ownSlots) ||
