--- a/packages/core/src/core/dispatch.ts
+++ b/packages/core/src/core/dispatch.ts
@@ -8,7 +8,8 @@
 import {
 	estimateUnreportedLoad,
 	isEjected,
-	penaltyLoads,
+	penaltyBaseline,
+	penaltyLoad,
 	randomIndex,
 } from '../internal.ts'
 
@@ -90,7 +91,7 @@
 		hasCapacity(table, query, row, unreported),
 	)
 	if (withCapacity.length === 0) return { kind: 'full' }
-	const penalties = penaltyLoads(table, candidates, now)
+	const baseline = penaltyBaseline(table, candidates, now)
 	const { unreadLoad = 0 } = query
 	let best = -1
 	let bestLoad = Number.POSITIVE_INFINITY
@@ -103,7 +104,7 @@
 			inFlight / table.slots[row]! +
 			remote +
 			slow +
-			penalties.get(row)! +
+			penaltyLoad(table, row, baseline, now) +
 			unreadLoad * table.unreadTokens[row]!
 		if (load >= bestLoad) continue
 		best = row
--- a/packages/core/src/core/serverPenalties.ts
+++ b/packages/core/src/core/serverPenalties.ts
@@ -72,25 +72,51 @@
 	table.failureRate[row]! *= 0.5 ** (age / PENALTY_HALF_LIFE_MS)
 }
 
-/** Returns failure and slowness penalties as load, relative to the best of `rows`. */
-export function penaltyLoads(
+/** Best of the servers that penalties compare with. */
+export interface PenaltyBaseline {
+	readonly lowestFailureRate: number
+	/** Shortest service time observed, ms; infinite if none is. */
+	readonly fastestMs: number
+}
+
+/** Returns the best failure rate and service time of `rows`. */
+export function penaltyBaseline(
 	table: ServerTable,
 	rows: readonly number[],
 	now: number,
-): Map<number, number> {
-	const rates = rows.map(row => {
-		const age = now - table.smoothedAt[row]!
-		return table.failureRate[row]! * 0.5 ** (age / PENALTY_HALF_LIFE_MS)
-	})
-	const times = rows.map(row => table.serviceMs[row]!).filter(time => time > 0)
-	const lowestRate = Math.min(...rates)
-	const fastest = Math.min(...times)
-	const penalties = new Map<number, number>()
-	for (const [at, row] of rows.entries()) {
-		const failing = FAILURE_LOAD * (rates[at]! - lowestRate)
-		penalties.set(row, failing + slownessLoad(table, row, fastest, now))
+): PenaltyBaseline {
+	let lowestFailureRate = Number.POSITIVE_INFINITY
+	let fastestMs = Number.POSITIVE_INFINITY
+	for (const row of rows) {
+		const rate = currentFailureRate(table, row, now)
+		if (rate < lowestFailureRate) lowestFailureRate = rate
+		const time = table.serviceMs[row]!
+		if (time > 0 && time < fastestMs) fastestMs = time
 	}
-	return penalties
+	return { lowestFailureRate, fastestMs }
+}
+
+/** Returns a server's failure and slowness penalties as load. */
+export function penaltyLoad(
+	table: ServerTable,
+	row: number,
+	{ lowestFailureRate, fastestMs }: PenaltyBaseline,
+	now: number,
+): number {
+	const rate = currentFailureRate(table, row, now)
+	const failing = FAILURE_LOAD * (rate - lowestFailureRate)
+	return failing + slownessLoad(table, row, fastestMs, now)
+}
+
+function currentFailureRate(
+	table: ServerTable,
+	row: number,
+	now: number,
+): number {
+	const rate = table.failureRate[row]!
+	if (rate === 0) return 0
+	const age = now - table.smoothedAt[row]!
+	return rate * 0.5 ** (age / PENALTY_HALF_LIFE_MS)
 }
 
 function slownessLoad(
--- a/packages/core/test/unreadLoad.test.ts
+++ b/packages/core/test/unreadLoad.test.ts
@@ -11,7 +11,6 @@
 	createServerTable,
 	estimateUnreportedLoad,
 	loadPerUnreadToken,
-	penaltyLoads,
 	randomIndex,
 	recordAttempt,
 } from '../src/index.ts'
@@ -111,6 +110,26 @@
 	assert.equal([...after.unreadTokens], [500, 0])
 })
 
+/** Penalties as before they were computed row by row. */
+function penaltyLoads(
+	table: ServerTable,
+	rows: readonly number[],
+	now: number,
+): Map<number, number> {
+	const decay = (row: number) => 0.5 ** ((now - table.smoothedAt[row]!) / 3_000)
+	const rates = rows.map(row => table.failureRate[row]! * decay(row))
+	const times = rows.map(row => table.serviceMs[row]!).filter(time => time > 0)
+	const [lowestRate, fastest] = [Math.min(...rates), Math.min(...times)]
+	const slowness = (row: number) => {
+		const time = table.serviceMs[row]!
+		if (time === 0) return 0
+		return 0.25 * (Math.min(6, time / fastest) - 1) * decay(row)
+	}
+	return new Map(
+		rows.map((row, at) => [row, 3 * (rates[at]! - lowestRate) + slowness(row)]),
+	)
+}
+
 /** Compares loads as before there were unread prompts; draws like `chooseRow`. */
 function chooseWithoutUnread(
 	table: ServerTable,
@@ -187,6 +206,9 @@
 				table.slowdown[row] = 1 + world()
 				table.groupSlowdown[row] = 1 + 3 * world()
 				if (world() < 0.1) recordAttempt(table, row, { kind: 'failed' }, 0)
+				const tookMs = 20 + 100 * world()
+				if (world() < 0.3)
+					recordAttempt(table, row, { kind: 'good', tookMs }, 50)
 			}
 			const query = {
 				...createQuery(rows, unreadLoad),
