Evacuated data centres and cold servers: facts between entries, closed rows, shares

Cause: the operator's evacuations were not read, and cold servers were decoded and ignored. Ruled out: a removal of evacuated servers from the list, since requests in flight there would be treated as those of dead servers.

--- a/packages/core/src/core/dispatch.ts
+++ b/packages/core/src/core/dispatch.ts
@@ -28,7 +28,7 @@
 	readonly unreportedSends: number
 	/** Rate-limited servers for which this entry has a usable permit. */
 	readonly permitted: ReadonlySet<number>
-	/** Servers that must not be sent anything now: no permit, or in backoff. */
+	/** Servers that must not be sent anything now: no permit, in backoff, or cold and busy. */
 	readonly withheld: ReadonlySet<number>
 }
 
@@ -63,6 +63,11 @@
  */
 const GROUP_SLOWDOWN_LOAD = 0.6
 const MAX_GROUP_LOAD = 1
+/**
+ * Load added to a cold server: it works slower, and others are preferable before it
+ * refuses any request.
+ */
+const COLD_LOAD = 0.5
 /** Selects a server. */
 export function chooseRow(
 	table: ServerTable,
@@ -94,10 +99,11 @@
 	for (const row of sampleCandidates(table, query, withCapacity, random)) {
 		const remote = query.localRows.has(row) ? 0 : REMOTE_LOAD
 		const slow = rankSlowdownLoad(table, row)
+		const cold = coldLoad(table, row)
 		const inFlight =
 			countInFlight(table, row) + unreported * table.assignedElsewhere[row]!
 		const load =
-			inFlight / table.slots[row]! + remote + slow + penalties.get(row)!
+			inFlight / table.slots[row]! + remote + slow + penalties.get(row)! + cold
 		if (load >= bestLoad) continue
 		best = row
 		bestLoad = load
@@ -105,6 +111,10 @@
 	return { kind: 'row', row: best }
 }
 
+function coldLoad({ startsLeft }: ServerTable, row: number): number {
+	return startsLeft[row] === Number.POSITIVE_INFINITY ? 0 : COLD_LOAD
+}
+
 function rankSlowdownLoad(table: ServerTable, row: number): number {
 	const ofGroup = GROUP_SLOWDOWN_LOAD * (table.groupSlowdown[row]! - 1)
 	return (
--- a/packages/core/src/core/errors.ts
+++ b/packages/core/src/core/errors.ts
@@ -85,6 +85,13 @@
 		'The servers that could run this have asked for rest.',
 	),
 	noServer: row(503, 'no', 2000, busy, 'No backend server is available.'),
+	evacuated: row(
+		503,
+		'no',
+		1000,
+		busy,
+		'All servers that could run this are in evacuated data centres.',
+	),
 	noConfig: row(503, 'no', 2000, busy, 'No configuration is in force yet.'),
 	quarantined: row(
 		503,
--- a/packages/core/src/core/routing.ts
+++ b/packages/core/src/core/routing.ts
@@ -42,6 +42,11 @@
 	readonly maxInFlight: Float64Array
 	/** 1 if the server is assigned to another entry, which prefers it. */
 	readonly assignedElsewhere: Uint8Array
+	/**
+	 * Requests that all entries together may start there now: infinite at a warm server,
+	 * estimated from this entry's share at a cold one, 0 at one that is closed.
+	 */
+	readonly startsLeft: Float64Array
 }
 
 /** Consecutive failures after which a server is ejected for some time. */
@@ -78,6 +83,7 @@
 		groupSlowdown: new Float64Array(size).fill(1),
 		maxInFlight: new Float64Array(size).fill(Number.POSITIVE_INFINITY),
 		assignedElsewhere: new Uint8Array(size),
+		startsLeft: new Float64Array(size).fill(Number.POSITIVE_INFINITY),
 	}
 }
 
--- a/packages/core/src/core/serverUpdates.ts
+++ b/packages/core/src/core/serverUpdates.ts
@@ -1,14 +1,25 @@
 /**
  * State about servers that entries exchange. Each kind of update has a merge whose result
  * does not depend on the order or repetition of updates: the newest rate limit wins, a
- * departure and a crash are final, the longest backoff wins.
+ * departure and a crash are final, the longest backoff and cold period win, and the latest
+ * revision of an evacuation.
  */
 
-import type { Quarantine, RateLimits, ServerCrash } from '../internal.ts'
+import type {
+	ColdServers,
+	Evacuation,
+	Evacuations,
+	Quarantine,
+	RateLimits,
+	ServerCrash,
+} from '../internal.ts'
 import {
+	applyPeerEvacuation,
 	applyRateNotice,
+	createEvacuations,
 	createQuarantine,
 	createRateLimits,
+	extendColdPeriod,
 	listCrashEvidence,
 	mergeCrashEvidence,
 } from '../internal.ts'
@@ -44,6 +55,14 @@
 			readonly entry: string
 			readonly endsAt: number
 	  }
+	/** The server bears only part of its load until `endsAt`, ms. */
+	| {
+			readonly kind: 'cold'
+			readonly server: string
+			readonly endsAt: number
+	  }
+	/** A data centre is evacuated, or no longer. */
+	| ({ readonly kind: 'evacuation' } & Evacuation)
 
 /** Update of one kind. */
 export type UpdateOf<K extends ServerUpdate['kind']> = Extract<
@@ -59,6 +78,8 @@
 	readonly quarantine: Quarantine
 	/** Backoffs by entry and server; the oldest first. */
 	readonly backoffs: Map<string, UpdateOf<'rest'>>
+	readonly coldServers: ColdServers
+	readonly evacuations: Evacuations
 }
 
 /** Creates an empty state; the set of departed incarnations may be shared. */
@@ -70,6 +91,8 @@
 		departed,
 		quarantine: createQuarantine(),
 		backoffs: new Map(),
+		coldServers: new Map(),
+		evacuations: createEvacuations(),
 	}
 }
 
@@ -126,6 +149,15 @@
 			return false
 		case 'rest':
 			return mergeBackoff(state, update, now)
+		case 'cold':
+			return extendColdPeriod(
+				state.coldServers,
+				update.server,
+				update.endsAt,
+				now,
+			)
+		case 'evacuation':
+			return applyPeerEvacuation(state.evacuations, update, now)
 		default:
 			return update satisfies never
 	}
@@ -178,9 +210,23 @@
 		...ends.map(end => ({ kind: 'end', ...end }) as const),
 		...served.map(one => ({ kind: 'served', ...one }) as const),
 		...state.backoffs.values(),
+		...[...state.coldServers].map(
+			([server, { endsAt }]) => ({ kind: 'cold', server, endsAt }) as const,
+		),
+		...listEvacuationUpdates(state),
 	]
 }
 
+/** Returns the evacuations, and those taken back, as updates. */
+export function listEvacuationUpdates({
+	evacuations,
+}: SharedState): UpdateOf<'evacuation'>[] {
+	return [...evacuations.byDataCentre.values()].map(one => ({
+		...one,
+		kind: 'evacuation',
+	}))
+}
+
 /** Returns the known limits and ends of limits as updates. */
 export function listLimitUpdates({
 	rateLimits,
@@ -199,11 +245,14 @@
 		case 'limit':
 		case 'left':
 		case 'end':
+		case 'cold':
 			return `${update.kind} ${update.server}`
 		case 'served':
 			return `served ${update.fingerprint}`
 		case 'rest':
 			return `rest ${update.entry} ${update.server}`
+		case 'evacuation':
+			return `evacuation ${update.dataCentre}`
 		default:
 			return update satisfies never
 	}
--- a/packages/entry/src/explain.ts
+++ b/packages/entry/src/explain.ts
@@ -138,6 +138,8 @@
 			return explainRateLimits(stateLines)
 		case 'resting':
 			return explainBackoffs(outcomeLine, stateLines)
+		case 'evacuated':
+			return 'All servers of its service were in evacuated data centres.'
 		case 'noServer':
 			return 'No server of its service was listed as serving.'
 		case 'noAnswer':
--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -27,6 +27,8 @@
 			return { kind: 'refused', error: 'rateLimited' }
 		case 'resting':
 			return { kind: 'refused', error: 'resting' }
+		case 'evacuated':
+			return { kind: 'refused', error: 'evacuated' }
 		case 'none':
 			return { kind: 'refused', error: 'noServer' }
 		case 'server':
--- a/packages/gateway/src/availabilityForecast.ts
+++ b/packages/gateway/src/availabilityForecast.ts
@@ -1,16 +1,20 @@
 /**
  * Forecasts when a service can take requests while all of its servers are
- * restricted, by a rate limit or by a backoff that they requested.
+ * restricted, by a rate limit, by a backoff that they requested, or because they are
+ * cold.
  */
 
 import {
 	BACKOFF_PROBE_INTERVAL_MS,
 	backoffLeftMs,
+	COLD_WINDOW_MS,
 	listDueMs,
 	rateLimitOf,
 } from '@juniperhook/core'
 import { readElapsed } from '@juniperhook/runtime'
+import { listColdDueMs } from './coldGate.ts'
 import type { GatewayContext } from './context.ts'
+import { listOpenRows } from './fleet.ts'
 import { heldPermitsOf } from './permitGate.ts'
 
 /** When the servers of a service may be sent requests. */
@@ -33,9 +37,10 @@
 	ctx: GatewayContext,
 	service: string,
 ): AvailabilityForecast | undefined {
-	const { fleet, rateLimits, backoffs } = ctx
-	if (rateLimits.size + backoffs.size === 0) return undefined
-	const rows = fleet.rowsByService.get(service) ?? []
+	const { fleet, rateLimits, backoffs, sharedState } = ctx
+	const { coldServers } = sharedState
+	if (rateLimits.size + backoffs.size + coldServers.size === 0) return undefined
+	const rows = listOpenRows(fleet, service)
 	const now = readElapsed()
 	const forecasts: ServerForecast[] = []
 	for (const row of rows) {
@@ -62,6 +67,9 @@
 	server: string,
 	now: number,
 ): ServerForecast | undefined {
+	const coldDueMs = listColdDueMs(ctx, server, now)
+	if (coldDueMs)
+		return { kind: 'limited', dueMs: coldDueMs, nextMs: COLD_WINDOW_MS }
 	const backoffMs = backoffLeftMs(ctx.backoffs, server, now)
 	if (rateLimitOf(ctx.rateLimits, server) === undefined)
 		return backoffMs > 0
--- a/packages/gateway/src/catalog.ts
+++ b/packages/gateway/src/catalog.ts
@@ -14,7 +14,12 @@
 	recordRead,
 } from '@juniperhook/core'
 import { readElapsed, readNow, sleep } from '@juniperhook/runtime'
+import { recordListedCold } from './coldServers.ts'
 import type { GatewayContext } from './context.ts'
+import {
+	applyPublishedEvacuations,
+	confirmRestoredEvacuations,
+} from './evacuations.ts'
 import { deriveFeatures } from './features.ts'
 import type {
 	CatalogSnapshot,
@@ -185,6 +190,7 @@
 	for (const reason of snapshot.faults)
 		ctx.log.write('published value refused', { reason })
 	if (snapshot.config) adoptConfig(ctx, snapshot.config, 'source')
+	applyPublishedEvacuations(ctx, snapshot, isFullRead)
 	const isRollback =
 		isFullRead && isRestoredCopy(ctx, follower, snapshot.revision)
 	if (isFullRead) recordTerm(ctx, follower, snapshot.revision)
@@ -247,12 +253,16 @@
 
 /** Applies deferred removals and returns that are due. */
 export function tickCatalog(ctx: GatewayContext): void {
+	confirmRestoredEvacuations(ctx)
 	const removals = confirmRemovals(ctx.list, readElapsed())
 	for (const { name } of removals)
 		ctx.log.write('server', { server: name, state: 'gone', from: 'not back' })
 	ctx.settledRemovals.push(...removals)
 	const returns = confirmReturns(ctx.list, readElapsed())
-	for (const record of returns) logRecord(ctx, record, 'still listed')
+	for (const record of returns) {
+		if (record.server) recordListedCold(ctx, record.server, false)
+		logRecord(ctx, record, 'still listed')
+	}
 	if (removals.length + returns.length > 0) refreshFleet(ctx)
 }
 
--- a/packages/gateway/src/closedGroups.ts
+++ b/packages/gateway/src/closedGroups.ts
@@ -16,7 +16,7 @@
 } from '@juniperhook/core'
 import { readElapsed, readNow } from '@juniperhook/runtime'
 import type { GatewayContext } from './context.ts'
-import { groupOf, serviceOf } from './fleet.ts'
+import { groupOf, listOpenRows, serviceOf } from './fleet.ts'
 import type { CallerRequest } from './job.ts'
 
 const UNAVAILABLE = 503
@@ -137,7 +137,7 @@
 
 /** Whether all servers of a service belong to closed groups. */
 export function isServiceClosed(ctx: GatewayContext, service: string): boolean {
-	const rows = ctx.fleet.rowsByService.get(service) ?? []
+	const rows = listOpenRows(ctx.fleet, service)
 	if (rows.length === 0 || ctx.closures.size === 0) return false
 	return rows.every(row => ctx.closures.has(groupOf(ctx.fleet.servers[row]!)))
 }
@@ -164,7 +164,7 @@
 	now: number,
 ): number {
 	if (!isServiceClosed(ctx, service)) return 0
-	const rows = ctx.fleet.rowsByService.get(service) ?? []
+	const rows = listOpenRows(ctx.fleet, service)
 	const blockages = rows.map(row =>
 		blockageOf(ctx, groupOf(ctx.fleet.servers[row]!)),
 	)
@@ -177,7 +177,7 @@
 	service: string,
 	{ route, arrivedAt }: Pick<CallerRequest, 'route' | 'arrivedAt'>,
 ): number {
-	const rows = ctx.fleet.rowsByService.get(service) ?? []
+	const rows = listOpenRows(ctx.fleet, service)
 	const groups = new Set(rows.map(row => groupOf(ctx.fleet.servers[row]!)))
 	const expected = [...groups].map(group => ctx.expectedOpenAt.get(group) ?? 0)
 	const now = readNow()
--- a/packages/gateway/src/context.ts
+++ b/packages/gateway/src/context.ts
@@ -14,6 +14,7 @@
 	SharedState,
 } from '@juniperhook/core'
 import type { EventLog } from '@juniperhook/runtime'
+import type { ColdGate } from './coldState.ts'
 import type { CrashDetector } from './crashDetectorState.ts'
 import type { ServiceFeatures } from './features.ts'
 import type { Fleet } from './fleet.ts'
@@ -138,6 +139,8 @@
 	readonly permits: PermitStore
 	/** Permits that this entry grants to others, as permit home of servers. */
 	readonly permitHomes: PermitHomes
+	/** This entry's requests to servers that may be cold. */
+	readonly coldGate: ColdGate
 	/** Requests suspected of crashing the servers that run them. */
 	readonly quarantineGate: QuarantineGate
 	/** Detects suspensions of the VM. */
--- a/packages/gateway/src/entryDemand.ts
+++ b/packages/gateway/src/entryDemand.ts
@@ -8,7 +8,12 @@
 import { admittedFraction, assignServers } from '@juniperhook/core'
 import type { GatewayContext } from './context.ts'
 import type { Fleet, FlowMeter, RequestFlow } from './fleet.ts'
-import { applyPeerLoads, meterOf, serviceOfGroup } from './fleet.ts'
+import {
+	applyPeerLoads,
+	listOpenRows,
+	meterOf,
+	serviceOfGroup,
+} from './fleet.ts'
 import type { AdmissionCandidate } from './waiter.ts'
 
 /**
@@ -137,7 +142,7 @@
 		dataCentre: peer.dataCentre,
 		perSecond: peer.flows[service]?.come ?? 0,
 	}))
-	const rows = fleet.rowsByService.get(service) ?? []
+	const rows = listOpenRows(fleet, service)
 	const servers = rows.map(row => fleet.servers[row]!)
 	const assigned = new Set(assignServers(own, others, servers))
 	for (const [index, row] of rows.entries())
--- a/packages/gateway/src/fleet.ts
+++ b/packages/gateway/src/fleet.ts
@@ -125,12 +125,16 @@
 	}
 }
 
-/** Rebuilds the table from the server list, keeping the state of remaining servers. */
+/**
+ * Rebuilds the table from the server list, keeping the state of remaining servers. Only
+ * those that are open get new requests.
+ */
 export function applyServerList(
 	fleet: Fleet,
 	list: ServerList,
 	dataCentre: string,
 	routes: RouteTable | undefined,
+	isOpen: (server: ListedServer) => boolean,
 ): void {
 	const servers = listServing(
 		list,
@@ -144,7 +148,8 @@
 		copyServerRow(fleet.table, table, server.id)
 		const engine = routes?.services.get(server.service)?.engine
 		table.slots[row] = engine ? engine.slots : server.slots
-		table.open[row] = 1
+		table.open[row] = isOpen(server) ? 1 : 0
+		if (table.open[row] === 0) table.startsLeft[row] = 0
 		if (engine?.experts)
 			table.group[row] = groupNumberOf(fleet, groupOf(server))
 		const rows = fleet.rowsByService.get(server.service) ?? []
@@ -156,6 +161,15 @@
 	fleet.servers = servers
 }
 
+/** Returns the rows of a service's servers that get new requests. */
+export function listOpenRows(
+	{ rowsByService, table }: Fleet,
+	service: string,
+): number[] {
+	const rows = rowsByService.get(service) ?? []
+	return rows.filter(row => table.open[row] === 1)
+}
+
 /** Returns the name of a rank's group, qualified by the service to be unique. */
 export function groupOf({ service, group }: ListedServer): string {
 	return `${service}/${group ?? ''}`
--- a/packages/gateway/src/forward.ts
+++ b/packages/gateway/src/forward.ts
@@ -165,6 +165,8 @@
 	leftMs: number,
 ): number {
 	if (error === 'quarantined') return quarantinedForMs(ctx, job.request)
+	// When an evacuation will be taken back is not known.
+	if (error === 'evacuated') return ERRORS[error].retryAfterMs
 	return ERRORS[error].ran === 'no'
 		? chooseRetryAfterMs(ctx, job.service, leftMs)
 		: 0
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -19,6 +19,8 @@
 	readNow,
 } from '@juniperhook/runtime'
 import { followCatalog, tickCatalog } from './catalog.ts'
+import { expireColdServers } from './coldServers.ts'
+import { createColdGate } from './coldState.ts'
 import type { GatewayContext, GatewaySettings } from './context.ts'
 import { expireCrashChecks } from './crashDetector.ts'
 import { createCrashDetector } from './crashDetectorState.ts'
@@ -106,6 +108,7 @@
 		backoffs: new Map(),
 		permits: createPermitStore(),
 		permitHomes: createPermitHomes(settings.control),
+		coldGate: createColdGate(),
 		openRequests: 0,
 		quarantineGate: createQuarantineGate(sharedState.quarantine),
 		cancelByRequest: new Map(),
@@ -131,6 +134,7 @@
 
 function tick(ctx: GatewayContext, callers: Server): void {
 	checkSuspension(ctx)
+	expireColdServers(ctx)
 	tickCatalog(ctx)
 	expireCrashChecks(ctx)
 	expireAbandoned(ctx.sentRequests)
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -29,6 +29,10 @@
 	readonly limitedServers: Gauge
 	/** Servers that have requested backoff of this entry. */
 	readonly restingServers: Gauge
+	/** Servers that are cold. */
+	readonly coldServers: Gauge
+	/** Evacuated data centres. */
+	readonly evacuatedDataCentres: Gauge
 	/** Server signals that could not be parsed, by signal. */
 	readonly unreadableSignals: Counter<'signal'>
 	/** Unknown headers in servers' responses, by name. */
@@ -116,6 +120,16 @@
 			help: 'Servers that have asked this entry for rest',
 			registers,
 		}),
+		coldServers: new Gauge({
+			name: 'juniperhook_cold_servers',
+			help: 'Servers that bear only part of their load for some time',
+			registers,
+		}),
+		evacuatedDataCentres: new Gauge({
+			name: 'juniperhook_evacuated_data_centres',
+			help: 'Data centres to whose servers nothing new is sent',
+			registers,
+		}),
 		unreadableSignals: new Counter({
 			name: 'juniperhook_unreadable_signals_total',
 			help: 'What servers said of themselves that could not be read',
--- a/packages/gateway/src/peerMessages.ts
+++ b/packages/gateway/src/peerMessages.ts
@@ -48,11 +48,49 @@
 		entry: v.string(),
 		leftMs: CountSchema,
 	}),
+	v.object({
+		kind: v.literal('cold'),
+		server: v.string(),
+		leftMs: CountSchema,
+	}),
+	v.object({
+		kind: v.literal('evacuation'),
+		dataCentre: v.pipe(v.string(), v.minLength(1)),
+		revision: TermRevisionSchema,
+		isEvacuated: v.boolean(),
+	}),
 ])
 /** See {@link WireUpdateSchema}. */
 export type WireUpdate = v.InferOutput<typeof WireUpdateSchema>
-/** A batch of updates. */
-export const UpdatesSchema = v.object({ items: v.array(WireUpdateSchema) })
+/** A batch of updates, each of them yet to be parsed. */
+export const UpdatesSchema = v.object({ items: v.array(v.unknown()) })
+
+/** Updates that could be parsed, and the kinds of those that could not. */
+export interface ParsedUpdates {
+	readonly updates: readonly WireUpdate[]
+	readonly skippedKinds: readonly string[]
+}
+
+/**
+ * Parses updates one by one: an entry of a newer version may send kinds that this one
+ * does not know, next to others.
+ */
+export function parseUpdates(items: readonly unknown[]): ParsedUpdates {
+	const updates: WireUpdate[] = []
+	const skippedKinds: string[] = []
+	for (const item of items) {
+		const parsed = v.safeParse(WireUpdateSchema, item)
+		if (parsed.success) updates.push(parsed.output)
+		else skippedKinds.push(kindOf(item))
+	}
+	return { updates, skippedKinds }
+}
+
+function kindOf(item: unknown): string {
+	const hasKind = typeof item === 'object' && item !== null && 'kind' in item
+	return hasKind ? String(item.kind) : 'none'
+}
+
 /** A request for permits, sent to a server's permit home. */
 export const PermitQuerySchema = v.object({
 	/** The server's limit as known to the sender, requests a second. */
@@ -103,6 +141,8 @@
 	sourceAway: v.optional(v.boolean(), false),
 	/** Rate limits of servers; absent while there are none. */
 	limits: v.optional(v.array(WireUpdateSchema), []),
+	/** Evacuated data centres; absent while there are none. */
+	evacuations: v.optional(v.array(v.unknown()), []),
 	/** Control addresses of known entries; not part of every message. */
 	peers: v.optional(v.array(v.string()), []),
 })
--- a/packages/gateway/src/peerStates.ts
+++ b/packages/gateway/src/peerStates.ts
@@ -33,8 +33,11 @@
 import { activeVersion, pullIfBehind } from './peerPull.ts'
 import {
 	listAllUpdates,
+	listEvacuations,
 	listRateLimits,
+	receiveItems,
 	receiveUpdates,
+	sendUpdates,
 } from './updateExchange.ts'
 
 /**
@@ -98,7 +101,7 @@
 	link: RpcLink,
 ): void {
 	const items = listAllUpdates(ctx)
-	if (items.length > 0) notify(link, 'news', { items })
+	sendUpdates([link], items)
 	// Sent last: for a starting entry, the first state ends the initial synchronization.
 	sendState(ctx, link, {
 		...describeState(ctx),
@@ -118,6 +121,7 @@
 		dataCentre: ctx.settings.dataCentre,
 		flows: reportFlows(ctx.fleet),
 		limits: listRateLimits(ctx),
+		evacuations: listEvacuations(ctx),
 	}
 }
 
@@ -217,6 +221,7 @@
 	if (isOtherEntry(ctx, state.control))
 		recordEntryContact(membership, state.control, readElapsed())
 	receiveUpdates(ctx, state.limits, state.name)
+	receiveItems(ctx, state.evacuations, state.name)
 	ctx.hasPeerState = true
 	if (state.sourceAway) states.withoutSource.add(link)
 	else states.withoutSource.delete(link)
--- a/packages/gateway/src/peers.ts
+++ b/packages/gateway/src/peers.ts
@@ -2,13 +2,7 @@
 
 import { recordEntryDiscovered } from '@juniperhook/core'
 import type { Methods, RpcLink } from '@juniperhook/runtime'
-import {
-	call,
-	messageOf,
-	notify,
-	readElapsed,
-	serveRpc,
-} from '@juniperhook/runtime'
+import { call, messageOf, readElapsed, serveRpc } from '@juniperhook/runtime'
 import * as v from 'valibot'
 import { answerPiece, createConfigServer } from './configTransfer.ts'
 import type { GatewayContext } from './context.ts'
@@ -40,7 +34,7 @@
 } from './peerStates.ts'
 import { answerPermits, updatePermitHomes } from './permitHome.ts'
 import type { CatalogSource } from './ports.ts'
-import { drainUpdates, receiveUpdates } from './updateExchange.ts'
+import { drainUpdates, receiveItems, sendUpdates } from './updateExchange.ts'
 
 /** Interval of the periodic work on links and messages, ms. */
 const TICK_MS = 50
@@ -65,7 +59,7 @@
 		},
 		held: (params: unknown) => receiveInFlightDelta(ctx, params),
 		news: (params: unknown) =>
-			receiveUpdates(ctx, v.parse(UpdatesSchema, params).items, 'peer'),
+			receiveItems(ctx, v.parse(UpdatesSchema, params).items, 'peer'),
 		permits: (params: unknown) => answerPermits(ctx, params),
 		configPiece: (params: unknown, link: RpcLink) =>
 			answerPiece(
@@ -119,7 +113,5 @@
 
 /** Sends updates that changed this entry's state to all peers, whatever their origin. */
 function broadcastUpdates(ctx: GatewayContext, peers: PeerLinks): void {
-	const items = drainUpdates(ctx)
-	if (items.length === 0) return
-	for (const link of listOpenLinks(peers)) notify(link, 'news', { items })
+	sendUpdates(listOpenLinks(peers), drainUpdates(ctx))
 }
--- a/packages/gateway/src/permitGate.ts
+++ b/packages/gateway/src/permitGate.ts
@@ -9,6 +9,7 @@
 } from '@juniperhook/core'
 import { readElapsed } from '@juniperhook/runtime'
 import type { GatewayContext } from './context.ts'
+import { listOpenRows } from './fleet.ts'
 
 /** Rows of rate-limited servers. */
 export interface LimitedRows {
@@ -28,7 +29,7 @@
 	const permitted = new Set<number>()
 	const exhausted = new Set<number>()
 	const now = readElapsed()
-	for (const row of fleet.rowsByService.get(service) ?? []) {
+	for (const row of listOpenRows(fleet, service)) {
 		const { id } = fleet.servers[row]!
 		if (rateLimitOf(rateLimits, id) === undefined) continue
 		const held = permits.held.get(id)
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -2,6 +2,7 @@
 
 import type { IncomingHttpHeaders } from 'node:http'
 import type {
+	Evacuation,
 	ListedServer,
 	RequestSize,
 	ServerRecord,
@@ -21,6 +22,7 @@
 	readonly revision: TermRevision
 	readonly config: PublishedConfig | undefined
 	readonly servers: readonly ServerRecord[]
+	readonly evacuations: readonly Evacuation[]
 	/** Values that could not be decoded, with the reasons. */
 	readonly faults: readonly string[]
 }
@@ -94,6 +96,8 @@
 	readonly perSecond: number
 	/** Backoff that it requests of this entry, ms. */
 	readonly restMs: number
+	/** How long it remains cold, ms; 0 if it is warm. */
+	readonly coldMs: number
 	/** Set when the server is about to leave. */
 	readonly leaving: true
 }
--- a/packages/gateway/src/serverQueue.ts
+++ b/packages/gateway/src/serverQueue.ts
@@ -18,6 +18,7 @@
 import { readElapsed, readNow } from '@juniperhook/runtime'
 import type { AvailabilityForecast } from './availabilityForecast.ts'
 import { forecastAvailability, forecastWaitMs } from './availabilityForecast.ts'
+import { countStart, listSpentRows } from './coldGate.ts'
 import type { GatewayContext } from './context.ts'
 import { isAdmitted, isRationed } from './entryDemand.ts'
 import { groupOf, meterOf, queueOf, trackInFlight } from './fleet.ts'
@@ -186,6 +187,8 @@
 	const now = readNow()
 	const isEngine = routes?.services.get(service)?.engine !== undefined
 	const { permitted, exhausted } = listLimited(ctx, service)
+	// First, as the capacity of groups depends on their cold ranks.
+	const spent = listSpentRows(ctx)
 	const query = {
 		rows: fleet.rowsByService.get(service) ?? [],
 		tried,
@@ -194,15 +197,22 @@
 		localRows: fleet.localRows,
 		unreportedSends: meterOf(fleet, service).unreportedSends,
 		permitted,
-		withheld: new Set([...exhausted, ...listBackingOff(ctx, service)]),
+		withheld: new Set([
+			...exhausted,
+			...listBackingOff(ctx, service),
+			...spent,
+		]),
 	}
 	const choice = chooseRow(fleet.table, query, now, ctx.random)
+	if (choice.kind === 'none' && query.rows.length > 0)
+		return { kind: 'evacuated' }
 	if (choice.kind !== 'row') return choice
 	const server = fleet.servers[choice.row]!
 	if (!tryEnterGroup(ctx.closures, groupOf(server), now))
 		return { kind: 'full' }
 	const { id } = server
 	consumePermitFor(ctx, id)
+	countStart(ctx, id)
 	recordBackoffProbe(ctx.backoffs, id, readElapsed())
 	trackInFlight(fleet, id, 1)
 	return { kind: 'server', id }
--- a/packages/gateway/src/serverRecords.ts
+++ b/packages/gateway/src/serverRecords.ts
@@ -7,10 +7,12 @@
 	applyRestoredRecord,
 	deferRemoval,
 	formatRevision,
+	isEvacuated,
 	markDisplaced,
 	mergeServerUpdates,
 } from '@juniperhook/core'
 import { readElapsed } from '@juniperhook/runtime'
+import { recordListedCold } from './coldServers.ts'
 import type { GatewayContext } from './context.ts'
 import { resolveChecksByList } from './crashDetector.ts'
 import { applyServerList } from './fleet.ts'
@@ -31,11 +33,27 @@
 ): void {
 	const now = readElapsed()
 	const from = origin.from === 'peer' ? origin.peer : origin.from
+	// The servers that are listed when this entry starts may have run for long.
+	const isFirst = ctx.list.records.size === 0
+	const started = isFirst ? [] : records.filter(one => isStarted(ctx, one))
 	const changes = records.filter(record => applyFrom(ctx, record, origin, now))
-	for (const record of changes) logRecord(ctx, record, from)
+	for (const record of changes) {
+		if (record.server)
+			recordListedCold(ctx, record.server, started.includes(record))
+		logRecord(ctx, record, from)
+	}
 	if (changes.length > 0) refreshFleet(ctx)
 }
 
+/** Whether a record shows an incarnation that was not known before. */
+function isStarted(
+	{ list }: GatewayContext,
+	{ name, server }: ServerRecord,
+): boolean {
+	if (!server || server.leaving || list.removed.has(server.id)) return false
+	return list.records.get(name)?.server?.id !== server.id
+}
+
 /** Applies a record as its origin permits. Returns whether it changed the list. */
 function applyFrom(
 	{ list }: GatewayContext,
@@ -105,9 +123,11 @@
 
 /** Updates everything that depends on the server list and the configuration. */
 export function refreshFleet(ctx: GatewayContext): void {
-	const { fleet, list, routes, settings } = ctx
+	const { fleet, list, routes, settings, sharedState } = ctx
 	const before = fleet.servers
-	applyServerList(fleet, list, settings.dataCentre, routes)
+	const isOpen = ({ dataCentre }: ListedServer) =>
+		!isEvacuated(sharedState.evacuations, dataCentre)
+	applyServerList(fleet, list, settings.dataCentre, routes, isOpen)
 	closeStaleConnections(ctx, before)
 	resolveChecksByList(ctx)
 	serveQueues(ctx)
--- a/packages/gateway/src/serverSend.ts
+++ b/packages/gateway/src/serverSend.ts
@@ -34,10 +34,10 @@
 	const { fleet } = ctx
 	const row = fleet.table.rowOf.get(serverId)
 	const server = row === undefined ? undefined : fleet.servers[row]
-	if (!server) {
-		// The server was removed in the event-loop turn in which it was granted.
+	if (!server || fleet.table.open[row!] !== 1) {
+		// It was removed or closed in the event-loop turn in which it was granted.
 		releaseServer(ctx, serverId)
-		return { kind: 'notRun', reason: 'server no longer listed' }
+		return { kind: 'notRun', reason: 'server no longer open' }
 	}
 	const untilTimeoutMs = job.request.timeoutAt - readElapsed()
 	if (untilTimeoutMs < MIN_LEFT_MS || job.signal.aborted) {
--- a/packages/gateway/src/serverStatement.ts
+++ b/packages/gateway/src/serverStatement.ts
@@ -4,6 +4,7 @@
  */
 
 import { readNow } from '@juniperhook/runtime'
+import { recordStatedCold } from './coldServers.ts'
 import type { GatewayContext } from './context.ts'
 import { recordReportedLoad } from './fleet.ts'
 import type { ServerStatement, SignalValues, StatementOrigin } from './ports.ts'
@@ -35,6 +36,7 @@
 	restMs: (ctx, { server }, restMs) => {
 		if (restMs !== undefined) recordRequestedBackoff(ctx, server, restMs)
 	},
+	coldMs: recordStatedCold,
 	leaving: (ctx, { server }, leaving) => {
 		if (leaving) recordLeaving(ctx, [{ kind: 'left', server }], 'answer')
 	},
--- a/packages/gateway/src/updateExchange.ts
+++ b/packages/gateway/src/updateExchange.ts
@@ -5,11 +5,19 @@
  */
 
 import type { ServerUpdate, UpdateOf } from '@juniperhook/core'
-import { listLimitUpdates, listServerUpdates } from '@juniperhook/core'
-import { readElapsed } from '@juniperhook/runtime'
+import {
+	listEvacuationUpdates,
+	listLimitUpdates,
+	listServerUpdates,
+} from '@juniperhook/core'
+import type { RpcLink } from '@juniperhook/runtime'
+import { notify, readElapsed } from '@juniperhook/runtime'
+import { receiveColdUpdates } from './coldServers.ts'
 import type { GatewayContext } from './context.ts'
+import { receiveEvacuations } from './evacuations.ts'
 import { drainOutbox } from './outbox.ts'
 import type { WireUpdate } from './peerMessages.ts'
+import { parseUpdates } from './peerMessages.ts'
 import { receiveCrashUpdates } from './quarantineGate.ts'
 import { receiveLimits } from './rateLimits.ts'
 import { receiveBackoffs } from './serverBackoffs.ts'
@@ -17,6 +25,41 @@
 
 /** Maximum number of departed servers, the most recent, that are sent on a new link. */
 const MAX_DEPARTED_SENT = 512
+/** Maximum number of unknown kinds of updates that are logged. */
+const MAX_UNKNOWN_KINDS = 32
+/**
+ * Kinds that entries of earlier versions do not know. They are sent in a message of their
+ * own, since such an entry rejects the whole message.
+ */
+const LATER_KINDS: ReadonlySet<string> = new Set(['cold', 'evacuation'])
+
+/** Sends updates over links. */
+export function sendUpdates(
+	links: readonly RpcLink[],
+	updates: readonly WireUpdate[],
+): void {
+	const later = updates.filter(({ kind }) => LATER_KINDS.has(kind))
+	const others = updates.filter(({ kind }) => !LATER_KINDS.has(kind))
+	for (const items of [others, later])
+		if (items.length > 0)
+			for (const link of links) notify(link, 'news', { items })
+}
+
+/** Parses and merges updates from another entry; unknown ones are skipped. */
+export function receiveItems(
+	ctx: GatewayContext,
+	items: readonly unknown[],
+	from: string,
+): void {
+	const { updates, skippedKinds } = parseUpdates(items)
+	const { updateKinds } = ctx.unrecognizedSignals
+	for (const kind of skippedKinds) {
+		if (updateKinds.has(kind) || updateKinds.size >= MAX_UNKNOWN_KINDS) continue
+		updateKinds.add(kind)
+		ctx.log.write('update skipped', { kind, from })
+	}
+	receiveUpdates(ctx, updates, from)
+}
 
 /** Merges updates from another entry. */
 export function receiveUpdates(
@@ -32,6 +75,8 @@
 	recordLeaving(ctx, ofKind('left'), from)
 	receiveCrashUpdates(ctx, ofKind('end', 'served'), from)
 	receiveBackoffs(ctx, ofKind('rest'), from)
+	receiveColdUpdates(ctx, ofKind('cold'), from)
+	receiveEvacuations(ctx, ofKind('evacuation'), from)
 }
 
 /** Removes and returns the updates that have not been sent to other entries yet. */
@@ -54,6 +99,12 @@
 	return listLimitUpdates(sharedState).map(one => toWire(one, now))
 }
 
+/** Lists the evacuations, as each state message repeats them. */
+export function listEvacuations({ sharedState }: GatewayContext): WireUpdate[] {
+	const now = readElapsed()
+	return listEvacuationUpdates(sharedState).map(one => toWire(one, now))
+}
+
 /** Converts times to ages and remaining times, as the clocks of entries differ. */
 function toWire(update: ServerUpdate, now: number): WireUpdate {
 	const agoMs = (at: number) => Math.max(0, Math.round(now - at))
@@ -77,6 +128,12 @@
 			const { kind, server, entry, endsAt } = update
 			return { kind, server, entry, leftMs: Math.round(endsAt - now) }
 		}
+		case 'cold': {
+			const { kind, server, endsAt } = update
+			return { kind, server, leftMs: Math.round(endsAt - now) }
+		}
+		case 'evacuation':
+			return update
 		default:
 			return update satisfies never
 	}
@@ -103,6 +160,12 @@
 			const { kind, server, entry, leftMs } = item
 			return { kind, server, entry, endsAt: now + leftMs }
 		}
+		case 'cold': {
+			const { kind, server, leftMs } = item
+			return { kind, server, endsAt: now + leftMs }
+		}
+		case 'evacuation':
+			return item
 		default:
 			return item satisfies never
 	}
--- a/packages/gateway/src/waiter.ts
+++ b/packages/gateway/src/waiter.ts
@@ -25,6 +25,8 @@
 	| { readonly kind: 'limited' }
 	/** All servers have requested a backoff that exceeds the time left. */
 	| { readonly kind: 'resting' }
+	/** All servers of the service are in evacuated data centres. */
+	| { readonly kind: 'evacuated' }
 	/** The service has no server. */
 	| { readonly kind: 'none' }
 
--- a/packages/gateway/test/fakeBackends.ts
+++ b/packages/gateway/test/fakeBackends.ts
@@ -39,6 +39,7 @@
 	load: 'x-load',
 	perSecond: 'x-rate-limit',
 	restMs: 'retry-after',
+	coldMs: 'x-cold',
 	leaving: 'x-leaving',
 }
 
@@ -61,6 +62,7 @@
 				}),
 				perSecond: read(SIGNALS.perSecond, Number),
 				restMs: status === 503 ? backoff : { kind: 'absent' },
+				coldMs: read(SIGNALS.coldMs, Number),
 				leaving: read(SIGNALS.leaving, () => true as const),
 			},
 			unknown: Object.keys(headers).filter(name => name.startsWith('x-new')),
@@ -355,7 +357,7 @@
 	})
 	let wake = () => {}
 	let changes: Partial<CatalogSnapshot> | undefined
-	const none = { config: undefined, servers: [], faults: [] }
+	const none = { config: undefined, servers: [], evacuations: [], faults: [] }
 	const catalog: FakeCatalog = {
 		isDown: false,
 		watchMs: 0,
@@ -368,6 +370,7 @@
 				revision: revisionOf(1),
 				server,
 			})),
+			evacuations: [],
 			faults: [],
 		},
 		publish(update) {
