--- a/packages/core/src/core/coldServers.ts
+++ b/packages/core/src/core/coldServers.ts
@@ -66,7 +66,8 @@
 ): boolean {
 	const known = servers.get(server)
 	const limitedEnd = Math.min(endsAt, now + MAX_COLD_MS)
-	if (limitedEnd <= now) return false
+	// An end that is not a number is no statement.
+	if (!(limitedEnd > now)) return false
 	if (known && limitedEnd <= known.endsAt + SAME_END_MS) return false
 	const isOver = !known || known.endsAt <= now
 	const since = isOver ? now : known.since
--- a/packages/core/src/core/evacuations.ts
+++ b/packages/core/src/core/evacuations.ts
@@ -125,10 +125,13 @@
 	revision: TermRevision,
 	now: number,
 ): Evacuation[] {
+	// What an earlier read of a restored source said is outdated.
+	const deferred = new Map(evacuations.pending)
+	evacuations.pending.clear()
 	const statements = [
 		...listed,
 		...listMissing(evacuations, listed, revision),
-	].filter(one => !deferContradiction(evacuations, one, now))
+	].filter(one => !deferContradiction(evacuations, one, deferred, now))
 	return applyReadChanges(evacuations, statements, revision)
 }
 
@@ -143,19 +146,23 @@
 		.map(({ dataCentre }) => ({ dataCentre, revision, isEvacuated: false }))
 }
 
-/** Defers a statement of a later term that contradicts the known one. */
+/**
+ * Defers a statement of a later term that contradicts the known one; the grace period of
+ * one that was `deferred` in the same term goes on.
+ */
 function deferContradiction(
 	{ byDataCentre, pending }: Evacuations,
 	evacuation: Evacuation,
+	deferred: Evacuations['pending'],
 	now: number,
 ): boolean {
 	const { dataCentre, revision, isEvacuated } = evacuation
 	const known = byDataCentre.get(dataCentre)
 	if (!known || known.isEvacuated === isEvacuated) return false
 	if (revision.term <= known.revision.term) return false
-	const waiting = pending.get(dataCentre)
-	const isLonger = waiting?.evacuation.revision.term === revision.term
-	const until = isLonger ? waiting!.until : now + RESTORED_GRACE_MS
+	const before = deferred.get(dataCentre)
+	const isSameTerm = before?.evacuation.revision.term === revision.term
+	const until = isSameTerm ? before!.until : now + RESTORED_GRACE_MS
 	pending.set(dataCentre, { evacuation, until })
 	return true
 }
