--- a/packages/core/src/core/routing.ts
+++ b/packages/core/src/core/routing.ts
@@ -44,6 +44,11 @@
 	readonly assignedElsewhere: Uint8Array
 	/** Prompt tokens sent by this entry whose answers have not begun. */
 	readonly unreadTokens: Float64Array
+	/**
+	 * Requests that all entries together may start there now: infinite at a warm server,
+	 * estimated from this entry's share at a cold one, 0 at one that is closed.
+	 */
+	readonly startsLeft: Float64Array
 }
 
 /** Consecutive failures after which a server is ejected for some time. */
@@ -81,6 +86,7 @@
 		maxInFlight: new Float64Array(size).fill(Number.POSITIVE_INFINITY),
 		assignedElsewhere: new Uint8Array(size),
 		unreadTokens: new Float64Array(size),
+		startsLeft: new Float64Array(size).fill(Number.POSITIVE_INFINITY),
 	}
 }
 
--- a/packages/gateway/src/entryDemand.ts
+++ b/packages/gateway/src/entryDemand.ts
@@ -9,7 +9,7 @@
 import type { GatewayContext } from './context.ts'
 import { featuresOf } from './features.ts'
 import type { Fleet, FlowMeter, RequestFlow } from './fleet.ts'
-import { applyPeerLoads, meterOf } from './fleet.ts'
+import { applyPeerLoads, listOpenRows, meterOf } from './fleet.ts'
 import { createServiceLevels, mergeLevels } from './levelDemand.ts'
 import {
 	countLevelArrival,
@@ -150,7 +150,7 @@
 		dataCentre: peer.dataCentre,
 		perSecond: peer.flows[service]?.come ?? 0,
 	}))
-	const rows = fleet.rowsByService.get(service) ?? []
+	const rows = listOpenRows(fleet, service)
 	const servers = rows.map(row => fleet.servers[row]!)
 	const assigned = new Set(assignServers(own, others, servers))
 	for (const [index, row] of rows.entries())
--- a/packages/gateway/src/forward.ts
+++ b/packages/gateway/src/forward.ts
@@ -197,6 +197,9 @@
 		return { kind: 'scheduled', ms: quarantinedForMs(ctx, job.request) }
 	// A caller that is told to wait for all the time it has does not come back.
 	if (error === 'oversize') return { kind: 'scheduled', ms: leftMs }
+	// When an evacuation will be taken back is not known.
+	if (error === 'evacuated')
+		return { kind: 'scheduled', ms: ERRORS[error].retryAfterMs }
 	return ERRORS[error].ran === 'no'
 		? chooseRetryAfter(ctx, job, leftMs)
 		: { kind: 'scheduled', ms: 0 }
--- a/packages/gateway/src/peerStates.ts
+++ b/packages/gateway/src/peerStates.ts
@@ -35,8 +35,11 @@
 import { drainRefused, receiveRefused } from './returnRecognition.ts'
 import {
 	listAllUpdates,
+	listEvacuations,
 	listRateLimits,
+	receiveItems,
 	receiveUpdates,
+	sendUpdates,
 } from './updateExchange.ts'
 
 /**
@@ -100,7 +103,7 @@
 	link: RpcLink,
 ): void {
 	const items = listAllUpdates(ctx)
-	if (items.length > 0) notify(link, 'news', { items })
+	sendUpdates([link], items)
 	// Sent last: for a starting entry, the first state ends the initial synchronization.
 	sendState(ctx, link, {
 		...describeState(ctx),
@@ -120,6 +123,7 @@
 		dataCentre: ctx.settings.dataCentre,
 		flows: addReturns(ctx, reportFlows(ctx.fleet)),
 		limits: listRateLimits(ctx),
+		evacuations: listEvacuations(ctx),
 	}
 }
 
@@ -222,6 +226,7 @@
 	if (isOtherEntry(ctx, state.control))
 		recordEntryContact(membership, state.control, readElapsed())
 	receiveUpdates(ctx, state.limits, state.name)
+	receiveItems(ctx, state.evacuations, state.name)
 	ctx.hasPeerState = true
 	if (state.sourceAway) states.withoutSource.add(link)
 	else states.withoutSource.delete(link)
--- a/packages/gateway/src/serverChoice.ts
+++ b/packages/gateway/src/serverChoice.ts
@@ -8,6 +8,7 @@
 	tryEnterGroup,
 } from '@juniperhook/core'
 import { readElapsed, readNow } from '@juniperhook/runtime'
+import { countStart, listSpentRows } from './coldGate.ts'
 import type { GatewayContext } from './context.ts'
 import { groupOf, meterOf, trackInFlight } from './fleet.ts'
 import { decideAdmission } from './groupAdmission.ts'
@@ -50,6 +51,8 @@
 	const now = readNow()
 	const isEngine = routes?.services.get(service)?.engine !== undefined
 	const { permitted, exhausted } = listLimited(ctx, service)
+	// First, as the capacity of groups depends on their cold ranks.
+	const spent = listSpentRows(ctx)
 	const groups = listUnavailableGroups(ctx, candidate, now)
 	const { bestFraction } = groups
 	const query = {
@@ -60,16 +63,23 @@
 		localRows: fleet.localRows,
 		unreportedSends: meterOf(fleet, service).unreportedSends,
 		permitted,
-		withheld: new Set([...exhausted, ...listBackingOff(ctx, service)]),
+		withheld: new Set([
+			...exhausted,
+			...listBackingOff(ctx, service),
+			...spent,
+		]),
 		unreadLoad: candidate.work?.unreadLoad ?? 0,
 	}
 	const choice = chooseRow(fleet.table, query, now, ctx.random)
+	if (choice.kind === 'none' && query.rows.length > 0)
+		return { grant: { kind: 'evacuated' }, bestFraction }
 	if (choice.kind !== 'row') return { grant: choice, bestFraction }
 	const server = fleet.servers[choice.row]!
 	if (!tryEnterGroup(ctx.closures, groupOf(server), now))
 		return { grant: { kind: 'full' }, bestFraction }
 	const { id } = server
 	consumePermitFor(ctx, id)
+	countStart(ctx, id)
 	recordBackoffProbe(ctx.backoffs, id, readElapsed())
 	trackInFlight(fleet, id, 1)
 	return { grant: { kind: 'server', id }, bestFraction }
