--- a/bench/gateway.ts
+++ b/bench/gateway.ts
@@ -69,6 +69,7 @@
 		rateLimits: false,
 		backoffs: false,
 		rollbacks: false,
+		evacuations: false,
 		checksTiming: false,
 		bundle,
 		folder: join(tmpdir(), 'juniperhook-bench-gateway'),
--- a/soak/src/config.ts
+++ b/soak/src/config.ts
@@ -17,6 +17,9 @@
  */
 export const RETRIES = { ratio: 0.2, slack: 40, windowMs: 10_000 }
 
+/** Requests a second that a cold server bears, and what all entries may add to it. */
+export const COLD = { perSecond: 6, factor: 1.5, extra: 5 }
+
 const PLAIN = 'plain-service'
 const MODEL = 'model-service'
 /** Services by kind of request. */
@@ -62,8 +65,13 @@
 			...grown.map(path => buildRoute(path, 'idempotent', PLAIN, 2)),
 		],
 		services: [
-			{ name: PLAIN, max_connections: 200 },
-			{ name: MODEL, max_connections: 200, engine: ENGINE },
+			{ name: PLAIN, max_connections: 200, cold_per_s: COLD.perSecond },
+			{
+				name: MODEL,
+				max_connections: 200,
+				cold_per_s: COLD.perSecond,
+				engine: ENGINE,
+			},
 		],
 		limits: {
 			max_header_bytes: 8_192,
--- a/soak/src/main.ts
+++ b/soak/src/main.ts
@@ -25,6 +25,7 @@
 		unlimited: { type: 'boolean', default: false },
 		restless: { type: 'boolean', default: false },
 		steady: { type: 'boolean', default: false },
+		settled: { type: 'boolean', default: false },
 		verbose: { type: 'boolean', default: false },
 	},
 })
@@ -44,6 +45,7 @@
 		rateLimits: !values.unlimited,
 		backoffs: !values.restless,
 		rollbacks: !values.steady,
+		evacuations: !values.settled,
 		checksTiming: true,
 		folder: join(tmpdir(), 'juniperhook-soak', `seed-${seed}`),
 	}
--- a/soak/src/processes.ts
+++ b/soak/src/processes.ts
@@ -16,7 +16,7 @@
 	PORTS,
 	relayIp,
 } from './addresses.ts'
-import { RETRIES } from './config.ts'
+import { COLD, RETRIES } from './config.ts'
 import type { SoakOptions, SoakRecord } from './types.ts'
 import { count, recordViolation } from './types.ts'
 
@@ -100,6 +100,8 @@
 		`internal_port_range=${PORTS.agents},${PORTS.agents + 9}`,
 		`seed_nodes=${seeds.map(seed => `${seed}:${PORTS.control}`).join(',')}`,
 		`platform.address=${storeIp}:${PORTS.store}`,
+		`bounds.cold_overage=${COLD.factor}`,
+		`bounds.cold_slack=${COLD.extra}`,
 		`bounds.grace_s=${GRACE_MS / 1_000}`,
 		`bounds.retry_budget_ratio=${RETRIES.ratio}`,
 		`bounds.budget_slack=${RETRIES.slack}`,
--- a/soak/src/servers.ts
+++ b/soak/src/servers.ts
@@ -94,6 +94,8 @@
 		req: IncomingMessage,
 		res: ServerResponse,
 	) => boolean
+	/** Called for each request that a server does not decline as meant for another. */
+	onArrival: (backend: BackendServer, req: IncomingMessage) => void
 	/** Number of incarnations started so far. */
 	incarnations: number
 }
@@ -158,6 +160,7 @@
 		res.writeHead(421, { [WIRE.notRun]: '1', [WIRE.atFault]: name }).end()
 		return
 	}
+	servers.onArrival(backend, req)
 	if (backend.rank !== undefined && !servers.groupOpen) {
 		await sleep(STALL_MS)
 		res.writeHead(503, { [WIRE.notRun]: '1', [WIRE.atFault]: name }).end()
--- a/soak/src/soak.ts
+++ b/soak/src/soak.ts
@@ -3,6 +3,12 @@
 import { rmSync } from 'node:fs'
 import { checkBackoffs, injectBackoffs, refuseWithBackoff } from './backoffs.ts'
 import { runCaller } from './callers.ts'
+import {
+	checkColdServers,
+	checkEvacuations,
+	injectEvacuations,
+	recordEvacuatedArrival,
+} from './evacuations.ts'
 import { crashUnderPoisonRequest, injectFaults } from './faults.ts'
 import { checkRecord } from './finalChecks.ts'
 import { checkLeaving } from './leaving.ts'
@@ -56,6 +62,11 @@
 		void injectBackoffs(world)
 	}
 	if (options.rollbacks) void injectRollbacks(world)
+	if (options.evacuations) {
+		world.servers.onArrival = (...args) =>
+			recordEvacuatedArrival(world, ...args)
+		void injectEvacuations(world)
+	}
 	await injectFaults(world)
 	await sleep(RECOVERY_MS)
 	const recoveryDueAt = performance.now()
@@ -69,6 +80,8 @@
 	if (options.checksTiming && options.rateLimits) checkRateLimits(world)
 	if (options.checksTiming) checkBackoffs(world)
 	checkLeaving(world)
+	if (options.checksTiming && options.evacuations) checkEvacuations(world)
+	if (options.evacuations) checkColdServers(world)
 	await stopWorld(world)
 	for (const signal of SIGNALS) process.removeListener(signal, interrupt)
 	if (world.record.violations.length === 0)
--- a/soak/src/types.ts
+++ b/soak/src/types.ts
@@ -100,6 +100,8 @@
 	readonly backoffs: boolean
 	/** Whether the store is rolled back to older copies. */
 	readonly rollbacks: boolean
+	/** Whether an operator empties data centres, whose servers are cold afterwards. */
+	readonly evacuations: boolean
 	/** Whether promises with a time bound are checked. */
 	readonly checksTiming: boolean
 	/** Path of the processes' bundle; by default that of this repository. */
--- a/soak/src/world.ts
+++ b/soak/src/world.ts
@@ -19,6 +19,8 @@
 import { buildConfig, SERVICE_OF } from './config.ts'
 import type { Disturbances } from './disturbances.ts'
 import { createDisturbances } from './disturbances.ts'
+import type { EvacuationLog } from './evacuations.ts'
+import { coldRemainingMs, createEvacuationLog } from './evacuations.ts'
 import type { RelayedLeaving } from './leaving.ts'
 import type { ManagedProcess } from './processes.ts'
 import { prepareProcess, startProcess, terminateProcess } from './processes.ts'
@@ -70,6 +72,7 @@
 	readonly limits: ReportedLimit[]
 	/** Backoffs that servers have requested, and the requests that reached them. */
 	readonly backoffLog: BackoffLog
+	readonly evacuationLog: EvacuationLog
 	readonly relayedLeavings: RelayedLeaving[]
 	readonly unavailableMoments: UnavailableMoment[]
 	/** Set when the soak ends. */
@@ -91,6 +94,7 @@
 		groupOpen: true,
 		onPoisonRequest: () => {},
 		refuseWithBackoff: () => false,
+		onArrival: () => {},
 		incarnations: 0,
 	}
 	const world: World = {
@@ -111,6 +115,7 @@
 		evidenceLostAt: [],
 		limits: [],
 		backoffLog: createBackoffLog(),
+		evacuationLog: createEvacuationLog(),
 		relayedLeavings: [],
 		unavailableMoments: [],
 		finished: false,
@@ -165,23 +170,33 @@
 	listServer(world, backend)
 }
 
-function write(world: World, key: string, value: string | undefined): void {
+/** Writes a value to the store, or removes its key; a lost write is repeated. */
+export function writeValue(
+	world: World,
+	key: string,
+	value: string | undefined,
+): void {
 	world.lastWritten.set(key, value)
 	world.store.put(key, value)
 }
 
+/** Returns the data centre of a server. */
+export function dataCentreOf({ index }: Pick<BackendServer, 'index'>): string {
+	return `zone-${index % 2}`
+}
+
 /** Writes a server's record to the store. */
 export function listServer(world: World, backend: BackendServer): void {
-	const { id, name, service, address, rank, leaving, index } = backend
+	const { id, name, service, address, rank, leaving } = backend
 	const { epoch } = world.servers.group
 	const phase = world.servers.groupOpen ? 'open' : 'broken'
 	const serverRecord = {
 		service,
 		address,
-		zone: `zone-${index % 2}`,
+		zone: dataCentreOf(backend),
 		config_version: 'v1',
 		slots: SLOTS,
-		cold_remaining_ms: 0,
+		cold_remaining_ms: coldRemainingMs(world.evacuationLog, backend),
 		sequence: 1,
 		born: backend.bornAt,
 		phase: leaving ? 'draining' : 'ready',
@@ -189,7 +204,7 @@
 			group: { name: 'g', rank, epoch, phase },
 		}),
 	}
-	write(world, `servers/${name}`, JSON.stringify(serverRecord))
+	writeValue(world, `servers/${name}`, JSON.stringify(serverRecord))
 	if (leaving) world.leavingAt.set(id, performance.now())
 }
 
@@ -198,7 +213,7 @@
 	world: World,
 	{ id, name }: Pick<BackendServer, 'id' | 'name'>,
 ): void {
-	write(world, `servers/${name}`, undefined)
+	writeValue(world, `servers/${name}`, undefined)
 	if (!world.leavingAt.has(id)) world.leavingAt.set(id, performance.now())
 }
 
@@ -209,7 +224,7 @@
 	keepsRevokedKey: boolean,
 ): void {
 	const text = buildConfig(version, keepsRevokedKey, world.growths)
-	write(world, 'op/config', text)
+	writeValue(world, 'op/config', text)
 	world.published.push({ version, at: performance.now(), keepsRevokedKey })
 }
 
--- a/soak/test/soak.process.test.ts
+++ b/soak/test/soak.process.test.ts
@@ -31,6 +31,7 @@
 	readonly rateLimits?: boolean
 	readonly backoffs?: boolean
 	readonly rollbacks?: boolean
+	readonly evacuations?: boolean
 	readonly clients?: number
 	readonly faultPhaseMs?: number
 	readonly faults?: number
@@ -48,6 +49,12 @@
 		cause: 'none: with a store that is rolled back',
 		rollbacks: true,
 	},
+	{
+		seed: 12,
+		cause: 'none: with data centres that are emptied',
+		evacuations: true,
+		faultPhaseMs: 9_000,
+	},
 	{
 		seed: 3016,
 		cause: 'two store rollbacks within two seconds',
@@ -76,6 +83,7 @@
 			rateLimits: options.rateLimits ?? false,
 			backoffs: options.backoffs ?? false,
 			rollbacks: options.rollbacks ?? false,
+			evacuations: options.evacuations ?? false,
 			checksTiming: false,
 			folder: join(tmpdir(), 'juniperhook-soak', `test-${seed}`),
 		})
