Slow readers: bounds of held bytes, per response and in sum

Cause: what callers do not take was held without bound, whole answers twice, and bodies of slow senders without regard to memory. Change, while the settings announce pressure: core heldBytes (account) and slowReaders (decisions); the gateway writes responses in batches, pauses the server's stream beyond the bound, ends readers that take nothing, refuses new requests as memoryShort before memory is full. Ruled out: socket.setTimeout and writableLength alone, which do not tell progress within one large write. Test: core decisions, random draws with three mutants.

--- a/packages/core/src/core/errors.ts
+++ b/packages/core/src/core/errors.ts
@@ -84,6 +84,13 @@
 		busy,
 		'The servers that could run this have asked for rest.',
 	),
+	memoryShort: row(
+		503,
+		'no',
+		1000,
+		busy,
+		'This entry holds too much for slow readers to take this.',
+	),
 	noServer: row(503, 'no', 2000, busy, 'No backend server is available.'),
 	noConfig: row(503, 'no', 2000, busy, 'No configuration is in force yet.'),
 	quarantined: row(
--- a/packages/gateway/src/callerRequest.ts
+++ b/packages/gateway/src/callerRequest.ts
@@ -1,6 +1,6 @@
 /** Reads and validates a caller's request: route, team, deadline and body. */
 
-import type { IncomingMessage } from 'node:http'
+import type { IncomingMessage, ServerResponse } from 'node:http'
 import type {
 	ErrorKind,
 	RouteTable,
@@ -10,6 +10,8 @@
 import { findRoute, urgencyOf } from '@juniperhook/core'
 import { readElapsed } from '@juniperhook/runtime'
 import type { GatewayContext } from './context.ts'
+import type { BodyCount } from './heldBodies.ts'
+import { countRequestBody, isRefusedForMemory } from './heldBodies.ts'
 import type { CallerRequest } from './job.ts'
 
 /** A request, or the error with which it is refused before it reaches a server. */
@@ -23,6 +25,7 @@
 export async function readCallerRequest(
 	ctx: GatewayContext,
 	req: IncomingMessage,
+	res: ServerResponse,
 ): Promise<RequestReadResult> {
 	const arrivedAt = readElapsed()
 	const { routes, wire } = ctx
@@ -41,9 +44,12 @@
 	if (!team && needsKey) return refuseUnmatched(ctx, routes, 'unauthorized')
 	const deadline = readDeadline(req, wire.deadlineMs, route.timeoutMs)
 	if (deadline === undefined) return { kind: 'refused', error: 'badRequest' }
-	const body = await readBody(req, limits.maxBodyBytes)
+	if (isRefusedForMemory(ctx)) return { kind: 'refused', error: 'memoryShort' }
+	const count = countRequestBody(ctx, res)
+	const body = await readBody(req, limits.maxBodyBytes, count)
 	if (body === 'disconnected') return { kind: 'disconnected' }
-	if (body === 'tooLarge') return { kind: 'refused', error: 'tooLarge' }
+	if (body === 'tooLarge' || body === 'memoryShort')
+		return { kind: 'refused', error: body }
 	const lastEventId = req.headers[wire.lastEventId]
 	return {
 		kind: 'request',
@@ -129,18 +135,29 @@
 function readBody(
 	req: IncomingMessage,
 	limit: number,
-): Promise<Buffer | 'disconnected' | 'tooLarge'> {
+	count: BodyCount,
+): Promise<Buffer | 'disconnected' | 'tooLarge' | 'memoryShort'> {
 	const length = Number(req.headers['content-length'] ?? 0)
 	if (length > limit) return Promise.resolve('tooLarge')
 	return new Promise(resolve => {
 		const parts: Buffer[] = []
 		let size = 0
+		let isRefused = false
+		const refuse = (error: 'tooLarge' | 'memoryShort') => {
+			isRefused = true
+			parts.length = 0
+			resolve(error)
+		}
 		req.on('data', (part: Buffer) => {
 			size += part.length
-			if (size > limit) resolve('tooLarge')
+			if (isRefused) return
+			if (size > limit) refuse('tooLarge')
+			else if (!count.add(part.length)) refuse('memoryShort')
 			else parts.push(part)
 		})
-		req.on('end', () => resolve(Buffer.concat(parts)))
+		req.on('end', () =>
+			resolve(parts.length === 1 ? parts[0]! : Buffer.concat(parts)),
+		)
 		req.on('error', () => resolve('disconnected'))
 		req.on('close', () => resolve('disconnected'))
 	})
--- a/packages/gateway/src/context.ts
+++ b/packages/gateway/src/context.ts
@@ -17,6 +17,7 @@
 import type { CrashDetector } from './crashDetectorState.ts'
 import type { ServiceFeatures } from './features.ts'
 import type { Fleet } from './fleet.ts'
+import type { HeldResponses } from './heldResponses.ts'
 import type { CallerRequest, CancelRequest } from './job.ts'
 import type { GatewayMetrics } from './metrics.ts'
 import type { Outbox } from './outbox.ts'
@@ -142,6 +143,8 @@
 	readonly quarantineGate: QuarantineGate
 	/** Detects suspensions of the VM. */
 	readonly suspension: SuspensionWatch
+	/** Bytes that callers have not taken, and bodies of requests. */
+	readonly heldResponses: HeldResponses
 	/** Number of requests being served. */
 	openRequests: number
 	/** Ends a request without a server's response, for each open request. */
--- a/packages/gateway/src/forward.ts
+++ b/packages/gateway/src/forward.ts
@@ -11,6 +11,8 @@
 import type { GatewayContext } from './context.ts'
 import { awaitCrashCheck } from './crashDetector.ts'
 import { countArrival } from './entryDemand.ts'
+import { readCountedBody } from './heldBodies.ts'
+import { isDelivering } from './heldResponses.ts'
 import type {
 	AnswerEnd,
 	AttemptResult,
@@ -27,7 +29,6 @@
 import { writeAnswer, writeFailure } from './reply.ts'
 import { chooseRetryAfterMs } from './retryAfter.ts'
 import { mayRetry, retryWindowOf } from './retryDecision.ts'
-import { readAnswerBody } from './serverCall.ts'
 import { relayStream } from './streamRelay.ts'
 import type { AdmissionCandidate } from './waiter.ts'
 
@@ -46,7 +47,7 @@
 ): Promise<void> {
 	ctx.openRequests++
 	try {
-		const read = await readCallerRequest(ctx, req)
+		const read = await readCallerRequest(ctx, req, res)
 		switch (read.kind) {
 			case 'disconnected':
 				break
@@ -139,7 +140,7 @@
 	res: ServerResponse,
 	error: ErrorKind,
 ): void {
-	if (res.writableEnded || res.destroyed) return
+	if (res.writableEnded || res.destroyed || isDelivering(ctx, res)) return
 	const { request } = job
 	const leftMs = request.deadlineAt - readElapsed()
 	ctx.log.write('request failed', {
@@ -246,7 +247,7 @@
 	const type = String(message.headers['content-type'] ?? '')
 	const isStream = status === 200 && type.includes('text/event-stream')
 	if (isStream) return await relayStream(ctx, job, res, result)
-	const body = await readAnswerBody(answer)
+	const body = await readCountedBody(ctx, answer)
 	const isSealed = message.headers[ctx.wire.seal] !== undefined
 	const isUsable = body.kind === 'complete' && (isSealed || status >= 300)
 	const isGood = isUsable && status < SERVER_ERROR
@@ -258,11 +259,11 @@
 		if (mayRetry(ctx, job)) return { kind: 'retry', reason: 'failed' }
 	}
 	if (!isUsable) return { kind: 'failed', error: 'truncated' }
-	const { arrivedAt, method } = job.request
-	job.times.startMs = readElapsed() - arrivedAt
+	const { request } = job
+	job.times.startMs = readElapsed() - request.arrivedAt
 	ctx.metrics.firstByte.observe(job.times.startMs / 1_000)
 	logServed(ctx, job, serverId, String(status))
-	writeAnswer(ctx, res, message, body.body, method)
+	writeAnswer(ctx, res, message, body.parts, request)
 	return { kind: 'done' }
 }
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -24,6 +24,7 @@
 import { createCrashDetector } from './crashDetectorState.ts'
 import { createFleet } from './fleet.ts'
 import { serveCaller } from './forward.ts'
+import { checkHeldResponses, createHeldResponses } from './heldResponses.ts'
 import { createGatewayMetrics } from './metrics.ts'
 import { startPeers } from './peers.ts'
 import { dropUnlimitedPermits } from './permitGate.ts'
@@ -106,6 +107,7 @@
 		backoffs: new Map(),
 		permits: createPermitStore(),
 		permitHomes: createPermitHomes(settings.control),
+		heldResponses: createHeldResponses(settings.memoryMb),
 		openRequests: 0,
 		quarantineGate: createQuarantineGate(sharedState.quarantine),
 		cancelByRequest: new Map(),
@@ -137,6 +139,7 @@
 	expireRateLimits(ctx)
 	dropUnlimitedPermits(ctx)
 	expireBackoffs(ctx)
+	checkHeldResponses(ctx)
 	serveQueues(ctx)
 	const config = ctx.routes?.config
 	if (!config) return
@@ -249,7 +252,7 @@
 	do {
 		callers.closeIdleConnections()
 		await sleep(STOP_CHECK_MS)
-	} while (ctx.openRequests > 0 && readNow() < endAt)
+	} while (hasOpenResponses(ctx) && readNow() < endAt)
 	if (ctx.openRequests > 0) await endOpenRequests(ctx)
 	ctx.log.write('stopped', {
 		open: ctx.openRequests,
@@ -259,6 +262,14 @@
 	process.exit(0)
 }
 
+/** Returns whether requests are served or answers of ended ones still delivered. */
+function hasOpenResponses({
+	openRequests,
+	heldResponses,
+}: GatewayContext): boolean {
+	return openRequests > 0 || heldResponses.queues.size > 0
+}
+
 /** Ends all open requests with a response, while there is time to send it. */
 export async function endOpenRequests(ctx: GatewayContext): Promise<void> {
 	ctx.log.write('open requests ended', { open: ctx.openRequests })
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -35,6 +35,12 @@
 	readonly unknownHeaders: Counter<'header'>
 	/** Permit requests for rate-limited servers, by outcome. */
 	readonly permits: Counter<'outcome'>
+	/** Bytes held for slow readers and senders. */
+	readonly heldBytes: Gauge
+	/** Streams whose server was paused because of their reader. */
+	readonly pausedResponses: Counter
+	/** Responses ended because of their reader, by reason. */
+	readonly endedResponses: Counter<'reason'>
 	readonly firstByte: Histogram
 	readonly pauses: Histogram
 	readonly waiting: Histogram
@@ -134,12 +140,36 @@
 			labelNames: ['outcome'],
 			registers,
 		}),
+		...createReaderMetrics(registry),
 		firstByte: histogram(registry, 'first_byte', LATENCY_BUCKETS),
 		pauses: histogram(registry, 'event_pause', PAUSE_BUCKETS),
 		waiting: histogram(registry, 'queue', LATENCY_BUCKETS),
 	}
 }
 
+/** Creates the metrics of slow readers and senders. */
+function createReaderMetrics(registry: Registry) {
+	const registers = [registry]
+	return {
+		heldBytes: new Gauge({
+			name: 'juniperhook_held_bytes',
+			help: 'Bytes held for slow readers and senders',
+			registers,
+		}),
+		pausedResponses: new Counter({
+			name: 'juniperhook_responses_paused_total',
+			help: 'Streams whose server was paused because of their reader',
+			registers,
+		}),
+		endedResponses: new Counter({
+			name: 'juniperhook_responses_ended_total',
+			help: 'Responses ended because of their reader',
+			labelNames: ['reason'],
+			registers,
+		}),
+	}
+}
+
 /** Creates the metrics of how published configuration and servers reach this entry. */
 function createSourceMetrics(registry: Registry) {
 	const registers = [registry]
--- a/packages/gateway/src/reply.ts
+++ b/packages/gateway/src/reply.ts
@@ -4,6 +4,8 @@
 import type { ErrorKind } from '@juniperhook/core'
 import { ERRORS } from '@juniperhook/core'
 import type { GatewayContext } from './context.ts'
+import type { CallerRequest } from './job.ts'
+import { deliverBody } from './responseQueue.ts'
 
 /** `Retry-After` is sent in hundredths of a second. */
 const CENTISECOND_MS = 10
@@ -60,21 +62,28 @@
 	ctx: GatewayContext,
 	res: ServerResponse,
 	message: IncomingMessage,
-	body: Buffer,
-	method: string,
+	parts: readonly Buffer[],
+	request: CallerRequest,
 ): void {
+	const { method } = request
 	const status = message.statusCode ?? 0
+	const length = parts.reduce((sum, part) => sum + part.length, 0)
 	const headers = listEndToEndHeaders(message.rawHeaders)
 	const contentLength = message.headers['content-length']
 	if (method === 'HEAD') {
 		if (contentLength !== undefined)
 			headers.push('Content-Length', contentLength)
 	} else if (!NO_BODY_STATUSES.has(status))
-		headers.push('Content-Length', String(body.length))
+		headers.push('Content-Length', String(length))
 	addConnectionClose(ctx, headers)
 	ctx.metrics.answers.inc({ status })
 	res.writeHead(status, headers)
-	res.end(method === 'HEAD' ? undefined : body)
+	if (method === 'HEAD') {
+		res.end()
+		return
+	}
+	if (deliverBody(ctx, res, request, parts)) return
+	res.end(parts.length === 1 ? parts[0] : Buffer.concat(parts))
 }
 
 /** Writes the response head of a stream, without events. */
--- a/packages/gateway/src/serverCall.ts
+++ b/packages/gateway/src/serverCall.ts
@@ -144,18 +144,23 @@
 
 /** A response body, or how it failed. */
 export type BodyResult =
-	| { readonly kind: 'complete'; readonly body: Buffer }
+	| { readonly kind: 'complete'; readonly parts: readonly Buffer[] }
 	| { readonly kind: 'broken'; readonly reason: string }
 
-/** Reads the body of a response to its end. */
-export function readAnswerBody(answer: ServerAnswer): Promise<BodyResult> {
+/** Reads the body of a response to its end; `onPart` gets the size of each part. */
+export function readAnswerBody(
+	answer: ServerAnswer,
+	onPart?: (bytes: number) => void,
+): Promise<BodyResult> {
 	const { message } = answer
 	return new Promise(resolve => {
 		const parts: Buffer[] = []
-		message.on('data', (part: Buffer) => parts.push(part))
+		message.on('data', (part: Buffer) => {
+			parts.push(part)
+			onPart?.(part.length)
+		})
 		message.on('close', () => {
-			if (answer.isComplete())
-				resolve({ kind: 'complete', body: Buffer.concat(parts) })
+			if (answer.isComplete()) resolve({ kind: 'complete', parts })
 			else resolve({ kind: 'broken', reason: 'response body truncated' })
 		})
 	})
--- a/packages/gateway/src/streamRelay.ts
+++ b/packages/gateway/src/streamRelay.ts
@@ -9,8 +9,10 @@
 import type { GatewayContext } from './context.ts'
 import type { StreamEvent } from './eventSplitter.ts'
 import { createEventSplitter, splitEvents } from './eventSplitter.ts'
+import { paceSource, queueOf, setSource } from './heldResponses.ts'
 import type { AnswerEnd, AttemptResult, Job, NextStep } from './job.ts'
 import { writeStreamHead } from './reply.ts'
+import { endQueue, queueEvent } from './responseQueue.ts'
 import { mayRetry } from './retryDecision.ts'
 
 /** Relays the part of a stream that one server sends. */
@@ -23,6 +25,7 @@
 	const { answer, serverId } = result
 	const { message } = answer
 	const splitter = createEventSplitter()
+	const queue = queueOf(ctx, res, job.request)
 	let lastAt = readNow()
 	let inOrder = true
 	const recordPause = (ms: number) => {
@@ -43,14 +46,25 @@
 			ctx.metrics.firstByte.observe(job.times.startMs / 1_000)
 		}
 		lastAt = now
-		res.write(event.bytes)
+		if (queue) queueEvent(ctx, queue, event.bytes)
+		else res.write(event.bytes)
 		if (event.id !== undefined) job.lastEventId = event.id
 	}
+	if (queue)
+		setSource(queue, {
+			pause: () => message.pause(),
+			resume: pausedMs => {
+				lastAt = Math.min(readNow(), lastAt + pausedMs)
+				message.resume()
+			},
+		})
 	return new Promise(resolve => {
 		message.on('data', (data: Buffer) => {
 			for (const event of splitEvents(splitter, data)) if (inOrder) relay(event)
+			if (queue) paceSource(ctx, queue)
 		})
 		message.on('close', () => {
+			if (queue) setSource(queue, undefined)
 			const isComplete =
 				answer.isComplete() && inOrder && splitter.pending.length === 0
 			result.release(classifyEnd(job, isComplete, answer.isComplete()))
@@ -60,7 +74,8 @@
 			}
 			if (isComplete) {
 				if (!res.headersSent) writeStreamHead(ctx, res, message)
-				res.end()
+				if (queue) endQueue(ctx, queue)
+				else res.end()
 				logServed(ctx, job, serverId, 'stream ended')
 				resolve({ kind: 'done' })
 				return
