--- a/packages/core/test/slowReaders.test.ts
+++ b/packages/core/test/slowReaders.test.ts
@@ -15,7 +15,6 @@
 	isMemoryShort,
 	judgeHolder,
 	KEEPS_UP_BYTES,
-	KEEPS_UP_MS,
 	MAX_PAUSE_MS,
 	mustPause,
 	pauseHolder,
--- a/packages/gateway/src/heldResponses.ts
+++ b/packages/gateway/src/heldResponses.ts
@@ -142,6 +142,8 @@
 /** Decides what is due for a response, after progress of its reader or with time. */
 export function judgeQueue(ctx: GatewayContext, queue: ResponseQueue): void {
 	const { heldResponses: held } = ctx
+	// Ending a response also settles the write in progress, as if it were taken.
+	if (!held.queues.has(queue.holder)) return
 	const decision = judgeHolder(held.bytes, queue.holder, held.observedMs)
 	switch (decision.kind) {
 		case 'keep':
