--- a/packages/gateway/src/heldResponses.ts
+++ b/packages/gateway/src/heldResponses.ts
@@ -4,11 +4,10 @@
  */
 
 import type { ServerResponse } from 'node:http'
-import type { HeldBytes, HoldEnd, Holder } from '@juniperhook/core'
+import type { HoldEnd } from '@juniperhook/core'
 import {
 	addHolder,
 	chooseFurthestBehind,
-	createHeldBytes,
 	heldLimitBytes,
 	judgeHolder,
 	mustPause,
@@ -17,6 +16,11 @@
 } from '@juniperhook/core'
 import { readNow } from '@juniperhook/runtime'
 import type { GatewayContext } from './context.ts'
+import type {
+	HeldResponses,
+	ResponseQueue,
+	StreamSource,
+} from './heldResponsesState.ts'
 import type { CallerRequest } from './job.ts'
 
 /**
@@ -25,50 +29,6 @@
  */
 const MAX_STEP_MS = 200
 
-/** The server's message that a stream is read from. */
-export interface StreamSource {
-	pause(): void
-	/** Reads on; the time for which it was paused, ms, is not the server's. */
-	resume(pausedMs: number): void
-}
-
-/** A response whose bytes are written as its reader takes them. */
-export interface ResponseQueue {
-	readonly res: ServerResponse
-	readonly holder: Holder
-	readonly requestId: string
-	readonly beganAt: number
-	/** Bytes not written yet. */
-	readonly pieces: Buffer[]
-	/** Whether written bytes have not been taken yet. */
-	isWriting: boolean
-	/** Undefined while no server's stream is read. */
-	source: StreamSource | undefined
-	/** How often its source was paused. */
-	pauses: number
-}
-
-/** State of all held responses. */
-export interface HeldResponses {
-	readonly bytes: HeldBytes
-	readonly queues: Map<Holder, ResponseQueue>
-	readonly byResponse: WeakMap<ServerResponse, ResponseQueue>
-	/** Time that the process has observed, ms. */
-	observedMs: number
-	checkedAt: number
-}
-
-/** Creates the state of an entry with this memory. */
-export function createHeldResponses(memoryMb: number): HeldResponses {
-	return {
-		bytes: createHeldBytes(heldLimitBytes(memoryMb)),
-		queues: new Map(),
-		byResponse: new WeakMap(),
-		observedMs: 0,
-		checkedAt: readNow(),
-	}
-}
-
 /**
  * Returns the queue of a response, opening it on first use; undefined if the settings do
  * not call for one.
--- a/packages/gateway/src/responseQueue.ts
+++ b/packages/gateway/src/responseQueue.ts
@@ -6,8 +6,8 @@
 import type { ServerResponse } from 'node:http'
 import { growHolder, shrinkHolder } from '@juniperhook/core'
 import type { GatewayContext } from './context.ts'
-import type { ResponseQueue } from './heldResponses.ts'
 import { isDelivering, judgeQueue, queueOf } from './heldResponses.ts'
+import type { ResponseQueue } from './heldResponsesState.ts'
 import type { CallerRequest } from './job.ts'
 
 /** Bytes written at once: some packets, so that slow progress is noticed. */
