--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -26,6 +26,8 @@
 import { createCrashDetector } from './crashDetectorState.ts'
 import { createFleet } from './fleet.ts'
 import { serveCaller } from './forward.ts'
+import { checkHeldResponses } from './heldResponses.ts'
+import { createHeldResponses } from './heldResponsesState.ts'
 import { createGatewayMetrics } from './metrics.ts'
 import { startPeers } from './peers.ts'
 import { dropUnlimitedPermits } from './permitGate.ts'
@@ -114,6 +116,7 @@
 		permits: createPermitStore(),
 		permitHomes: createPermitHomes(settings.control),
 		coldGate: createColdGate(),
+		heldResponses: createHeldResponses(settings.memoryMb),
 		openRequests: 0,
 		quarantineGate: createQuarantineGate(sharedState.quarantine),
 		cancelByRequest: new Map(),
@@ -146,6 +149,7 @@
 	expireRateLimits(ctx)
 	dropUnlimitedPermits(ctx)
 	expireBackoffs(ctx)
+	checkHeldResponses(ctx)
 	serveQueues(ctx)
 	reportWork(ctx)
 	const config = ctx.routes?.config
@@ -259,7 +263,7 @@
 	do {
 		callers.closeIdleConnections()
 		await sleep(STOP_CHECK_MS)
-	} while (ctx.openRequests > 0 && readNow() < endAt)
+	} while (hasOpenResponses(ctx) && readNow() < endAt)
 	if (ctx.openRequests > 0) await endOpenRequests(ctx)
 	ctx.log.write('stopped', {
 		open: ctx.openRequests,
@@ -269,6 +273,14 @@
 	process.exit(0)
 }
 
+/** Returns whether requests are served or answers of ended ones still delivered. */
+function hasOpenResponses({
+	openRequests,
+	heldResponses,
+}: GatewayContext): boolean {
+	return openRequests > 0 || heldResponses.queues.size > 0
+}
+
 /** Ends all open requests with a response, while there is time to send it. */
 export async function endOpenRequests(ctx: GatewayContext): Promise<void> {
 	ctx.log.write('open requests ended', { open: ctx.openRequests })
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -47,6 +47,12 @@
 	readonly returns: Counter<'outcome'>
 	/** Errors of the forecast room, as shares of the completions, by lead time. */
 	readonly forecastError: Gauge<'service' | 'lead_ms'>
+	/** Bytes held for slow readers and senders. */
+	readonly heldBytes: Gauge
+	/** Streams whose server was paused because of their reader. */
+	readonly pausedResponses: Counter
+	/** Responses ended because of their reader, by reason. */
+	readonly endedResponses: Counter<'reason'>
 	readonly firstByte: Histogram
 	readonly pauses: Histogram
 	readonly waiting: Histogram
@@ -184,6 +190,7 @@
 			labelNames: ['service', 'lead_ms'],
 			registers,
 		}),
+		...createReaderMetrics(registry),
 		firstByte: histogram(registry, 'first_byte', LATENCY_BUCKETS),
 		pauses: histogram(registry, 'event_pause', PAUSE_BUCKETS),
 		waiting: histogram(registry, 'queue', LATENCY_BUCKETS),
@@ -202,6 +209,29 @@
 	}
 }
 
+/** Creates the metrics of slow readers and senders. */
+function createReaderMetrics(registry: Registry) {
+	const registers = [registry]
+	return {
+		heldBytes: new Gauge({
+			name: 'juniperhook_held_bytes',
+			help: 'Bytes held for slow readers and senders',
+			registers,
+		}),
+		pausedResponses: new Counter({
+			name: 'juniperhook_responses_paused_total',
+			help: 'Streams whose server was paused because of their reader',
+			registers,
+		}),
+		endedResponses: new Counter({
+			name: 'juniperhook_responses_ended_total',
+			help: 'Responses ended because of their reader',
+			labelNames: ['reason'],
+			registers,
+		}),
+	}
+}
+
 /** Creates the metrics of how published configuration and servers reach this entry. */
 function createSourceMetrics(registry: Registry) {
 	const registers = [registry]
--- a/packages/gateway/src/streamRelay.ts
+++ b/packages/gateway/src/streamRelay.ts
@@ -9,8 +9,10 @@
 import type { GatewayContext } from './context.ts'
 import type { StreamEvent } from './eventSplitter.ts'
 import { createEventSplitter, splitEvents } from './eventSplitter.ts'
+import { paceSource, queueOf, setSource } from './heldResponses.ts'
 import type { AnswerEnd, AttemptResult, Job, NextStep } from './job.ts'
 import { writeStreamHead } from './reply.ts'
+import { endQueue, queueEvent } from './responseQueue.ts'
 import { mayRetry } from './retryDecision.ts'
 import { recordAnswer, recordWorkEvent } from './workState.ts'
 
@@ -24,6 +26,7 @@
 	const { answer, serverId } = result
 	const { message } = answer
 	const splitter = createEventSplitter()
+	const queue = queueOf(ctx, res, job.request)
 	let lastAt = readNow()
 	let inOrder = true
 	const recordPause = (ms: number) => {
@@ -46,14 +49,25 @@
 		lastAt = now
 		job.eventsRelayed++
 		if (result.work) recordWorkEvent(ctx, result.work)
-		res.write(event.bytes)
+		if (queue) queueEvent(ctx, queue, event.bytes)
+		else res.write(event.bytes)
 		if (event.id !== undefined) job.lastEventId = event.id
 	}
+	if (queue)
+		setSource(queue, {
+			pause: () => message.pause(),
+			resume: pausedMs => {
+				lastAt = Math.min(readNow(), lastAt + pausedMs)
+				message.resume()
+			},
+		})
 	return new Promise(resolve => {
 		message.on('data', (data: Buffer) => {
 			for (const event of splitEvents(splitter, data)) if (inOrder) relay(event)
+			if (queue) paceSource(ctx, queue)
 		})
 		message.on('close', () => {
+			if (queue) setSource(queue, undefined)
 			const isComplete =
 				answer.isComplete() && inOrder && splitter.pending.length === 0
 			result.release(classifyEnd(job, isComplete, answer.isComplete()))
@@ -63,7 +77,8 @@
 			}
 			if (isComplete) {
 				if (!res.headersSent) writeStreamHead(ctx, res, message)
-				res.end()
+				if (queue) endQueue(ctx, queue)
+				else res.end()
 				recordAnswer(ctx, job)
 				logServed(ctx, job, serverId, 'stream ended')
 				resolve({ kind: 'done' })
--- a/scripts/ablation.ts
+++ b/scripts/ablation.ts
@@ -18,6 +18,7 @@
 const NEED = 'packages/core/src/core/groupPolicy.ts'
 const QUARANTINE = 'packages/core/src/core/quarantine.ts'
 const DISPATCH = 'packages/core/src/core/dispatch.ts'
+const PENALTIES = 'packages/core/src/core/serverPenalties.ts'
 const DEMAND = 'packages/groups/src/demand.ts'
 const ATTEMPT = 'packages/gateway/src/attempt.ts'
 const SEND = 'packages/gateway/src/serverSend.ts'
@@ -85,13 +86,13 @@
 	},
 	{
 		name: 'failures',
-		file: DISPATCH,
+		file: PENALTIES,
 		on: 'const FAILURE_LOAD = 3',
 		off: 'const FAILURE_LOAD = 0',
 	},
 	{
 		name: 'slowness',
-		file: DISPATCH,
+		file: PENALTIES,
 		on: 'const SLOW_LOAD = 0.25',
 		off: 'const SLOW_LOAD = 0',
 	},
