--- a/scripts/ablation.ts
+++ b/scripts/ablation.ts
@@ -18,6 +18,8 @@
 const NEED = 'packages/core/src/core/groupPolicy.ts'
 const QUARANTINE = 'packages/core/src/core/quarantine.ts'
 const DISPATCH = 'packages/core/src/core/dispatch.ts'
+const CHOICE = 'packages/gateway/src/serverChoice.ts'
+const WAIT_FORECAST = 'packages/gateway/src/waitForecast.ts'
 const PENALTIES = 'packages/core/src/core/serverPenalties.ts'
 const DEMAND = 'packages/groups/src/demand.ts'
 const ATTEMPT = 'packages/gateway/src/attempt.ts'
@@ -74,7 +76,7 @@
 	},
 	{
 		name: 'predictedWaits',
-		file: WAITING,
+		file: WAIT_FORECAST,
 		on: '	if (!options.slotsFreeOneByOne) return options.waitMs <= 0',
 		off: '	if (dispatchRate) return options.waitMs <= 0',
 	},
@@ -182,7 +184,7 @@
 	},
 	{
 		name: 'untoldSends',
-		file: WAITING,
+		file: CHOICE,
 		on: '		unreportedSends: meterOf(fleet, service).unreportedSends,',
 		off: '		unreportedSends: 0,',
 	},
