Admission: room kept for returns is not counted twice, and at most half

Cause: arrivals include the callers who come back, and the room kept for them was taken off as well, so new callers were refused more than room demanded, came back, and more room was kept. Ruled out: room by need and unequal work by themselves. Change: kept room is taken off both sides, bounded by half; returns do not count as demand of their level.

--- a/packages/gateway/src/entryDemand.ts
+++ b/packages/gateway/src/entryDemand.ts
@@ -39,7 +39,9 @@
 ): void {
 	const meter = meterOf(fleet, service)
 	meter.arrived++
-	if (meter.levels) countLevelArrival(meter.levels.own, candidate)
+	// Returns have room of their own.
+	if (meter.levels && !candidate.isReturn)
+		countLevelArrival(meter.levels.own, candidate)
 }
 
 /** Returns the request rates of this entry by service, for its peers. */
@@ -161,13 +163,17 @@
 function updateLevels(
 	fleet: Fleet,
 	service: string,
-	{ levels, traffic }: FlowMeter,
+	{ levels, traffic, returnsPerSecond }: FlowMeter,
 	elapsedMs: number,
 ): void {
 	if (!levels || !traffic) return
 	const peers = [...fleet.peerDemand.values()]
 	const flows = peers.flatMap(peer => peer.flows[service] ?? [])
-	const { arrivalsPerSecond, completionsPerSecond } = traffic
+	const { completionsPerSecond } = traffic
+	const arrivalsPerSecond = Math.max(
+		0,
+		traffic.arrivalsPerSecond - returnsPerSecond,
+	)
 	const inFlight = countInFlightOf(fleet, service)
 	const streamMs = estimateStreamMs(inFlight, completionsPerSecond)
 	const { peerScale } = fleet
--- a/packages/gateway/src/groupAdmission.ts
+++ b/packages/gateway/src/groupAdmission.ts
@@ -7,6 +7,9 @@
 import { levelFraction } from './levelDemand.ts'
 import type { AdmissionCandidate } from './waiter.ts'
 
+/** Largest share of the room that is kept for refused callers who are due back. */
+const MAX_KEPT_SHARE = 0.5
+
 /** Decision of a group on a request. */
 export interface AdmissionDecision {
 	readonly isAdmitted: boolean
@@ -59,15 +62,29 @@
 }
 
 function fractionAt(
-	{ levels, returnsPerSecond }: FlowMeter,
+	meter: FlowMeter,
 	traffic: GroupTraffic,
 	perSecond: number,
 	candidate: AdmissionCandidate,
 ): number {
-	const available = perSecond - (candidate.isReturn ? 0 : returnsPerSecond)
-	return levels
-		? levelFraction(levels, available, candidate)
-		: fractionOf(available, traffic)
+	const { levels } = meter
+	const kept = candidate.isReturn ? 0 : keptForReturns(meter, perSecond)
+	const available = perSecond - kept
+	if (levels) return levelFraction(levels, available, candidate)
+	// Arrivals include the returns, for which the kept room is.
+	const arrivalsPerSecond = Math.max(0, traffic.arrivalsPerSecond - kept)
+	return fractionOf(available, { ...traffic, arrivalsPerSecond })
+}
+
+/**
+ * Returns the room that is kept for refused callers who are due back, slots per second.
+ * New callers keep half of the room, however many were told to come back.
+ */
+function keptForReturns(
+	{ returnsPerSecond }: FlowMeter,
+	perSecond: number,
+): number {
+	return Math.min(returnsPerSecond, Math.max(0, MAX_KEPT_SHARE * perSecond))
 }
 
 /** Whether the groups of a service admit only a fraction of the requests. */
