Soak: a server that is cold or in an emptied data centre does not take every request

Trace: zone-1's servers were cold from 20.02 to 22.53 s, zone-0 was emptied from 21.67 s on, so the plain service had one open server, cold, whose bound of 14 a second was spent; the refusals of all three entries fall into that time. Ruled out: entries that count too many sharers (none had started within 5 s). Change: the judge of refusals counts such servers as it counts limited ones.

--- a/soak/src/evacuations.ts
+++ b/soak/src/evacuations.ts
@@ -102,6 +102,16 @@
 	return Math.max(0, Math.round(leftMs))
 }
 
+/** Whether a server stands in the data centre that is emptied now. */
+export function isEmptied(
+	{ evacuations }: EvacuationLog,
+	backend: Pick<BackendServer, 'index'>,
+): boolean {
+	const current = evacuations.at(-1)
+	const isInForce = current?.until === Number.POSITIVE_INFINITY
+	return isInForce && current.dataCentre === dataCentreOf(backend)
+}
+
 /** Records a request that arrives at a server and is not declined by it. */
 export function recordEvacuatedArrival(
 	{ evacuationLog: log }: World,
@@ -113,10 +123,7 @@
 		serverId: backend.id,
 		at: performance.now(),
 	}
-	const current = log.evacuations.at(-1)
-	const isEmptied = current?.until === Number.POSITIVE_INFINITY
-	if (isEmptied && current.dataCentre === dataCentreOf(backend))
-		current.arrivals.push(arrival)
+	if (isEmptied(log, backend)) log.evacuations.at(-1)!.arrivals.push(arrival)
 	if (coldRemainingMs(log, backend) > 0) log.coldArrivals.push(arrival)
 }
 
--- a/soak/src/unavailability.ts
+++ b/soak/src/unavailability.ts
@@ -1,11 +1,12 @@
 /**
  * Moments at which no server of a service was available to an entry, by the state of
- * the servers themselves: each was down, leaving, rate-limited, or had requested a
- * backoff from that entry. A request that the entry refuses then is refused with good
+ * the servers themselves: each was down, leaving, rate-limited, cold, in an emptied data
+ * centre, or had requested a backoff from that entry. A request that the entry refuses then is refused with good
  * reason.
  */
 
 import { SERVICE_OF } from './config.ts'
+import { coldRemainingMs, isEmptied } from './evacuations.ts'
 import type { BackendServer } from './servers.ts'
 import type { RequestRecord } from './types.ts'
 import { sleep } from './types.ts'
@@ -13,7 +14,12 @@
 
 const POLL_INTERVAL_MS = 20
 /** Error kinds of refusals for these reasons. */
-const UNAVAILABLE_ERRORS = new Set(['rateLimited', 'resting', 'noServer'])
+const UNAVAILABLE_ERRORS = new Set([
+	'rateLimited',
+	'resting',
+	'noServer',
+	'evacuated',
+])
 
 /** A moment at which no server of a service was available to an entry; `at` in ms. */
 export interface UnavailableMoment {
@@ -46,12 +52,16 @@
 }
 
 function isAvailable(
-	{ backoffLog, entries }: World,
-	{ id, server, leaving, limit }: BackendServer,
+	{ backoffLog, entries, evacuationLog }: World,
+	backend: BackendServer,
 	entry: number,
 	at: number,
 ): boolean {
+	const { id, server, leaving, limit } = backend
 	if (!server || leaving || limit) return false
+	if (isEmptied(evacuationLog, backend)) return false
+	// Like one with a limit, it takes no more than its bound from all entries.
+	if (coldRemainingMs(evacuationLog, backend) > 0) return false
 	const { incarnation } = entries[entry]!
 	return !backoffLog.backoffs.some(
 		backoff =>
