--- a/soak/src/evacuations.ts
+++ b/soak/src/evacuations.ts
@@ -29,6 +29,8 @@
 const COLD_MS = 2_500
 /** Share of the evacuations after which the servers are cold. */
 const COLD_RATIO = 0.7
+/** Time in which every entry knows that a data centre is emptied, or taken back, ms. */
+const KNOWN_AFTER_MS = 500
 const WINDOW_MS = 1_000
 
 /** A request that reached a server of an emptied data centre, or a cold server. */
@@ -90,9 +92,16 @@
 		if (!backend.server || dataCentreOf(backend) !== dataCentre) continue
 		log.coldUntil.set(backend.id, until)
 		listServer(world, backend)
+		setTimeout(() => listWarm(world, backend, backend.id), COLD_MS)
 	}
 }
 
+/** Writes the record of a server that is warm, as its next write on the platform does. */
+function listWarm(world: World, backend: BackendServer, id: string): void {
+	const isSame = backend.server !== undefined && backend.id === id
+	if (isSame && !world.finished) listServer(world, backend)
+}
+
 /** Returns the time for which a server remains cold, ms. */
 export function coldRemainingMs(
 	{ coldUntil }: EvacuationLog,
@@ -103,7 +112,7 @@
 }
 
 /** Whether a server stands in the data centre that is emptied now. */
-export function isEmptied(
+function isEmptied(
 	{ evacuations }: EvacuationLog,
 	backend: Pick<BackendServer, 'index'>,
 ): boolean {
@@ -112,6 +121,21 @@
 	return isInForce && current.dataCentre === dataCentreOf(backend)
 }
 
+/**
+ * Whether entries may regard a server as emptied or cold: it is, or was until a moment
+ * ago.
+ */
+export function isBeliefJustified(
+	{ evacuations, coldUntil }: EvacuationLog,
+	backend: Pick<BackendServer, 'id' | 'index'>,
+): boolean {
+	const recently = performance.now() - KNOWN_AFTER_MS
+	const isOrWasEmptied = evacuations.some(
+		one => one.dataCentre === dataCentreOf(backend) && one.until > recently,
+	)
+	return isOrWasEmptied || (coldUntil.get(backend.id) ?? 0) > recently
+}
+
 /** Records a request that arrives at a server and is not declined by it. */
 export function recordEvacuatedArrival(
 	{ evacuationLog: log }: World,
--- a/soak/src/unavailability.ts
+++ b/soak/src/unavailability.ts
@@ -6,7 +6,7 @@
  */
 
 import { SERVICE_OF } from './config.ts'
-import { coldRemainingMs, isEmptied } from './evacuations.ts'
+import { isBeliefJustified } from './evacuations.ts'
 import type { BackendServer } from './servers.ts'
 import type { RequestRecord } from './types.ts'
 import { sleep } from './types.ts'
@@ -59,9 +59,8 @@
 ): boolean {
 	const { id, server, leaving, limit } = backend
 	if (!server || leaving || limit) return false
-	if (isEmptied(evacuationLog, backend)) return false
-	// Like one with a limit, it takes no more than its bound from all entries.
-	if (coldRemainingMs(evacuationLog, backend) > 0) return false
+	// Like one with a limit, a cold server takes no more than its bound from all entries.
+	if (isBeliefJustified(evacuationLog, backend)) return false
 	const { incarnation } = entries[entry]!
 	return !backoffLog.backoffs.some(
 		backoff =>
