--- a/packages/gateway/src/entryDemand.ts
+++ b/packages/gateway/src/entryDemand.ts
@@ -8,8 +8,9 @@
 import { assignServers, estimateStreamMs } from '@juniperhook/core'
 import type { GatewayContext } from './context.ts'
 import { featuresOf } from './features.ts'
-import type { Fleet, FlowMeter, RequestFlow } from './fleet.ts'
+import type { Fleet } from './fleet.ts'
 import { applyPeerLoads, listOpenRows, meterOf } from './fleet.ts'
+import type { FlowMeter, RequestFlow } from './flowMeter.ts'
 import { createServiceLevels, mergeLevels } from './levelDemand.ts'
 import {
 	countLevelArrival,
--- a/packages/gateway/src/groupAdmission.ts
+++ b/packages/gateway/src/groupAdmission.ts
@@ -2,8 +2,9 @@
 
 import type { GroupTraffic } from '@juniperhook/core'
 import { fractionOf, MIN_PER_SECOND, slotsPerSecond } from '@juniperhook/core'
-import type { Fleet, FlowMeter } from './fleet.ts'
+import type { Fleet } from './fleet.ts'
 import { meterOf, serviceOfGroup } from './fleet.ts'
+import type { FlowMeter } from './flowMeter.ts'
 import { levelFraction } from './levelDemand.ts'
 import type { AdmissionCandidate } from './waiter.ts'
 
--- a/packages/gateway/src/ownLevels.ts
+++ b/packages/gateway/src/ownLevels.ts
@@ -2,7 +2,7 @@
 
 import type { TeamDemand, Urgency } from '@juniperhook/core'
 import { listProminentTeams } from '@juniperhook/core'
-import type { RequestFlow } from './fleet.ts'
+import type { RequestFlow } from './flowMeter.ts'
 import type { AdmissionCandidate } from './waiter.ts'
 
 /**
--- a/packages/gateway/src/rationing.ts
+++ b/packages/gateway/src/rationing.ts
@@ -3,7 +3,7 @@
 import type { LevelDemand, Urgency } from '@juniperhook/core'
 import { allocateRoom, shareAmongTeams } from '@juniperhook/core'
 import type { GatewayContext } from './context.ts'
-import type { FlowMeter } from './fleet.ts'
+import type { FlowMeter } from './flowMeter.ts'
 import type { ServiceLevels } from './levelDemand.ts'
 
 /** Time without refusals after which a service no longer rations, ms. */
