explain and report: decisions under hard load

Cause: a request refused by a service that rations was explained by its group's limit, one that could not end or met cold servers by its error alone, and a caller's two attempts were not joined; report had no rows by urgency and team. Urgency and team are logged only where room is allocated by them.

--- a/packages/entry/src/explain.ts
+++ b/packages/entry/src/explain.ts
@@ -35,7 +35,9 @@
 	return {
 		requestLines,
 		stateLines,
-		cause: findCause(outcomeLine, requestLines, stateLines),
+		cause:
+			findCause(outcomeLine, requestLines, stateLines) +
+			describeReturn(lines, outcomeLine),
 	}
 }
 
@@ -98,6 +100,19 @@
 			return isHere && isRecent ? `paces ${group}` : undefined
 		case 'server limit':
 			return isHere ? `limit ${server}` : undefined
+		case 'server cold':
+		case 'server warm':
+			return isHere ? `cold ${server}` : undefined
+		case 'rationing started':
+		case 'rationing ended':
+			return isHere && line.service === outcomeLine.service
+				? 'rationing'
+				: undefined
+		case 'group slowed':
+		case 'group pace usual':
+			return isHere && isRecent ? `pace ${group}` : undefined
+		case 'evacuation':
+			return isHere ? `evacuation ${line.dataCentre}` : undefined
 		case 'server rests':
 			return isHere ? `rest ${server}` : undefined
 		case 'server ended':
@@ -138,6 +153,12 @@
 			return explainRateLimits(stateLines)
 		case 'resting':
 			return explainBackoffs(outcomeLine, stateLines)
+		case 'cannotFinish':
+			return `At the pace of its groups, ${outcomeLine.paceMs} ms an event, its ${outcomeLine.events} events or more could not end in the ${outcomeLine.leftMs} ms that it had left.`
+		case 'oversize':
+			return 'Its prompt and maximum exceed the memory of an engine.'
+		case 'memoryShort':
+			return 'This entry held as much as it may for slow readers.'
 		case 'evacuated':
 			return 'All servers of its service were in evacuated data centres.'
 		case 'noServer':
@@ -178,7 +199,37 @@
 		.filter(line => line.event === 'server limit')
 		.filter(({ perSecond }) => perSecond !== undefined)
 		.map(({ server, perSecond }) => `${server} ${perSecond}`)
-	return `All servers of its service limit requests per second (${limits.join(', ')}), and none had a permit in time.`
+	const cold = stateLines
+		.filter(({ event }) => event === 'server cold')
+		.map(({ server, perSecond }) => `${server} ${perSecond} while cold`)
+	return `All servers of its service limit requests per second (${[...limits, ...cold].join(', ')}), and none had a permit in time.`
+}
+
+/** Joins a refused request with its caller's return, by fingerprint; '' without one. */
+function describeReturn(
+	lines: readonly LogLine[],
+	{ fingerprint, returned, time, event, req }: LogLine,
+): string {
+	if (fingerprint === undefined) return ''
+	const isOther = (line: LogLine) =>
+		line.fingerprint === fingerprint && line.req !== req
+	if (returned) {
+		const refusal = lines.findLast(
+			line =>
+				isOther(line) &&
+				line.time < time &&
+				line.event === 'request failed' &&
+				line.returnInMs !== undefined,
+		)
+		if (!refusal) return ''
+		return ` It came back after ${refusal.req} was refused (${refusal.error}) ${time - refusal.time} ms before and told to return in ${refusal.returnInMs} ms.`
+	}
+	if (event !== 'request failed') return ''
+	const comeback = lines.find(
+		line => isOther(line) && line.time > time && line.returned === true,
+	)
+	if (!comeback) return ''
+	return ` Its caller came back as ${comeback.req}.`
 }
 
 /** Describes a rollback of the source, after which the server list may be outdated. */
@@ -214,6 +265,8 @@
 		const forMs = outcomeLine.time - closed.time
 		return `Its group ${closed.group} had refused at every rank for ${forMs} ms.`
 	}
+	const rationing = stateLines.find(line => line.event === 'rationing started')
+	if (rationing) return explainRationing(outcomeLine, rationing)
 	const groupReport = stateLines.find(line => line.event === 'paces told')
 	if (groupReport?.limit === undefined)
 		return 'Every server had as many requests in flight as it accepts.'
@@ -224,6 +277,16 @@
 	return `Its group was to hold ${groupReport.limit} requests a rank${reason}.`
 }
 
+/** Names the fraction that the service admitted of the request's urgency. */
+function explainRationing(
+	{ time, urgency }: LogLine,
+	{ fractions = [], roomPerSecond, time: since }: LogLine,
+): string {
+	const own = fractions.find(one => one.startsWith(`${urgency}:`))
+	const fraction = own?.split(':')[1] ?? 'a part'
+	return `Its service had room for ${roomPerSecond} requests a second and admitted ${fraction} of those of urgency ${urgency} when it began to ration ${time - since} ms before.`
+}
+
 function explainQuarantine(
 	outcomeLine: LogLine,
 	stateLines: readonly LogLine[],
--- a/packages/entry/src/logLines.ts
+++ b/packages/entry/src/logLines.ts
@@ -20,6 +20,7 @@
 	service: optionalText,
 	server: optionalText,
 	group: optionalText,
+	dataCentre: optionalText,
 	state: optionalText,
 	error: optionalText,
 	outcome: optionalText,
@@ -47,6 +48,21 @@
 	backFrom: optionalText,
 	backTo: optionalText,
 	limit: optionalNumber,
+	/** Urgency and team of a request; only where room is allocated by them. */
+	urgency: optionalNumber,
+	team: optionalText,
+	/** Whether a request came back after a refusal, when it was told to. */
+	returned: v.optional(v.boolean()),
+	/** Place that a refused caller was given, and when it was told to return, ms. */
+	place: optionalText,
+	returnInMs: optionalNumber,
+	/** Fractions admitted while a service rations, as `urgency:fraction`. */
+	fractions: optionalTexts,
+	roomPerSecond: optionalNumber,
+	/** Least events of an answer, time between events and time left, ms. */
+	events: optionalNumber,
+	paceMs: optionalNumber,
+	leftMs: optionalNumber,
 	/** A server's limit of requests per second. */
 	perSecond: optionalNumber,
 	forMs: optionalNumber,
--- a/packages/entry/src/report.ts
+++ b/packages/entry/src/report.ts
@@ -14,6 +14,8 @@
 	formatRoutes,
 	REQUEST_RESULTS,
 	reportRoutes,
+	reportTeams,
+	reportUrgencies,
 	resultOfLine,
 } from './routeReport.ts'
 
@@ -50,6 +52,9 @@
 	readonly causes: readonly ReportCause[]
 	readonly rounds: RoundReport
 	readonly routes: readonly RouteReport[]
+	/** By urgency and by team; empty unless room is allocated by them. */
+	readonly urgencies: readonly RouteReport[]
+	readonly teams: readonly RouteReport[]
 	/** Relative errors of predicted pass times; undefined without any. */
 	readonly passError: { readonly p50: number; readonly p90: number } | undefined
 	/** Number of lines that are not log lines of juniperhook. */
@@ -86,6 +91,8 @@
 			.slice(0, MAX_CAUSES),
 		rounds: reportRounds(logLines),
 		routes: reportRoutes(logLines),
+		urgencies: reportUrgencies(logLines),
+		teams: reportTeams(logLines),
 		passError: percentilesOf(errors),
 		unreadLines: parsed.length - logLines.length,
 	}
@@ -182,6 +189,8 @@
 			]),
 		)
 	out.push(...formatRoutes(routes))
+	out.push(...formatRoutes(report.urgencies, 'urgency'))
+	out.push(...formatRoutes(report.teams, 'team, most refused first'))
 	out.push('', 'causes that cost most')
 	for (const { cause, count } of causes)
 		out.push(`${String(count).padStart(6)}  ${cause}`)
--- a/packages/entry/src/routeReport.ts
+++ b/packages/entry/src/routeReport.ts
@@ -28,14 +28,18 @@
 /** Number of requests by result. */
 export type ResultCounts = Record<RequestResult, number>
 
-/** Results of the requests of one route. */
+/** Results of the requests of one route, urgency or team. */
 export interface RouteReport {
+	/** Its name. */
 	readonly route: string
 	readonly results: ResultCounts
 	/** Time from arrival to first byte, ms; undefined without an answer. */
 	readonly startMs: { readonly p50: number; readonly p95: number } | undefined
 }
 
+/** Maximum number of teams shown. */
+const MAX_TEAMS = 10
+
 /** Creates counts of 0. */
 export function createResultCounts(): ResultCounts {
 	return { inTime: 0, lateStart: 0, latePause: 0, refused: 0, lost: 0 }
@@ -52,13 +56,35 @@
 
 /** Summarizes the results of each route's requests, the busiest route first. */
 export function reportRoutes(lines: readonly LogLine[]): RouteReport[] {
+	return reportBy(lines, ({ route }) => route)
+}
+
+/** The same by urgency, where room is allocated by it. */
+export function reportUrgencies(lines: readonly LogLine[]): RouteReport[] {
+	return reportBy(lines, ({ urgency }) =>
+		urgency === undefined ? undefined : `urgency ${urgency}`,
+	)
+}
+
+/** The same by team, where room is allocated by it; those refused most often first. */
+export function reportTeams(lines: readonly LogLine[]): RouteReport[] {
+	return reportBy(lines, ({ team }) => team)
+		.sort((a, b) => b.results.refused - a.results.refused)
+		.slice(0, MAX_TEAMS)
+}
+
+function reportBy(
+	lines: readonly LogLine[],
+	nameOf: (line: LogLine) => string | undefined,
+): RouteReport[] {
 	const routes = new Map<string, { results: ResultCounts; starts: number[] }>()
 	for (const line of lines) {
 		const result = resultOfLine(line)
-		if (!result || line.route === undefined) continue
-		const known = routes.get(line.route)
+		const name = nameOf(line)
+		if (!result || name === undefined) continue
+		const known = routes.get(name)
 		const row = known ?? { results: createResultCounts(), starts: [] }
-		if (!known) routes.set(line.route, row)
+		if (!known) routes.set(name, row)
 		row.results[result]++
 		if (line.startMs !== undefined) row.starts.push(line.startMs)
 	}
@@ -85,7 +111,10 @@
 }
 
 /** Formats the routes as text for a terminal; empty for a run without any. */
-export function formatRoutes(routes: readonly RouteReport[]): string[] {
+export function formatRoutes(
+	routes: readonly RouteReport[],
+	title = 'route',
+): string[] {
 	if (routes.length === 0) return []
 	const head = ['requests', ...REQUEST_RESULTS, 'start p50', 'p95']
 	const rows = routes.map(({ route, results, startMs }) => {
@@ -93,7 +122,7 @@
 		const times = [startMs?.p50 ?? '', startMs?.p95 ?? '']
 		return formatCells([totalOf(results), ...counts, ...times], route)
 	})
-	return ['', formatCells(head, 'route'), ...rows]
+	return ['', formatCells(head, title), ...rows]
 }
 
 const CELL_WIDTH = 10
--- a/packages/entry/test/explain.test.ts
+++ b/packages/entry/test/explain.test.ts
@@ -16,7 +16,30 @@
 const sent = (server: string, outcome: string, reason: string) =>
 	line(4_500, 'attempt', { req: ID, server, outcome, reason })
 
-const CASES: { name: string; lines: string[]; cause: string }[] = [
+const rationed = (urgency: number) =>
+	line(5_000, 'request failed', {
+		req: ID,
+		error: 'overloaded',
+		service: 's',
+		urgency,
+	})
+const refusedFirst = (atMs: number, req: string) =>
+	line(atMs, 'request failed', {
+		req,
+		error: 'overloaded',
+		fingerprint: 'f',
+		returnInMs: 900,
+	})
+const returned = (atMs: number, req: string) =>
+	line(atMs, 'attempt', {
+		req,
+		node: 'e2',
+		outcome: 'answered',
+		fingerprint: 'f',
+		returned: true,
+	})
+
+const CASES: { name: string; lines: string[]; cause: string | RegExp }[] = [
 	{
 		name: 'answered',
 		lines: [sent('i-1', 'answered', '200')],
@@ -56,6 +79,84 @@
 		],
 		cause: 'Every server had as many requests in flight',
 	},
+	{
+		name: 'a service that rations',
+		lines: [
+			line(4_000, 'rationing started', {
+				service: 's',
+				roomPerSecond: 80,
+				fractions: ['10:1', '12:0.4'],
+			}),
+			rationed(12),
+		],
+		cause:
+			'room for 80 requests a second and admitted 0.4 of those of urgency 12',
+	},
+	{
+		name: 'a service that rations no more',
+		lines: [
+			line(3_000, 'rationing started', { service: 's', fractions: [] }),
+			line(4_000, 'rationing ended', { service: 's' }),
+			rationed(12),
+		],
+		cause: 'Every server had as many requests in flight',
+	},
+	{
+		name: 'another service that rations',
+		lines: [
+			line(4_000, 'rationing started', { service: 'other', fractions: [] }),
+			rationed(12),
+		],
+		cause: 'Every server had as many requests in flight',
+	},
+	{
+		name: 'an answer that could not end',
+		lines: [
+			line(5_000, 'request failed', {
+				req: ID,
+				error: 'cannotFinish',
+				events: 20,
+				paceMs: 700,
+				leftMs: 7_900,
+			}),
+		],
+		cause:
+			'700 ms an event, its 20 events or more could not end in the 7900 ms',
+	},
+	{
+		name: 'cold servers',
+		lines: [
+			line(4_000, 'server cold', { server: 'i-1', perSecond: 6 }),
+			line(4_000, 'server cold', { server: 'i-2', perSecond: 6 }),
+			line(4_500, 'server warm', { server: 'i-2' }),
+			failed('rateLimited'),
+		],
+		cause: '(i-1 6 while cold), and none',
+	},
+	{
+		name: 'evacuated data centres',
+		lines: [failed('evacuated')],
+		cause: 'in evacuated data centres',
+	},
+	{
+		name: 'a refused caller that came back',
+		lines: [refusedFirst(5_000, ID), returned(6_000, 'r2')],
+		cause: 'Its caller came back as r2.',
+	},
+	{
+		name: 'a return after a refusal',
+		lines: [refusedFirst(4_000, 'r0'), returned(5_000, ID)],
+		cause:
+			'It came back after r0 was refused (overloaded) 1000 ms before and told to return in 900 ms.',
+	},
+	{
+		name: 'a request like a refused one that is no return',
+		lines: [
+			refusedFirst(4_000, 'r0'),
+			line(5_000, 'attempt', { req: ID, outcome: 'answered' }),
+		],
+		cause: /nothing failed here\.$/,
+	},
 	{
 		name: 'no answer in time',
 		lines: [sent('i-1', 'lost', 'no answer in time'), failed('noAnswer')],
--- a/packages/entry/test/report.test.ts
+++ b/packages/entry/test/report.test.ts
@@ -105,6 +105,28 @@
 	assert.is(formatReport(makeReport([])).join('\n').includes('maps'), false)
 })
 
+test('report: results by urgency and team, where they are logged', () => {
+	const ofClass = (urgency: number, team: string, fields: object) =>
+		line(0, 'attempt', { outcome: 'answered', urgency, team, ...fields })
+	const report = makeReport([
+		ofClass(10, 'a', { timeliness: 'inTime', startMs: 100 }),
+		ofClass(10, 'b', { timeliness: 'lateStart', startMs: 500 }),
+		line(9, 'request failed', { error: 'overloaded', urgency: 12, team: 'b' }),
+	])
+	const refusals = (rows: typeof report.teams) =>
+		rows.map(({ route, results }) => [route, results.refused])
+	assert.equal(refusals(report.urgencies), [
+		['urgency 10', 0],
+		['urgency 12', 1],
+	])
+	assert.equal(refusals(report.teams), [
+		['b', 1],
+		['a', 0],
+	])
+	assert.match(formatReport(report).join('\n'), 'team, most refused first')
+	assert.equal(makeReport(LINES).urgencies, [])
+})
+
 test('report: formatted as text', () => {
 	const text = formatReport(makeReport(LINES)).join('\n')
 	assert.match(text, 'causes that cost most')
--- a/packages/gateway/src/attemptLog.ts
+++ b/packages/gateway/src/attemptLog.ts
@@ -3,6 +3,7 @@
 import { backoffLeftMs, rateLimitOf } from '@juniperhook/core'
 import { readElapsed } from '@juniperhook/runtime'
 import type { GatewayContext } from './context.ts'
+import { featuresOf } from './features.ts'
 import type { Job } from './job.ts'
 import { classifyTimeliness } from './timeliness.ts'
 import { weighedEngineOf } from './workState.ts'
@@ -31,6 +32,7 @@
 		term: ctx.list.revision.term || undefined,
 		perSecond: rateLimitOf(ctx.rateLimits, serverId),
 		returned: job.candidate.isReturn || undefined,
+		fingerprint: job.candidate.isReturn ? request.fingerprint : undefined,
 		restMs: Math.round(backoffLeftMs(ctx.backoffs, serverId, now)) || undefined,
 		...inputs,
 	})
@@ -50,6 +52,7 @@
 	if (job.candidate.isReturn) ctx.metrics.returns.inc({ outcome: 'served' })
 	logAttempt(ctx, job, serverId, 'answered', reason, {
 		route: route.name,
+		...describeClass(ctx, job),
 		timeliness,
 		startMs: Math.round(startMs),
 		longestPauseMs: Math.round(longestPauseMs),
@@ -57,6 +60,12 @@
 	})
 }
 
+/** Returns urgency and team, where room is allocated by them. */
+export function describeClass({ features }: GatewayContext, job: Job): object {
+	if (!featuresOf(features, job.service).urgency) return {}
+	return { urgency: job.request.urgency, team: job.request.team?.name }
+}
+
 /** Returns the events of a stream and its caller's hint, where work is weighed. */
 function describeLength(ctx: GatewayContext, job: Job): object {
 	const { route, size } = job.request
--- a/packages/gateway/src/failRequest.ts
+++ b/packages/gateway/src/failRequest.ts
@@ -4,6 +4,7 @@
 import type { ErrorKind } from '@juniperhook/core'
 import { ERRORS } from '@juniperhook/core'
 import { readElapsed } from '@juniperhook/runtime'
+import { describeClass } from './attemptLog.ts'
 import type { GatewayContext } from './context.ts'
 import { isDelivering } from './heldResponses.ts'
 import type { Job } from './job.ts'
@@ -30,8 +31,7 @@
 		route: request.route.name,
 		service: job.service,
 		error,
-		urgency: request.urgency,
-		team: request.team?.name,
+		...describeClass(ctx, job),
 		sends: job.sends,
 		tried: [...job.tried],
 		tookMs: Math.round(readElapsed() - request.arrivedAt),
