Reports name teams only while a service rations; ablation switches of the new decisions

Cause: levels and teams added 139 to 188 bytes to each report between entries at all times, over the budget of 5 KB/s at 22 entries. Teams are compared only while there is too little room. Ruled out: sending levels only while rationing, as the growth reserve follows them before.

--- a/packages/gateway/src/entryDemand.ts
+++ b/packages/gateway/src/entryDemand.ts
@@ -52,7 +52,7 @@
 		flows[service] = {
 			come: round(flow.come),
 			end: round(flow.end),
-			...(levels && describeLevels(levels.own)),
+			...(levels && describeLevels(levels.own, levels.rationing !== undefined)),
 		}
 	return flows
 }
--- a/packages/gateway/src/ownLevels.ts
+++ b/packages/gateway/src/ownLevels.ts
@@ -73,13 +73,22 @@
 /** The part of a flow that states demand by urgency and team. */
 export type LevelFlow = Pick<RequestFlow, 'byUrgency' | 'byTeam' | 'teams'>
 
-/** Returns this entry's demand by urgency and prominent team, for its peers. */
-export function describeLevels(own: OwnLevels): LevelFlow {
-	const byUrgency: Record<string, number> = {}
+/**
+ * Returns this entry's demand by urgency, for its peers, and while the service rations by
+ * prominent team as well: teams are compared only then, and their names are most of the
+ * bytes.
+ */
+export function describeLevels(
+	own: OwnLevels,
+	isRationing: boolean,
+): LevelFlow {
+	const byUrgency = Object.fromEntries(
+		[...own].map(([urgency, level]) => [urgency, round(level.perSecond)]),
+	)
+	if (!isRationing) return { byUrgency }
 	const byTeam: Record<string, Record<string, number>> = {}
 	const teams: Record<string, number> = {}
 	for (const [urgency, level] of own) {
-		byUrgency[urgency] = round(level.perSecond)
 		teams[urgency] = level.byTeam.size
 		const prominent = listProminent(level).map(
 			({ team, perSecond }) => [team, round(perSecond)] as const,
--- a/scripts/ablation.ts
+++ b/scripts/ablation.ts
@@ -20,6 +20,7 @@
 const DISPATCH = 'packages/core/src/core/dispatch.ts'
 const CHOICE = 'packages/gateway/src/serverChoice.ts'
 const WAIT_FORECAST = 'packages/gateway/src/waitForecast.ts'
+const FEATURES = 'packages/gateway/src/features.ts'
 const PENALTIES = 'packages/core/src/core/serverPenalties.ts'
 const DEMAND = 'packages/groups/src/demand.ts'
 const ATTEMPT = 'packages/gateway/src/attempt.ts'
@@ -182,6 +183,48 @@
 		on: 'const MIN_SAMPLED = 2',
 		off: 'const MIN_SAMPLED = 1_000',
 	},
+	{
+		name: 'roomByUrgency',
+		file: FEATURES,
+		on: '			const urgency = hasCompetingStreams(config, name)',
+		off: '			const urgency = !config && hasCompetingStreams(config, name)',
+	},
+	{
+		name: 'placesForReturns',
+		file: FEATURES,
+		on: 'returns: underPressure, work',
+		off: 'returns: false, work',
+	},
+	{
+		name: 'requestWork',
+		file: FEATURES,
+		on: 'work: underPressure }]',
+		off: 'work: false }]',
+	},
+	{
+		name: 'growthReserve',
+		file: 'packages/core/src/core/growthReserve.ts',
+		on: '	if (streamMs <= 0) return 0',
+		off: '	if (streamMs >= 0) return 0',
+	},
+	{
+		name: 'teamShares',
+		file: 'packages/core/src/core/teamShares.ts',
+		on: '	if (fraction >= 1 || fraction <= 0 || large.length === 0)',
+		off: '	if (fraction <= Number.POSITIVE_INFINITY)',
+	},
+	{
+		name: 'unreadPrompts',
+		file: 'packages/core/src/core/dispatch.ts',
+		on: '			unreadLoad * table.unreadTokens[row]! +',
+		off: '			0 * table.unreadTokens[row]! +',
+	},
+	{
+		name: 'keptRoom',
+		file: 'packages/gateway/src/groupAdmission.ts',
+		on: 'const MAX_KEPT_SHARE = 0.5',
+		off: 'const MAX_KEPT_SHARE = 0',
+	},
 	{
 		name: 'untoldSends',
 		file: CHOICE,
