Gateway: the lines of crashes name the prompt parts of the requests in flight

Before, the lines could not tell requests that share a part from unrelated ones: the header that names the parts was not read.

--- a/packages/gateway/src/callerRequest.ts
+++ b/packages/gateway/src/callerRequest.ts
@@ -68,6 +68,7 @@
 			priority: team?.priority ?? route.priority,
 			urgency: urgencyOf(team?.priority, route.priority),
 			size: ctx.readRequestSize(req.headers),
+			sharedParts: ctx.readSharedParts(req.headers),
 			repeatable: isRepeatable(route),
 			lastEventId: typeof lastEventId === 'string' ? lastEventId : undefined,
 			fingerprint: undefined,
--- a/packages/gateway/src/context.ts
+++ b/packages/gateway/src/context.ts
@@ -87,6 +87,7 @@
 	readonly wire: WireNames
 	readonly readStatement: ServerWire['readStatement']
 	readonly readRequestSize: ServerWire['readRequestSize']
+	readonly readSharedParts: ServerWire['readSharedParts']
 	readonly unrecognizedSignals: UnrecognizedSignals
 	readonly log: EventLog
 	readonly metrics: GatewayMetrics
--- a/packages/gateway/src/crashDetector.ts
+++ b/packages/gateway/src/crashDetector.ts
@@ -222,6 +222,7 @@
 		agoMs: Math.round(readElapsed() - at),
 		requests: inFlight.map(one => one.id),
 		fingerprints: [...new Set(inFlight.map(one => one.fingerprint))],
+		parts: inFlight.map(one => one.sharedParts.join(' ')),
 	})
 	recordServerCrash(ctx, server.id, at, inFlight)
 	if (witness === 'refused') handleRankCrash(ctx, server)
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -71,7 +71,7 @@
 /** Starts a gateway; resolves once it listens. */
 export async function startGateway(
 	settings: GatewaySettings,
-	{ names, readStatement, readRequestSize }: ServerWire,
+	{ names, readStatement, readRequestSize, readSharedParts }: ServerWire,
 	source: CatalogSource,
 	log: EventLog,
 ): Promise<GatewayContext> {
@@ -82,6 +82,7 @@
 		wire: names,
 		readStatement,
 		readRequestSize,
+		readSharedParts,
 		unrecognizedSignals: createUnrecognizedSignals(),
 		log,
 		metrics: createGatewayMetrics(),
--- a/packages/gateway/src/job.ts
+++ b/packages/gateway/src/job.ts
@@ -37,6 +37,8 @@
 	readonly priority: number
 	readonly urgency: Urgency
 	readonly size: RequestSize
+	/** Ids of the parts of its prompt that other requests may share. */
+	readonly sharedParts: readonly string[]
 	/** Whether servers may run it more than once. */
 	readonly repeatable: boolean
 	/** Last event that the caller received; undefined at the start of a stream. */
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -81,6 +81,11 @@
 	readStatement(status: number, headers: IncomingHttpHeaders): ServerStatement
 	/** Parses the size that a request states; values that cannot be right are left out. */
 	readRequestSize(headers: IncomingHttpHeaders): RequestSize
+	/**
+	 * Parses the ids of the parts of the prompt that other requests may share, in order; none
+	 * if the request names no parts.
+	 */
+	readSharedParts(headers: IncomingHttpHeaders): readonly string[]
 }
 
 /** Numbers of requests that run and that wait at a server. */
--- a/packages/gateway/src/sentRequests.ts
+++ b/packages/gateway/src/sentRequests.ts
@@ -28,6 +28,7 @@
 export interface InFlightSummary {
 	readonly id: string
 	readonly fingerprint: string
+	readonly sharedParts: readonly string[]
 	/** When it was sent, ms. */
 	readonly since: number
 }
@@ -104,5 +105,6 @@
 }
 
 function summarize({ request, since }: SentRequest): InFlightSummary {
-	return { id: request.id, fingerprint: fingerprintOf(request), since }
+	const { id, sharedParts } = request
+	return { id, fingerprint: fingerprintOf(request), sharedParts, since }
 }
--- a/packages/gateway/test/fakeBackends.ts
+++ b/packages/gateway/test/fakeBackends.ts
@@ -79,6 +79,10 @@
 			answerHintTokens: read('x-answer-hint'),
 		}
 	},
+	readSharedParts(headers) {
+		const text = headers[WIRE.promptParts]?.toString() ?? ''
+		return text.split(',').slice(0, -1)
+	},
 }
 
 /** What a fake server does with one request. */
