--- a/packages/gateway/test/crashingServers.ts
+++ b/packages/gateway/test/crashingServers.ts
@@ -9,6 +9,8 @@
 
 /** A body that contains this text crashes the server that runs it. */
 export const POISON = 'deadly'
+/** A prompt part whose id starts with this crashes the server that runs it. */
+export const POISON_PART = 'dead'
 /** A body that contains this text runs until its server crashes or `release` is called. */
 export const SLOW = 'slow'
 /** Time from the start of a poison request to the crash, ms. */
@@ -19,6 +21,8 @@
 /** A request that a server ran. */
 export interface ServerRun {
 	readonly body: string
+	/** Prompt parts that the request named. */
+	readonly parts: readonly string[]
 	readonly server: string
 	readonly at: number
 }
@@ -121,7 +125,8 @@
 	}
 	let body = ''
 	for await (const part of req) body += part
-	all.runs.push({ body, server: name, at: performance.now() })
+	const parts = String(req.headers[WIRE.promptParts] ?? '').split(',')
+	all.runs.push({ body, parts, server: name, at: performance.now() })
 	const isStream = req.url?.startsWith('/s/') ?? false
 	const type = isStream ? { 'content-type': 'text/event-stream' } : {}
 	const head = { [WIRE.requestId]: id, [WIRE.seal]: 'sealed', ...type }
@@ -129,7 +134,7 @@
 	const event = (after: number) => `id: ${last + after}\ndata: text\n\n`
 	const answer = isStream ? event(2) : `answer to ${id}`
 	if (isStream) res.writeHead(200, head).write(event(1))
-	if (body.includes(POISON)) {
+	if (body.includes(POISON) || hasPoisonPart(parts)) {
 		setTimeout(() => crash(all, server, name), CRASH_AFTER_MS)
 		return
 	}
@@ -142,6 +147,11 @@
 	else finish()
 }
 
+/** Whether a prompt contains a part that crashes servers. */
+export function hasPoisonPart(parts: readonly string[]): boolean {
+	return parts.some(part => part.startsWith(POISON_PART))
+}
+
 /** Crashes a server unless it has restarted since. */
 export function crash(
 	all: CrashingServers,
