Quarantine: a prompt part can be its subject, and is tried by one request at a time

What callers saw: requests that shared one part of their prompts and were otherwise all different crashed one rank of a group of 16 after the other; ten crashes in 33 s, 3 of 960 model requests in time meanwhile. The quarantine knew whole requests only, by a digest of method, path, team and body, so no subject was ever in flight at two crashes.

Now the evidence of a crash names the requests in flight and the parts that their prompts share, all but the last. Both are assessed by the same rules (core/suspicion.ts), each kind by itself. A part that was answered within ten minutes before a crash, or since, is exempt: each entry remembers the parts that it got answers with and tells so when it hears of a crash. A part suspected after one crash is tried by one request at a time, entries taking turns of 1 s; its crash makes two, and the part is sent to no server for a minute (ten after the third). What waits in a queue is judged again when it is sent, what is in flight is cancelled.

An answer that ends with its connection may have ended with its server; it proves nothing until a probe finds the server alive.

--- a/bench/quarantine.ts
+++ b/bench/quarantine.ts
@@ -101,7 +101,7 @@
 			mergeCrashEvidence(quarantine, { ends: [crash], served: [] }, at)
 			for (const one of listQuarantined(quarantine))
 				if (one !== 'poison') quarantinedByMistake.add(one)
-			const served = answered.map(fingerprint => ({ fingerprint, at: at + 10 }))
+			const served = answered.map(subject => ({ subject, at: at + 10 }))
 			mergeCrashEvidence(quarantine, { ends: [], served }, at + 20)
 			crashes++
 			concurrent += newRequests.length
--- a/packages/core/src/core/errors.ts
+++ b/packages/core/src/core/errors.ts
@@ -114,6 +114,13 @@
 		'All servers that could run this are in evacuated data centres.',
 	),
 	noConfig: row(503, 'no', 2000, busy, 'No configuration is in force yet.'),
+	suspected: row(
+		503,
+		'no',
+		1000,
+		busy,
+		'A server crashed under a part of this prompt; another request is trying it.',
+	),
 	quarantined: row(
 		503,
 		'no',
--- a/packages/core/src/core/quarantine.ts
+++ b/packages/core/src/core/quarantine.ts
@@ -1,52 +1,29 @@
 /**
- * Quarantine of poison requests, those that crash the servers that run them. A repeated
- * request is recognized by its fingerprint. Entries share which requests were in flight
- * at each server crash, and a request that has crashed two or three servers is not sent
- * to any for some time.
- *
- * Requests that were only in flight next to a poison request must not be quarantined:
- * - A crash counts against a request only if the request was sent to that server after
- *   the last crash that counted against it.
- * - A request that was answered completely starts again without points.
- * - Servers that crash together, as those of a rack or a data centre do, count half
- *   against requests that were not in flight at all of them.
- * - A crash counts double if only one of the requests in flight had been in flight at an
- *   earlier crash.
- * - A crash has one cause: crashes attributed to the primary suspect do not count against
- *   the requests next to it, however many there were.
+ * Quarantine of poison requests, which crash the servers that run them. A repeated request
+ * is recognized by its fingerprint; requests that are all different, by a part that their
+ * prompts share. Entries share what was in flight at each server crash, and a subject that
+ * has crashed two or three servers is not sent to any for some time.
  *
  * Evidence is a set of crashes that only grows, apart from their expiry: entries that
  * have received the same evidence, in any order and any number of times, reach the same
  * result.
  */
 
-/** Points from which a request is quarantined: three isolated crashes. */
-const QUARANTINE_POINTS = 6
-/**
- * Points of a second crash if the request was the only one there that had been in flight
- * at an earlier one. In a group of 16 ranks, a request that ran next to a poison request
- * once does so again in 1 of 16 cases; in the other 15 the second crash identifies the
- * poison request, which saves the group one crash.
- */
-const SINGLED_OUT_POINTS = 4
-/** Points of a crash that does not coincide with crashes under other requests. */
-const ISOLATED_CRASH_POINTS = 2
-/** Points of a crash that coincides with crashes under other requests. */
-const CORRELATED_CRASH_POINTS = 1
+import type { Subject, Suspicion, Suspicions } from '../internal.ts'
+import { exemptUntil, findSuspects, subjectOf } from '../internal.ts'
+
 /**
- * Crashes within this time are taken to have a common cause unless one request was in
- * flight at all of them, ms: a power failure stops a rack within milliseconds, a
- * supervisor within a few hundred.
+ * Quarantine of a request after its second crash, ms; doubled at each further one. Then it
+ * is tried once: the servers may have been fixed, or it was suspected wrongly.
  */
-const CORRELATION_MS = 500
-/** Entries date the same crash up to this far apart, ms: the latency of updates. */
-const MAX_SKEW_MS = 50
+const REQUEST_QUARANTINE_MS = 600_000
 /**
- * Quarantine after a request's second crash, ms; doubled at each further one. Then the
- * request is tried once: the servers may have been fixed, or the request was suspected
- * wrongly.
+ * Quarantine of a part after its first two crashes, ms. It is short, as other requests
+ * with the part wait for the trial that would clear it.
  */
-const QUARANTINE_MS = 600_000
+const FIRST_PART_QUARANTINE_MS = 60_000
+/** The same after its third crash, ms; doubled at each further one. */
+const PART_QUARANTINE_MS = 600_000
 /** Retention of a crash, ms: one day. */
 const RETENTION_MS = 86_400_000
 /**
@@ -56,6 +33,12 @@
 const MAX_CRASHES = 256
 /** Maximum requests recorded per crash: engines run 4 to 12 at a time. */
 export const MAX_REQUESTS_PER_CRASH = 16
+/** Maximum prompt parts recorded per crash. */
+export const MAX_PARTS_PER_CRASH = 64
+const MAX_PER_CRASH: Readonly<Record<Subject['kind'], number>> = {
+	request: MAX_REQUESTS_PER_CRASH,
+	part: MAX_PARTS_PER_CRASH,
+}
 
 /** Crash of a server; `end` on the wire. */
 export interface ServerCrash {
@@ -63,13 +46,14 @@
 	readonly server: string
 	/** When it was first detected, ms. */
 	readonly at: number
-	/** How long each request had been in flight there, ms, by fingerprint. */
+	/** How long each subject had been in flight there, ms, by key. */
 	readonly ran: ReadonlyMap<string, number>
 }
 
-/** Complete answer to a request that had been in flight at a crash. */
+/** Complete answer to a request, which clears it and its parts of earlier crashes. */
 export interface ServedRecord {
-	readonly fingerprint: string
+	/** Key of the request or the part. */
+	readonly subject: string
 	/** ms */
 	readonly at: number
 }
@@ -84,22 +68,10 @@
 export interface Quarantine {
 	/** Crashes, by id of the server's incarnation. */
 	readonly crashes: Map<string, ServerCrash>
-	/** When each request was last answered completely, ms, by fingerprint. */
+	/** When each subject was last answered completely, ms, by key. */
 	readonly served: Map<string, number>
-	/** Requests in flight at a crash and not answered since, by fingerprint. */
-	suspects: ReadonlyMap<string, Readonly<Suspicion>>
-}
-
-/** Evidence against a request. */
-export interface Suspicion {
-	points: number
-	/** Servers whose crashes count against it, in order. */
-	readonly servers: string[]
-	/** Total time that it had been in flight there, ms. */
-	ranMs: number
-	/** Time of the first and of the last of these crashes, ms. */
-	readonly firstAt: number
-	lastAt: number
+	/** Subjects in flight at a crash and not cleared since, by key. */
+	suspects: Suspicions
 }
 
 /** Creates a quarantine without evidence. */
@@ -107,35 +79,39 @@
 	return { crashes: new Map(), served: new Map(), suspects: new Map() }
 }
 
-/**
- * Returns the fingerprints of requests with enough points for a quarantine, also after
- * its end.
- */
+/** Returns the keys of the quarantined subjects, also after the quarantine's end. */
 export function listQuarantined({ suspects }: Quarantine): string[] {
 	return [...suspects]
-		.filter(([, suspicion]) => isConclusive(suspicion))
-		.map(([fingerprint]) => fingerprint)
+		.filter(([, { isConclusive }]) => isConclusive)
+		.map(([key]) => key)
 }
 
 /**
- * Returns the remaining quarantine of a request, ms; 0 if it may be sent. This
- * entry waits `turnMs` longer than the first one: entries retry it one after the other.
+ * Returns the remaining quarantine of a subject, ms; 0 if it may be sent. This entry
+ * waits `turnMs` longer than the first one: entries retry it one after the other.
  */
 export function quarantineLeftMs(
 	{ suspects }: Quarantine,
-	fingerprint: string,
+	key: string,
 	now: number,
 	turnMs = 0,
 ): number {
-	const suspicion = suspects.get(fingerprint)
-	if (!suspicion || !isConclusive(suspicion)) return 0
-	const { lastAt, servers } = suspicion
-	const quarantineMs = QUARANTINE_MS * 2 ** Math.max(0, servers.length - 2)
-	return Math.max(0, lastAt + quarantineMs + turnMs - now)
-}
-
-function isConclusive({ points }: Suspicion): boolean {
-	return points >= QUARANTINE_POINTS
+	const suspicion = suspects.get(key)
+	if (!suspicion?.isConclusive) return 0
+	const endsAt = suspicion.lastAt + quarantineMs(subjectOf(key), suspicion)
+	return Math.max(0, endsAt + turnMs - now)
+}
+
+function quarantineMs(subject: Subject, { servers }: Suspicion): number {
+	switch (subject.kind) {
+		case 'request':
+			return REQUEST_QUARANTINE_MS * 2 ** Math.max(0, servers.length - 2)
+		case 'part':
+			if (servers.length <= 2) return FIRST_PART_QUARANTINE_MS
+			return PART_QUARANTINE_MS * 2 ** (servers.length - 3)
+		default:
+			return subject satisfies never
+	}
 }
 
 /** Merges evidence observed here or received from peers; returns what is new of it. */
@@ -148,10 +124,9 @@
 	const ends = evidence.ends.filter(
 		crash => now - crash.at < RETENTION_MS && mergeCrash(quarantine, crash),
 	)
-	// Crashes first: an answer is recorded only for a request that is suspected.
-	if (ends.length > 0) updateSuspects(quarantine)
+	// Crashes first: an answer is recorded only for a subject of one.
 	const served = evidence.served.filter(one => mergeServed(quarantine, one))
-	if (served.length > 0) updateSuspects(quarantine)
+	if (ends.length + served.length > 0) updateSuspects(quarantine)
 	return { ends, served }
 }
 
@@ -162,7 +137,7 @@
 }: Quarantine): CrashEvidence {
 	return {
 		ends: [...crashes.values()],
-		served: [...served].map(([fingerprint, at]) => ({ fingerprint, at })),
+		served: [...served].map(([subject, at]) => ({ subject, at })),
 	}
 }
 
@@ -170,9 +145,12 @@
 function mergeCrash({ crashes }: Quarantine, crash: ServerCrash): boolean {
 	const known = crashes.get(crash.server)
 	const ran = new Map(known?.ran)
-	for (const [fingerprint, ms] of crash.ran) {
-		if (ran.size >= MAX_REQUESTS_PER_CRASH && !ran.has(fingerprint)) continue
-		ran.set(fingerprint, Math.min(ms, ran.get(fingerprint) ?? ms))
+	const counts = { request: 0, part: 0 }
+	for (const key of ran.keys()) counts[subjectOf(key).kind]++
+	for (const [key, ms] of crash.ran) {
+		const { kind } = subjectOf(key)
+		if (!ran.has(key) && counts[kind]++ >= MAX_PER_CRASH[kind]) continue
+		ran.set(key, Math.min(ms, ran.get(key) ?? ms))
 	}
 	const isNew = !known || ran.size > known.ran.size
 	if (isNew) {
@@ -182,19 +160,26 @@
 	return isNew
 }
 
-/** Merges an answer; returns true if it clears a suspicion. */
+/** Merges an answer; returns true if it clears its subject of a crash. */
 function mergeServed(
-	{ served, suspects }: Quarantine,
-	{ fingerprint, at }: ServedRecord,
+	{ crashes, served }: Quarantine,
+	{ subject, at }: ServedRecord,
 ): boolean {
-	const suspicion = suspects.get(fingerprint)
-	if (!suspicion || at <= lastServedAt(served, fingerprint)) return false
-	served.set(fingerprint, at)
-	return true
+	const before = served.get(subject)
+	const clearedUntil =
+		before === undefined
+			? Number.NEGATIVE_INFINITY
+			: exemptUntil(subject, before)
+	const clears = exemptUntil(subject, at)
+	const isNew = [...crashes.values()].some(
+		crash =>
+			crash.at > clearedUntil && crash.at <= clears && crash.ran.has(subject),
+	)
+	if (isNew) served.set(subject, at)
+	return isNew
 }
 
-function pruneExpired(quarantine: Quarantine, now: number): void {
-	const { crashes } = quarantine
+function pruneExpired({ crashes }: Quarantine, now: number): void {
 	for (const [server, { at }] of crashes)
 		if (now - at >= RETENTION_MS) crashes.delete(server)
 }
@@ -206,8 +191,7 @@
 	if (crashes.size > MAX_CRASHES) evictOldest(quarantine, sorted)
 	if (served.size === 0) return
 	const reported = new Set(sorted.flatMap(({ ran }) => [...ran.keys()]))
-	for (const fingerprint of served.keys())
-		if (!reported.has(fingerprint)) served.delete(fingerprint)
+	for (const key of served.keys()) if (!reported.has(key)) served.delete(key)
 }
 
 /** Evicts the oldest crashes that support no quarantine; if all do, the oldest. */
@@ -216,9 +200,8 @@
 	sorted: readonly ServerCrash[],
 ): void {
 	const evidence = new Set<string>()
-	for (const suspicion of suspects.values())
-		if (isConclusive(suspicion))
-			for (const server of suspicion.servers) evidence.add(server)
+	for (const { isConclusive, servers } of suspects.values())
+		if (isConclusive) for (const server of servers) evidence.add(server)
 	const inconclusive = sorted.filter(({ server }) => !evidence.has(server))
 	const order = [
 		...inconclusive,
@@ -227,104 +210,3 @@
 	for (const { server } of order.slice(0, crashes.size - MAX_CRASHES))
 		crashes.delete(server)
 }
-
-/**
- * Finds the suspects: repeatedly takes the primary suspect and removes the crashes that
- * it explains, so that they do not count against other requests.
- */
-function findSuspects(
-	sorted: readonly ServerCrash[],
-	served: ReadonlyMap<string, number>,
-): Map<string, Suspicion> {
-	const conclusive = new Map<string, Suspicion>()
-	let unexplained = sorted
-	for (;;) {
-		const suspects = scoreRequests(unexplained, served)
-		const primary = findPrimarySuspect(suspects)
-		if (primary === undefined) return new Map([...suspects, ...conclusive])
-		conclusive.set(primary, suspects.get(primary)!)
-		unexplained = unexplained.filter(({ ran }) => !ran.has(primary))
-	}
-}
-
-/**
- * Returns the request with enough points for a quarantine that has the most; among equal
- * ones the one that was in flight for the shortest time.
- */
-function findPrimarySuspect(
-	suspects: ReadonlyMap<string, Suspicion>,
-): string | undefined {
-	let primary: [string, Suspicion] | undefined
-	for (const [fingerprint, one] of suspects) {
-		if (!isConclusive(one)) continue
-		const lead = one.points - (primary?.[1].points ?? 0)
-		const isStronger = lead > 0 || (lead === 0 && one.ranMs < primary![1].ranMs)
-		if (isStronger) primary = [fingerprint, one]
-	}
-	return primary?.[0]
-}
-
-/** Scores each request from crashes in order of time. */
-function scoreRequests(
-	sorted: readonly ServerCrash[],
-	served: ReadonlyMap<string, number>,
-): Map<string, Suspicion> {
-	const suspects = new Map<string, Suspicion>()
-	for (const correlated of groupCorrelated(sorted))
-		for (const crash of correlated)
-			scoreCrash(suspects, crash, correlated, served)
-	return suspects
-}
-
-function scoreCrash(
-	suspects: Map<string, Suspicion>,
-	{ server, at, ran }: ServerCrash,
-	correlated: readonly ServerCrash[],
-	served: ReadonlyMap<string, number>,
-): void {
-	const since = correlated[0]!.at
-	const repeated = [...ran.keys()].filter(
-		one => (suspects.get(one)?.firstAt ?? since) < since,
-	)
-	for (const [fingerprint, ranMs] of ran) {
-		if (at <= lastServedAt(served, fingerprint)) continue
-		const suspicion = suspects.get(fingerprint) ?? {
-			points: 0,
-			servers: [],
-			ranMs: 0,
-			firstAt: at,
-			lastAt: Number.NEGATIVE_INFINITY,
-		}
-		if (at - ranMs < suspicion.lastAt - MAX_SKEW_MS) continue
-		const ranOnAll = correlated.every(one => one.ran.has(fingerprint))
-		const isSingledOut = repeated.length === 1 && repeated[0] === fingerprint
-		suspicion.points += pointsOf(ranOnAll, isSingledOut)
-		suspicion.servers.push(server)
-		suspicion.ranMs += ranMs
-		suspicion.lastAt = at
-		suspects.set(fingerprint, suspicion)
-	}
-}
-
-function pointsOf(ranOnAll: boolean, isSingledOut: boolean): number {
-	if (!ranOnAll) return CORRELATED_CRASH_POINTS
-	return isSingledOut ? SINGLED_OUT_POINTS : ISOLATED_CRASH_POINTS
-}
-
-function lastServedAt(
-	served: ReadonlyMap<string, number>,
-	fingerprint: string,
-): number {
-	return served.get(fingerprint) ?? Number.NEGATIVE_INFINITY
-}
-
-/** Groups crashes that are so close in time that a common cause is likely. */
-function groupCorrelated(sorted: readonly ServerCrash[]): ServerCrash[][] {
-	const groups: ServerCrash[][] = []
-	for (const crash of sorted) {
-		const last = groups.at(-1)
-		if (last && crash.at - last[0]!.at < CORRELATION_MS) last.push(crash)
-		else groups.push([crash])
-	}
-	return groups
-}
--- a/packages/core/src/core/serverUpdates.ts
+++ b/packages/core/src/core/serverUpdates.ts
@@ -41,10 +41,11 @@
 	| { readonly kind: 'left'; readonly server: string }
 	/** Crash of a server. */
 	| ({ readonly kind: 'end' } & ServerCrash)
-	/** Complete answer to a suspected request; `at` in ms. */
+	/** Complete answer that clears a suspected request or prompt part; `at` in ms. */
 	| {
 			readonly kind: 'served'
-			readonly fingerprint: string
+			/** Key of the request or prompt part. */
+			readonly subject: string
 			readonly at: number
 	  }
 	/** The server asked an entry for backoff until `endsAt`, ms. */
@@ -248,7 +249,7 @@
 		case 'cold':
 			return `${update.kind} ${update.server}`
 		case 'served':
-			return `served ${update.fingerprint}`
+			return `served ${update.subject}`
 		case 'rest':
 			return `rest ${update.entry} ${update.server}`
 		case 'evacuation':
--- a/packages/core/test/quarantine.test.ts
+++ b/packages/core/test/quarantine.test.ts
@@ -32,7 +32,7 @@
 const CASES: {
 	name: string
 	ends: readonly CrashCase[]
-	served?: readonly { fingerprint: string; at: number }[]
+	served?: readonly { subject: string; at: number }[]
 	quarantined: readonly string[]
 }[] = [
 	{
@@ -152,7 +152,7 @@
 			['b', 4_000, { x: 40 }],
 			['c', 8_000, { x: 40 }],
 		],
-		served: [{ fingerprint: 'x', at: 6_000 }],
+		served: [{ subject: 'x', at: 6_000 }],
 		quarantined: [],
 	},
 ]
@@ -198,12 +198,9 @@
 test('an answer is new once, and only for a suspected request', () => {
 	const quarantine = createQuarantine()
 	record(quarantine, ['a', 0, { x: 40 }])
-	const merge = (fingerprint: string, at: number) =>
-		mergeCrashEvidence(
-			quarantine,
-			{ ends: [], served: [{ fingerprint, at }] },
-			at,
-		).served.length
+	const merge = (subject: string, at: number) =>
+		mergeCrashEvidence(quarantine, { ends: [], served: [{ subject, at }] }, at)
+			.served.length
 	assert.equal([merge('x', 10), merge('x', 11), merge('y', 12)], [1, 0, 0])
 	assert.is(quarantine.suspects.size, 0)
 })
--- a/packages/core/test/serverUpdates.test.ts
+++ b/packages/core/test/serverUpdates.test.ts
@@ -68,7 +68,7 @@
 			return { kind: 'end', server: `${server}@${endedAt}`, at: endedAt, ran }
 		}
 		case 3:
-			return { kind: 'served', fingerprint, at }
+			return { kind: 'served', subject: fingerprint, at }
 		default: {
 			const entry = String(randomIndex(random, ENTRIES))
 			const endsAt = at + 100_000 + randomIndex(random, 50_000)
@@ -125,7 +125,7 @@
 				rateLimitOf(state.rateLimits, update.server) !== undefined
 			)
 		case 'served':
-			return state.quarantine.suspects.has(update.fingerprint)
+			return state.quarantine.suspects.has(update.subject)
 		default:
 			return true
 	}
--- a/packages/entry/src/io/quarantine.ts
+++ b/packages/entry/src/io/quarantine.ts
@@ -79,7 +79,7 @@
 	if (!bodyLengths.has(request.body.length)) return
 	const fingerprint = fingerprintOf(request)
 	if (!quarantine.suspects.has(fingerprint)) return
-	const served = [{ fingerprint, at: readElapsed() }]
+	const served = [{ subject: fingerprint, at: readElapsed() }]
 	mergeEvidence(ctx, { ends: [], served }, 'here')
 }
 
@@ -174,8 +174,8 @@
 			agoMs: agoMs(at),
 			ran: Object.fromEntries(ran),
 		})),
-		served: served.map(({ fingerprint, at }) => ({
-			fingerprint,
+		served: served.map(({ subject, at }) => ({
+			fingerprint: subject,
 			agoMs: agoMs(at),
 		})),
 	}
@@ -190,7 +190,7 @@
 			ran: new Map(Object.entries(ran)),
 		})),
 		served: served.map(({ fingerprint, agoMs }) => ({
-			fingerprint,
+			subject: fingerprint,
 			at: now - agoMs,
 		})),
 	}
--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -4,9 +4,16 @@
 import { isServiceClosed, maxClosedWaitMs } from './closedGroups.ts'
 import type { GatewayContext } from './context.ts'
 import type { AttemptResult, Job } from './job.ts'
+import type { PartVerdict } from './partGate.ts'
+import {
+	awaitEvidence,
+	isSendable,
+	judgeParts,
+	refuseByPart,
+} from './partGate.ts'
 import { pressureOf, waitBudgetMs } from './pressure.ts'
 import { acquireServer } from './serverQueue.ts'
-import { sendToServer } from './serverSend.ts'
+import { returnServer, sendToServer } from './serverSend.ts'
 import type { AdmissionCandidate, Grant } from './waiter.ts'
 import { weighRequest } from './workDecision.ts'
 
@@ -37,12 +44,43 @@
 		case 'none':
 			return { kind: 'refused', error: 'noServer' }
 		case 'server':
-			return await sendToServer(ctx, job, grant.id)
+			return await sendUnlessSuspected(ctx, job, grant.id)
 		default:
 			return grant satisfies never
 	}
 }
 
+/**
+ * Sends a request to an acquired server unless a part of its prompt has become suspected
+ * while it waited.
+ */
+async function sendUnlessSuspected(
+	ctx: GatewayContext,
+	job: Job,
+	serverId: string,
+): Promise<AttemptResult> {
+	const verdict = judgeParts(ctx, job.request)
+	if (isSendable(verdict)) {
+		logTrial(ctx, job, serverId, verdict)
+		return await sendToServer(ctx, job, serverId)
+	}
+	returnServer(ctx, serverId)
+	if (verdict.kind !== 'pending')
+		return { kind: 'refused', error: refuseByPart(job, verdict) }
+	await awaitEvidence(verdict)
+	return await makeAttempt(ctx, job)
+}
+
+function logTrial(
+	{ log }: GatewayContext,
+	{ request }: Job,
+	server: string,
+	verdict: PartVerdict,
+): void {
+	if (verdict.kind !== 'trial') return
+	log.write('parts tried', { req: request.id, parts: verdict.parts, server })
+}
+
 function requestServer(
 	ctx: GatewayContext,
 	job: Job,
--- a/packages/gateway/src/failRequest.ts
+++ b/packages/gateway/src/failRequest.ts
@@ -8,6 +8,7 @@
 import type { GatewayContext } from './context.ts'
 import { isDelivering } from './heldResponses.ts'
 import type { Job } from './job.ts'
+import { refusedForMs } from './partGate.ts'
 import { quarantinedForMs } from './quarantineGate.ts'
 import { writeFailure } from './reply.ts'
 import type { RetryAfter } from './retryAfter.ts'
@@ -38,6 +39,7 @@
 		begun: res.headersSent,
 		config: request.routes.config.version,
 		fingerprint: request.fingerprint,
+		part: job.refusedPart,
 		...job.forecast,
 		returned: job.candidate.isReturn || undefined,
 		...describePlace(retryAfter),
@@ -65,8 +67,14 @@
 	error: ErrorKind,
 	leftMs: number,
 ): RetryAfter {
-	if (error === 'quarantined')
-		return { kind: 'scheduled', ms: quarantinedForMs(ctx, job.request) }
+	if (error === 'quarantined' || error === 'suspected')
+		return {
+			kind: 'scheduled',
+			ms: Math.max(
+				quarantinedForMs(ctx, job.request),
+				refusedForMs(ctx, job.request),
+			),
+		}
 	// A caller that is told to wait for all the time it has does not come back.
 	if (error === 'oversize') return { kind: 'scheduled', ms: leftMs }
 	// When an evacuation will be taken back is not known.
--- a/packages/gateway/src/forward.ts
+++ b/packages/gateway/src/forward.ts
@@ -21,6 +21,7 @@
 	Job,
 	NextStep,
 } from './job.ts'
+import { isSendable, judgeSettledParts, refuseByPart } from './partGate.ts'
 import { isQuarantined, isSuspected } from './quarantineGate.ts'
 import { writeAnswer, writeFailure } from './reply.ts'
 import { mayRetry, retryWindowOf } from './retryDecision.ts'
@@ -109,13 +110,6 @@
 		failRequest(ctx, job, res, job.mayHaveRun ? mayHaveRunError : notRunError)
 		control.abort()
 	}
-	if (isQuarantined(ctx, request)) {
-		cancel('quarantined')
-		return
-	}
-	// Quarantined requests count neither as demand nor towards the retry budget.
-	recordRequest(retryWindowOf(ctx, service), ctx.settings.retries, readNow())
-	countArrival(ctx.fleet, service, job.candidate)
 	const leftMs = request.timeoutAt - readElapsed()
 	const timer = setTimeout(() => cancel('timeout'), leftMs)
 	ctx.cancelByRequest.set(request, cancel)
@@ -124,9 +118,28 @@
 		clearTimeout(timer)
 		if (!res.writableFinished) control.abort()
 	})
+	const refusal = await findQuarantine(ctx, job)
+	if (job.signal.aborted) return
+	if (refusal) {
+		failRequest(ctx, job, res, refusal)
+		return
+	}
+	// Quarantined requests count neither as demand nor towards the retry budget.
+	recordRequest(retryWindowOf(ctx, service), ctx.settings.retries, readNow())
+	countArrival(ctx.fleet, service, job.candidate)
 	await runAttempts(ctx, job, res)
 }
 
+/** Returns the error of a request that is quarantined, or a part of whose prompt is. */
+async function findQuarantine(
+	ctx: GatewayContext,
+	job: Job,
+): Promise<ErrorKind | undefined> {
+	if (isQuarantined(ctx, job.request)) return 'quarantined'
+	const verdict = await judgeSettledParts(ctx, job)
+	return isSendable(verdict) ? undefined : refuseByPart(job, verdict)
+}
+
 function describeCandidate(
 	{ urgency, team, size }: CallerRequest,
 	draw: number,
@@ -162,14 +175,16 @@
 
 /**
  * Waits for the crash check of the last server where a retry depends on its result: a
- * suspected request could crash the next server too, and the crash of a rank closes its
+ * poison request could crash the next server too, and the crash of a rank closes its
  * whole group. Usually this takes one round trip.
  */
 async function awaitServerState(ctx: GatewayContext, job: Job): Promise<void> {
 	const server = [...job.tried].at(-1)
 	if (server === undefined) return
-	if (isSuspected(ctx, job.request) || isGrouped(ctx, job.service))
-		await awaitCrashCheck(ctx, server)
+	const { request, service } = job
+	const mayBePoison =
+		request.sharedParts.length > 0 || isSuspected(ctx, request)
+	if (mayBePoison || isGrouped(ctx, service)) await awaitCrashCheck(ctx, server)
 }
 
 async function handleResult(
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -42,6 +42,7 @@
 import { serveQueues } from './serverQueue.ts'
 import { checkSuspension } from './suspension.ts'
 import { createSuspensionWatch } from './suspensionWatch.ts'
+import { isSynchronized } from './synchronization.ts'
 import { createUnrecognizedSignals } from './unrecognizedSignals.ts'
 import { reportWork } from './workReport.ts'
 import { createWorkState } from './workState.ts'
@@ -53,8 +54,6 @@
 const INITIAL_IDLE_TIMEOUT_MS = 15_000
 /** Kept-alive connections outlive the published idle timeout by this, ms. */
 const IDLE_MARGIN_MS = 2_000
-/** Maximum time for which a starting entry waits for its peers' state, ms. */
-const PEER_STATE_TIMEOUT_MS = 1_000
 /** Interval of the periodic work on queues, removals and limits, ms. */
 const TICK_MS = 50
 /**
@@ -209,26 +208,12 @@
 function createReadinessServer(ctx: GatewayContext): Server {
 	return createServer((_req, res) => {
 		const ready =
-			ctx.routes !== undefined && !ctx.stopping && isPeerStateSettled(ctx)
+			ctx.routes !== undefined && !ctx.stopping && isSynchronized(ctx)
 		res.writeHead(ready ? 200 : 503, { 'Content-Length': 0 })
 		res.end()
 	})
 }
 
-/** Returns whether a peer has sent its state or this entry no longer waits for one. */
-function isPeerStateSettled({
-	settings,
-	hasPeerState,
-	startedAt,
-}: GatewayContext): boolean {
-	const hasPeers = settings.seeds.some(seed => seed !== settings.control)
-	return (
-		hasPeerState ||
-		!hasPeers ||
-		readElapsed() - startedAt >= PEER_STATE_TIMEOUT_MS
-	)
-}
-
 function createMetricsServer(ctx: GatewayContext): Server {
 	return createServer(async (_req, res) => {
 		const { registry } = ctx.metrics
--- a/packages/gateway/src/job.ts
+++ b/packages/gateway/src/job.ts
@@ -70,6 +70,8 @@
 	readonly times: AnswerTimes
 	/** Events of a stream passed on, of all its attempts. */
 	eventsRelayed: number
+	/** Part of its prompt because of which it was refused. */
+	refusedPart?: string
 	/** Set if some group's pace is too slow for the request. */
 	forecast?: WorkForecast
 }
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -25,6 +25,10 @@
 	readonly serverEnds: Counter<'witness'>
 	/** Requests in quarantine because servers crashed while they ran them. */
 	readonly quarantined: Gauge
+	/** Prompt parts in quarantine because servers crashed while they ran requests with them. */
+	readonly quarantinedParts: Gauge
+	/** Prompt parts that are tried by one request at a time. */
+	readonly suspectedParts: Gauge
 	/** Servers with a rate limit. */
 	readonly limitedServers: Gauge
 	/** Servers that have requested backoff of this entry. */
@@ -128,6 +132,16 @@
 			help: 'Requests that are sent to no server, as servers ended under them',
 			registers,
 		}),
+		quarantinedParts: new Gauge({
+			name: 'juniperhook_quarantined_parts',
+			help: 'Prompt parts that are sent to no server, as servers ended under them',
+			registers,
+		}),
+		suspectedParts: new Gauge({
+			name: 'juniperhook_suspected_parts',
+			help: 'Prompt parts that one request at a time tries, as a server ended under them',
+			registers,
+		}),
 		limitedServers: new Gauge({
 			name: 'juniperhook_limited_servers',
 			help: 'Servers that take only so many requests a second, as they say',
--- a/packages/gateway/src/peerMessages.ts
+++ b/packages/gateway/src/peerMessages.ts
@@ -33,11 +33,12 @@
 		server: v.string(),
 		/** Time since the crash, ms. */
 		agoMs: CountSchema,
-		/** How long each request had been in flight, ms, by fingerprint. */
+		/** How long each request and prompt part had been in flight, ms, by key. */
 		ran: v.record(v.string(), CountSchema),
 	}),
 	v.object({
 		kind: v.literal('served'),
+		/** Key of a request or of a prompt part. */
 		fingerprint: v.string(),
 		agoMs: CountSchema,
 	}),
--- a/packages/gateway/src/quarantineGate.ts
+++ b/packages/gateway/src/quarantineGate.ts
@@ -1,6 +1,6 @@
 /**
- * Quarantines poison requests, which crash the servers that run them: collects evidence
- * from this entry and its peers, and refuses quarantined requests.
+ * Quarantines poison requests and prompt parts, which crash the servers that run them:
+ * collects evidence from this entry and its peers, and refuses quarantined requests.
  */
 
 import type { UpdateOf } from '@juniperhook/core'
@@ -8,6 +8,8 @@
 	listQuarantined,
 	mergeServerUpdates,
 	quarantineLeftMs,
+	subjectKeyOf,
+	subjectOf,
 	topByRendezvous,
 } from '@juniperhook/core'
 import { readElapsed } from '@juniperhook/runtime'
@@ -17,6 +19,7 @@
 import type { CallerRequest } from './job.ts'
 import { enqueueUpdates } from './outbox.ts'
 import type { InFlightSummary } from './sentRequests.ts'
+import { listServedRecords, recordServedParts } from './servedParts.ts'
 
 /**
  * Time between the entries' turns to retry a quarantined request, ms: longer than the
@@ -29,7 +32,7 @@
  */
 const MAX_CRASH_AGE_MS = 500
 
-/** Whether a request must not be sent to any server. */
+/** Whether a request must not be sent to any server, whatever the parts of its prompt. */
 export function isQuarantined(
 	ctx: GatewayContext,
 	request: CallerRequest,
@@ -70,17 +73,46 @@
 	return quarantineGate.quarantine.suspects.has(fingerprintOf(request))
 }
 
+/** Whether a request or a part of its prompt is suspected. */
+export function isAnySuspected(
+	ctx: GatewayContext,
+	request: CallerRequest,
+): boolean {
+	const { suspectedParts } = ctx.quarantineGate
+	return (
+		request.sharedParts.some(id => suspectedParts.has(id)) ||
+		isSuspected(ctx, request)
+	)
+}
+
 /** Records that a server answered a request completely. */
 export function recordServed(
 	ctx: GatewayContext,
 	request: CallerRequest,
 ): void {
 	if (!isSuspected(ctx, request)) return
-	const fingerprint = fingerprintOf(request)
-	const update = { kind: 'served', fingerprint, at: readElapsed() } as const
+	const subject = fingerprintOf(request)
+	const update = { kind: 'served', subject, at: readElapsed() } as const
 	receiveCrashUpdates(ctx, [update], 'here')
 }
 
+/** Records that a server answered a request, so that no part of its prompt is poison. */
+export function recordPartsServed(
+	ctx: GatewayContext,
+	{ sharedParts }: CallerRequest,
+): void {
+	const { servedParts, suspectedParts } = ctx.quarantineGate
+	const at = readElapsed()
+	recordServedParts(servedParts, sharedParts, at)
+	const cleared = sharedParts.filter(id => suspectedParts.has(id))
+	if (cleared.length === 0) return
+	const updates = cleared.map(id => {
+		const subject = subjectKeyOf({ kind: 'part', id })
+		return { kind: 'served', subject, at } as const
+	})
+	receiveCrashUpdates(ctx, updates, 'here')
+}
+
 /** Records a server's crash with the requests that it was running for this entry. */
 export function recordServerCrash(
 	ctx: GatewayContext,
@@ -89,13 +121,25 @@
 	running: readonly InFlightSummary[],
 ): void {
 	const ran = new Map<string, number>()
-	for (const { fingerprint, since } of running) {
-		const ranMs = Math.max(0, at - since)
-		ran.set(fingerprint, Math.min(ranMs, ran.get(fingerprint) ?? ranMs))
+	for (const one of running) {
+		const ranMs = Math.max(0, at - one.since)
+		for (const key of listSubjectKeys(one))
+			ran.set(key, Math.min(ranMs, ran.get(key) ?? ranMs))
 	}
 	receiveCrashUpdates(ctx, [{ kind: 'end', server, at, ran }], 'here')
 }
 
+/** Lists the keys of a request and of the parts of its prompt. */
+function listSubjectKeys({
+	fingerprint,
+	sharedParts,
+}: InFlightSummary): string[] {
+	return [
+		subjectKeyOf({ kind: 'request', fingerprint }),
+		...sharedParts.map(id => subjectKeyOf({ kind: 'part', id })),
+	]
+}
+
 function closeGroupOf(ctx: GatewayContext, id: string): void {
 	const row = ctx.fleet.table.rowOf.get(id)
 	if (row !== undefined) handleRankCrash(ctx, ctx.fleet.servers[row]!)
@@ -110,50 +154,126 @@
 	const now = readElapsed()
 	const changes = mergeServerUpdates(ctx.sharedState, updates, now)
 	if (changes.length === 0) return
-	enqueueUpdates(ctx.outbox, changes)
+	const ends = changes.filter(one => one.kind === 'end')
+	const cleared = mergeServerUpdates(
+		ctx.sharedState,
+		listServedUpdates(ctx, ends),
+		now,
+	)
+	enqueueUpdates(ctx.outbox, [...changes, ...cleared])
 	updateQuarantine(ctx, from)
 	if (from === 'here') return
-	for (const one of changes)
-		if (one.kind === 'end' && now - one.at < MAX_CRASH_AGE_MS)
-			closeGroupOf(ctx, one.server)
+	for (const one of ends)
+		if (now - one.at < MAX_CRASH_AGE_MS) closeGroupOf(ctx, one.server)
+}
+
+/** Lists what this entry knows of answers with the parts in flight at crashes. */
+function listServedUpdates(
+	{ quarantineGate }: GatewayContext,
+	ends: readonly UpdateOf<'end'>[],
+): UpdateOf<'served'>[] {
+	return listServedRecords(quarantineGate.servedParts, ends).map(one => ({
+		kind: 'served',
+		...one,
+	}))
 }
 
+/** Derives the quarantined and suspected subjects again, and logs what has changed. */
 function updateQuarantine(ctx: GatewayContext, from: string): void {
 	const { quarantineGate } = ctx
-	const { quarantine } = quarantineGate
-	const suspects = [...quarantine.suspects.keys()]
-	quarantineGate.bodyLengths = new Set(suspects.map(bodyLengthOf))
 	const before = quarantineGate.quarantined
-	quarantineGate.quarantined = new Set(listQuarantined(quarantine))
-	ctx.metrics.quarantined.set(quarantineGate.quarantined.size)
-	for (const fingerprint of quarantineGate.quarantined)
-		if (!before.has(fingerprint)) cancelQuarantined(ctx, fingerprint, from)
-	for (const fingerprint of before)
-		if (!quarantineGate.quarantined.has(fingerprint))
-			ctx.log.write('request released', { fingerprint, from })
+	const partsBefore = quarantineGate.suspectedParts
+	const fingerprints: string[] = []
+	const parts: string[] = []
+	for (const key of quarantineGate.quarantine.suspects.keys()) {
+		const subject = subjectOf(key)
+		if (subject.kind === 'request') fingerprints.push(subject.fingerprint)
+		else parts.push(subject.id)
+	}
+	quarantineGate.bodyLengths = new Set(fingerprints.map(bodyLengthOf))
+	quarantineGate.suspectedParts = new Set(parts)
+	const quarantined = new Set(listQuarantined(quarantineGate.quarantine))
+	quarantineGate.quarantined = quarantined
+	const isPart = (key: string) => subjectOf(key).kind === 'part'
+	const quarantinedParts = [...quarantined].filter(isPart).length
+	ctx.metrics.quarantined.set(quarantined.size - quarantinedParts)
+	ctx.metrics.quarantinedParts.set(quarantinedParts)
+	ctx.metrics.suspectedParts.set(parts.length - quarantinedParts)
+	logSuspectedParts(ctx, partsBefore, from)
+	for (const key of quarantined)
+		if (!before.has(key)) cancelQuarantined(ctx, key, from)
+	for (const key of before)
+		if (!quarantined.has(key)) logReleased(ctx, key, from)
+}
+
+function logSuspectedParts(
+	{ quarantineGate, log }: GatewayContext,
+	before: ReadonlySet<string>,
+	from: string,
+): void {
+	const { suspectedParts } = quarantineGate
+	const added = [...suspectedParts].filter(id => !before.has(id))
+	const cleared = [...before].filter(id => !suspectedParts.has(id))
+	if (added.length > 0) log.write('parts suspected', { parts: added, from })
+	if (cleared.length > 0) log.write('parts cleared', { parts: cleared, from })
+}
+
+function logReleased({ log }: GatewayContext, key: string, from: string): void {
+	const subject = subjectOf(key)
+	switch (subject.kind) {
+		case 'request':
+			log.write('request released', { fingerprint: subject.fingerprint, from })
+			break
+		case 'part':
+			log.write('part released', { part: subject.id, from })
+			break
+		default:
+			subject satisfies never
+	}
 }
 
 /**
- * Logs a newly quarantined request and cancels its instances in flight, which may still
- * prevent the crash of their servers.
+ * Logs a newly quarantined subject and cancels the requests in flight that it applies to,
+ * which may still prevent the crash of their servers.
  */
 function cancelQuarantined(
 	ctx: GatewayContext,
-	fingerprint: string,
+	key: string,
 	from: string,
 ): void {
-	const suspicion = ctx.quarantineGate.quarantine.suspects.get(fingerprint)
-	ctx.log.write('request quarantined', {
-		fingerprint,
+	const subject = subjectOf(key)
+	const suspicion = ctx.quarantineGate.quarantine.suspects.get(key)
+	const evidence = {
 		servers: suspicion?.servers ?? [],
 		points: suspicion?.points,
 		from,
-	})
-	const length = bodyLengthOf(fingerprint)
-	for (const [request, cancel] of [...ctx.cancelByRequest])
-		if (
-			request.body.length === length &&
-			fingerprintOf(request) === fingerprint
-		)
-			cancel('quarantined')
+	}
+	switch (subject.kind) {
+		case 'request': {
+			const { fingerprint } = subject
+			ctx.log.write('request quarantined', { fingerprint, ...evidence })
+			const length = bodyLengthOf(fingerprint)
+			cancelRequests(
+				ctx,
+				request =>
+					request.body.length === length &&
+					fingerprintOf(request) === fingerprint,
+			)
+			break
+		}
+		case 'part':
+			ctx.log.write('part quarantined', { part: subject.id, ...evidence })
+			cancelRequests(ctx, request => request.sharedParts.includes(subject.id))
+			break
+		default:
+			subject satisfies never
+	}
+}
+
+function cancelRequests(
+	{ cancelByRequest }: GatewayContext,
+	isConcerned: (request: CallerRequest) => boolean,
+): void {
+	for (const [request, cancel] of [...cancelByRequest])
+		if (isConcerned(request)) cancel('quarantined')
 }
--- a/packages/gateway/src/quarantineState.ts
+++ b/packages/gateway/src/quarantineState.ts
@@ -1,15 +1,20 @@
-/** State of the quarantine of poison requests. */
+/** State of the quarantine of poison requests and prompt parts. */
 
 import type { Quarantine } from '@juniperhook/core'
 import { createQuarantine } from '@juniperhook/core'
+import type { ServedParts } from './servedParts.ts'
 
-/** Evidence against requests under which servers crashed, and the quarantined ones. */
+/** Evidence against requests and prompt parts, and the quarantined ones. */
 export interface QuarantineGate {
 	readonly quarantine: Quarantine
 	/** Body lengths of suspected requests; others need not be fingerprinted. */
 	bodyLengths: ReadonlySet<number>
-	/** Fingerprints of quarantined requests. */
+	/** Keys of quarantined requests and parts. */
 	quarantined: ReadonlySet<string>
+	/** Ids of suspected parts, quarantined ones included. */
+	suspectedParts: ReadonlySet<string>
+	/** Parts that this entry has got answers with. */
+	readonly servedParts: ServedParts
 }
 
 /** Creates a gate without quarantined requests. */
@@ -20,5 +25,7 @@
 		quarantine,
 		bodyLengths: new Set(),
 		quarantined: new Set(),
+		suspectedParts: new Set(),
+		servedParts: new Map(),
 	}
 }
--- a/packages/gateway/src/sendOutcome.ts
+++ b/packages/gateway/src/sendOutcome.ts
@@ -3,6 +3,7 @@
 import type { AttemptOutcome } from '@juniperhook/core'
 import { recordAttempt } from '@juniperhook/core'
 import { readNow } from '@juniperhook/runtime'
+import { recordComplete } from './answerProof.ts'
 import { logAttempt } from './attemptLog.ts'
 import {
 	handleGroupOpened,
@@ -11,15 +12,11 @@
 	isGroupRefusal,
 } from './closedGroups.ts'
 import type { GatewayContext } from './context.ts'
-import {
-	recordBrokenConnection,
-	recordServerAlive,
-	scheduleCrashCheck,
-} from './crashDetector.ts'
+import { recordBrokenConnection, scheduleCrashCheck } from './crashDetector.ts'
 import { groupOf } from './fleet.ts'
 import type { AnswerEnd, AttemptResult } from './job.ts'
 import { pressureOf, recordFirstByte } from './pressure.ts'
-import { isSuspected, recordServed } from './quarantineGate.ts'
+import { isAnySuspected } from './quarantineGate.ts'
 import type { Send } from './send.ts'
 import { trackAbandoned } from './sentRequests.ts'
 import { recordAccepted } from './serverBackoffs.ts'
@@ -114,17 +111,21 @@
 		answer,
 		serverId: server.id,
 		work: send.work,
-		release: end => endAnswer(ctx, send, end),
+		release: end => endAnswer(ctx, send, answer, end),
 	}
 }
 
-function endAnswer(ctx: GatewayContext, send: Send, end: AnswerEnd): void {
+function endAnswer(
+	ctx: GatewayContext,
+	send: Send,
+	answer: ServerAnswer,
+	end: AnswerEnd,
+): void {
 	const { job, server, sentAt } = send
 	const { request } = job
 	switch (end) {
 		case 'good':
-			recordServed(ctx, request)
-			recordServerAlive(ctx, server.id)
+			recordComplete(ctx, send, answer)
 			break
 		case 'broken':
 			recordBrokenConnection(ctx, server)
@@ -168,7 +169,7 @@
 	{ server, sentRequest }: Send,
 ): void {
 	trackAbandoned(ctx.sentRequests, server.id, sentRequest)
-	if (isSuspected(ctx, sentRequest.request)) scheduleCrashCheck(ctx, server)
+	if (isAnySuspected(ctx, sentRequest.request)) scheduleCrashCheck(ctx, server)
 }
 
 function recordNotRun({ job, mayHaveRunBefore }: Send): void {
--- a/packages/gateway/src/sentRequests.ts
+++ b/packages/gateway/src/sentRequests.ts
@@ -96,6 +96,25 @@
 	]
 }
 
+/** Whether a server may be running a request of this entry with a prompt part. */
+export function isPartInFlight(
+	{ inFlight, abandoned }: SentRequests,
+	part: string,
+	now: number,
+): boolean {
+	for (const atServer of inFlight.values())
+		for (const { request } of atServer)
+			if (request.sharedParts.includes(part)) return true
+	for (const atServer of abandoned.values())
+		for (const { sharedParts, abandonedAt } of atServer)
+			if (
+				now - abandonedAt < ABANDONED_RETENTION_MS &&
+				sharedParts.includes(part)
+			)
+				return true
+	return false
+}
+
 /** Drops expired records of abandoned requests. */
 export function expireAbandoned(requests: SentRequests): void {
 	const now = readElapsed()
--- a/packages/gateway/src/serverSend.ts
+++ b/packages/gateway/src/serverSend.ts
@@ -37,12 +37,12 @@
 	const server = row === undefined ? undefined : fleet.servers[row]
 	if (!server || fleet.table.open[row!] !== 1) {
 		// It was removed or closed in the event-loop turn in which it was granted.
-		releaseServer(ctx, serverId)
+		returnServer(ctx, serverId)
 		return { kind: 'notRun', reason: 'server no longer open' }
 	}
 	const untilTimeoutMs = job.request.timeoutAt - readElapsed()
 	if (untilTimeoutMs < MIN_LEFT_MS || job.signal.aborted) {
-		releaseServer(ctx, serverId)
+		returnServer(ctx, serverId)
 		return { kind: 'refused', error: 'startBudget' }
 	}
 	const send = beginSend(ctx, job, server)
@@ -51,7 +51,8 @@
 	return recordUnanswered(ctx, send, result)
 }
 
-function releaseServer(ctx: GatewayContext, serverId: string): void {
+/** Frees the slot of an acquired server. */
+export function returnServer(ctx: GatewayContext, serverId: string): void {
 	trackInFlight(ctx.fleet, serverId, -1)
 	serveQueues(ctx)
 }
@@ -75,7 +76,7 @@
 		releaseSlot: () => {
 			if (work) endWork(ctx, work)
 			untrackRequest(ctx.sentRequests, server.id, sentRequest)
-			releaseServer(ctx, server.id)
+			returnServer(ctx, server.id)
 		},
 	}
 }
--- a/packages/gateway/src/updateExchange.ts
+++ b/packages/gateway/src/updateExchange.ts
@@ -121,8 +121,8 @@
 			return { kind, server, agoMs: agoMs(at), ran: Object.fromEntries(ran) }
 		}
 		case 'served': {
-			const { kind, fingerprint, at } = update
-			return { kind, fingerprint, agoMs: agoMs(at) }
+			const { kind, subject, at } = update
+			return { kind, fingerprint: subject, agoMs: agoMs(at) }
 		}
 		case 'rest': {
 			const { kind, server, entry, endsAt } = update
@@ -154,7 +154,7 @@
 		}
 		case 'served': {
 			const { kind, fingerprint, agoMs } = item
-			return { kind, fingerprint, at: now - agoMs }
+			return { kind, subject: fingerprint, at: now - agoMs }
 		}
 		case 'rest': {
 			const { kind, server, entry, leftMs } = item
--- a/scripts/ablation.ts
+++ b/scripts/ablation.ts
@@ -16,7 +16,7 @@
 }
 
 const NEED = 'packages/core/src/core/groupPolicy.ts'
-const QUARANTINE = 'packages/core/src/core/quarantine.ts'
+const SUSPICION = 'packages/core/src/core/suspicion.ts'
 const DISPATCH = 'packages/core/src/core/dispatch.ts'
 const CHOICE = 'packages/gateway/src/serverChoice.ts'
 const WAIT_FORECAST = 'packages/gateway/src/waitForecast.ts'
@@ -161,15 +161,15 @@
 	},
 	{
 		name: 'quarantine',
-		file: QUARANTINE,
+		file: SUSPICION,
 		on: 'const QUARANTINE_POINTS = 6',
 		off: 'const QUARANTINE_POINTS = Number.POSITIVE_INFINITY',
 	},
 	{
 		name: 'singledOut',
-		file: QUARANTINE,
-		on: 'const SINGLED_OUT_POINTS = 4',
-		off: 'const SINGLED_OUT_POINTS = 2',
+		file: SUSPICION,
+		on: 'const SINGLED_OUT_POINTS = 2',
+		off: 'const SINGLED_OUT_POINTS = 0',
 	},
 	{
 		name: 'groupRefusals',
