Quarantine of parts: ten minutes unless servers also crash by themselves; probes of stalled groups

A part that crashed two servers was tried again after a minute, which costs a group another outage of some 4 s. It was short because a sound part may be in flight at two crashes of servers that crash by themselves. Then some crash of that time has no quarantined subject in flight; only then the quarantine is a minute, else ten as for requests.

A request sent to a stalled group, as its probe, may run because the group has opened, and crash its rank before the entry knows; the broken connection was not checked then.

Streams prove parts sound after four events as well as 1 s: a slow server takes long for each.

--- a/packages/core/src/core/quarantine.ts
+++ b/packages/core/src/core/quarantine.ts
@@ -13,17 +13,15 @@
 import { exemptUntil, findSuspects, subjectOf } from '../internal.ts'
 
 /**
- * Quarantine of a request after its second crash, ms; doubled at each further one. Then it
- * is tried once: the servers may have been fixed, or it was suspected wrongly.
+ * Quarantine after a subject's second crash, ms; doubled at each further one. Then it is
+ * tried once: the servers may have been fixed, or it was suspected wrongly.
  */
-const REQUEST_QUARANTINE_MS = 600_000
+const QUARANTINE_MS = 600_000
 /**
- * Quarantine of a part after its first two crashes, ms. It is short, as other requests
- * with the part wait for the trial that would clear it.
+ * Quarantine of a part after two crashes beside others that it does not explain, ms.
+ * Requests of many callers may contain the part, and only a trial can clear it.
  */
-const FIRST_PART_QUARANTINE_MS = 60_000
-/** The same after its third crash, ms; doubled at each further one. */
-const PART_QUARANTINE_MS = 600_000
+const DOUBTFUL_PART_QUARANTINE_MS = 60_000
 /** Retention of a crash, ms: one day. */
 const RETENTION_MS = 86_400_000
 /**
@@ -102,16 +100,13 @@
 	return Math.max(0, endsAt + turnMs - now)
 }
 
-function quarantineMs(subject: Subject, { servers }: Suspicion): number {
-	switch (subject.kind) {
-		case 'request':
-			return REQUEST_QUARANTINE_MS * 2 ** Math.max(0, servers.length - 2)
-		case 'part':
-			if (servers.length <= 2) return FIRST_PART_QUARANTINE_MS
-			return PART_QUARANTINE_MS * 2 ** (servers.length - 3)
-		default:
-			return subject satisfies never
-	}
+function quarantineMs(
+	{ kind }: Subject,
+	{ servers, isDoubtful }: Suspicion,
+): number {
+	if (kind === 'part' && isDoubtful && servers.length <= 2)
+		return DOUBTFUL_PART_QUARANTINE_MS
+	return QUARANTINE_MS * 2 ** Math.max(0, servers.length - 2)
 }
 
 /** Merges evidence observed here or received from peers; returns what is new of it. */
--- a/packages/core/src/core/suspicion.ts
+++ b/packages/core/src/core/suspicion.ts
@@ -58,6 +58,11 @@
  * have changed since.
  */
 const PART_EXEMPT_MS = 600_000
+/**
+ * Crashes within this time of each other that have different explanations raise doubt, ms:
+ * servers that crash by themselves do so several times.
+ */
+const DOUBT_MS = 60_000
 
 /** How subjects of a kind are assessed. */
 interface Assessment {
@@ -97,6 +102,8 @@
 	readonly lastAt: number
 	/** Whether the evidence suffices for a quarantine. */
 	readonly isConclusive: boolean
+	/** Whether servers also crashed at that time without a quarantined subject in flight. */
+	readonly isDoubtful: boolean
 }
 
 /** Suspicions by key of the subject. */
@@ -112,7 +119,25 @@
 	for (const [key, part] of parts)
 		if (part.isConclusive && isExplainedByRequest(part, requests))
 			parts.set(key, { ...part, isConclusive: false })
-	return new Map([...requests, ...parts])
+	return markDoubtful(sorted, new Map([...requests, ...parts]))
+}
+
+/** Marks suspicions beside crashes that no quarantined subject explains. */
+function markDoubtful(
+	sorted: readonly ServerCrash[],
+	suspects: Map<string, Suspicion>,
+): Suspicions {
+	const explained = new Set<string>()
+	for (const { isConclusive, servers } of suspects.values())
+		if (isConclusive) for (const server of servers) explained.add(server)
+	const unexplained = sorted.filter(({ server }) => !explained.has(server))
+	for (const [key, one] of suspects) {
+		const isDoubtful = unexplained.some(
+			({ at }) => at > one.firstAt - DOUBT_MS && at < one.lastAt + DOUBT_MS,
+		)
+		if (isDoubtful) suspects.set(key, { ...one, isDoubtful })
+	}
+	return suspects
 }
 
 /** Returns how long a complete answer at `at` exempts a subject from crashes, ms. */
@@ -217,6 +242,7 @@
 			firstAt: before?.firstAt ?? at,
 			lastAt: at,
 			isConclusive: points >= assessment.quarantinePoints,
+			isDoubtful: false,
 		})
 	}
 }
--- a/packages/core/test/poisonParts.test.ts
+++ b/packages/core/test/poisonParts.test.ts
@@ -204,21 +204,34 @@
 	assert.ok(kept.includes('r1'))
 })
 
-const DURATIONS: { crashes: number; quarantineMs: number }[] = [
-	{ crashes: 1, quarantineMs: 0 },
-	{ crashes: 2, quarantineMs: 60_000 },
-	{ crashes: 3, quarantineMs: 600_000 },
-	{ crashes: 4, quarantineMs: 1_200_000 },
+const OTHERS = {
+	none: [],
+	/** A crash under other requests, which raises doubt. */
+	near: [crashOf(['z', 20_000, { r9: 40, '#z': 40 }])],
+	far: [crashOf(['z', 200_000, { r9: 40, '#z': 40 }])],
+}
+const DURATIONS: {
+	crashes: number
+	others: keyof typeof OTHERS
+	quarantineMs: number
+}[] = [
+	{ crashes: 1, others: 'none', quarantineMs: 0 },
+	{ crashes: 2, others: 'none', quarantineMs: 600_000 },
+	{ crashes: 2, others: 'near', quarantineMs: 60_000 },
+	{ crashes: 2, others: 'far', quarantineMs: 600_000 },
+	{ crashes: 3, others: 'none', quarantineMs: 1_200_000 },
+	{ crashes: 3, others: 'near', quarantineMs: 1_200_000 },
 ]
 
-for (const { crashes, quarantineMs } of DURATIONS)
-	test(`after ${crashes} crashes a part is quarantined for ${quarantineMs} ms`, () => {
+for (const { crashes, others, quarantineMs } of DURATIONS)
+	test(`after ${crashes} crashes, others: ${others}, a part is quarantined for ${quarantineMs} ms`, () => {
 		const quarantine = createQuarantine()
 		const ends = Array.from({ length: crashes }, (_, at) =>
 			crashOf([`s${at}`, at * 4_000, { [`r${at}`]: 40, '#bad': 40 }]),
 		)
 		const lastAt = ends.at(-1)!.at
-		mergeCrashEvidence(quarantine, { ends, served: [] }, lastAt)
+		const evidence = { ends: [...ends, ...OTHERS[others]], served: [] }
+		mergeCrashEvidence(quarantine, evidence, lastAt)
 		assert.is(quarantineLeftMs(quarantine, '#bad', lastAt), quarantineMs)
 		assert.is(quarantineLeftMs(quarantine, '#bad', lastAt + quarantineMs), 0)
 	})
--- a/packages/gateway/src/answerProof.ts
+++ b/packages/gateway/src/answerProof.ts
@@ -15,10 +15,12 @@
 import type { ServerAnswer } from './serverCall.ts'
 
 /**
- * How long after its first event a stream that goes on proves that the parts of its prompt
- * are sound, ms: a poison part crashes the server as it begins to answer.
+ * Time since its first event and number of events after which a stream that goes on proves
+ * that the parts of its prompt are sound, ms: a poison part crashes the server as it
+ * begins to answer. A slow server takes long for each event.
  */
-export const STREAM_PROOF_MS = 1_000
+const STREAM_PROOF_MS = 1_000
+const STREAM_PROOF_EVENTS = 4
 /** How long a proof that took a probe of the server is not repeated, ms. */
 const PROOF_INTERVAL_MS = 60_000
 
@@ -41,6 +43,34 @@
 	recordProof(ctx, send, isSuccess)
 }
 
+/** Progress of the part of a stream that one server sends. */
+export interface StreamProgress {
+	events: number
+	/** When the first event arrived, ms; undefined before that. */
+	firstAt: number | undefined
+	isProof: boolean
+}
+
+/** Creates the progress of a stream without events. */
+export function createStreamProgress(): StreamProgress {
+	return { events: 0, firstAt: undefined, isProof: false }
+}
+
+/** Records an event of a stream, which may prove that the parts of its prompt are sound. */
+export function recordProgress(
+	ctx: GatewayContext,
+	request: CallerRequest,
+	progress: StreamProgress,
+	now: number,
+): void {
+	progress.events++
+	progress.firstAt ??= now
+	if (progress.isProof || progress.events < STREAM_PROOF_EVENTS) return
+	if (now - progress.firstAt < STREAM_PROOF_MS) return
+	progress.isProof = true
+	recordPartsServed(ctx, request)
+}
+
 function recordProof(
 	ctx: GatewayContext,
 	{ job, server }: Send,
--- a/packages/gateway/src/closedGroups.ts
+++ b/packages/gateway/src/closedGroups.ts
@@ -92,15 +92,17 @@
 }
 
 /**
- * Whether a server's group has been closed for a while. Its ranks then abort the requests
- * that they hold because the group is stalled, not because they have crashed.
+ * Returns for how long the ranks of a server's group have been stalled, ms; 0 if they are
+ * not. They then abort the requests that they hold because the group is stalled, not
+ * because they have crashed.
  */
-export function isGroupStalled(
+export function stalledForMs(
 	{ closures }: GatewayContext,
 	server: ListedServer,
-): boolean {
+): number {
 	const since = closures.get(groupOf(server))?.since
-	return since !== undefined && readNow() - since > STALLED_AFTER_MS
+	if (since === undefined) return 0
+	return Math.max(0, readNow() - since - STALLED_AFTER_MS)
 }
 
 /** Evidence that a group is closed or open. */
--- a/packages/gateway/src/crashDetector.ts
+++ b/packages/gateway/src/crashDetector.ts
@@ -9,7 +9,7 @@
 import type { ListedServer } from '@juniperhook/core'
 import { MAX_REQUESTS_PER_CRASH, splitAddress } from '@juniperhook/core'
 import { readElapsed } from '@juniperhook/runtime'
-import { handleRankCrash, isGroupStalled } from './closedGroups.ts'
+import { handleRankCrash, stalledForMs } from './closedGroups.ts'
 import type { GatewayContext } from './context.ts'
 import type { CrashCheck } from './crashDetectorState.ts'
 import { recordServerCrash } from './quarantineGate.ts'
@@ -39,15 +39,19 @@
 /**
  * Starts a crash check for a server that closed a connection before its answer was
  * complete. Ranks of a group known to be stalled are not probed: each entry would open
- * a connection to every rank.
+ * a connection to every rank. A request sent to a stalled group is an exception: the group
+ * may have opened, and the request may have crashed its rank.
  */
 export function recordBrokenConnection(
 	ctx: GatewayContext,
 	server: ListedServer,
 ): void {
-	if (isGroupStalled(ctx, server)) return
 	const { checks, queue } = ctx.crashDetector
 	const inFlight = listInFlight(ctx.sentRequests, server.id)
+	const stalledMs = stalledForMs(ctx, server)
+	const now = readElapsed()
+	if (stalledMs > 0 && inFlight.every(({ since }) => now - since > stalledMs))
+		return
 	const known = checks.get(server.id)
 	if (!known && checks.size >= MAX_CHECKS) return
 	const check = known ?? createCheck(ctx, server)
--- a/packages/gateway/src/streamRelay.ts
+++ b/packages/gateway/src/streamRelay.ts
@@ -5,14 +5,13 @@
 
 import type { ServerResponse } from 'node:http'
 import { readElapsed, readNow } from '@juniperhook/runtime'
-import { STREAM_PROOF_MS } from './answerProof.ts'
+import { createStreamProgress, recordProgress } from './answerProof.ts'
 import { logAttempt, logServed } from './attemptLog.ts'
 import type { GatewayContext } from './context.ts'
 import type { StreamEvent } from './eventSplitter.ts'
 import { createEventSplitter, splitEvents } from './eventSplitter.ts'
 import { paceSource, queueOf, setSource } from './heldResponses.ts'
 import type { AnswerEnd, AttemptResult, Job, NextStep } from './job.ts'
-import { recordPartsServed } from './quarantineGate.ts'
 import { writeStreamHead } from './reply.ts'
 import { endQueue, queueEvent } from './responseQueue.ts'
 import { mayRetry } from './retryDecision.ts'
@@ -31,8 +30,7 @@
 	const queue = queueOf(ctx, res, job.request)
 	let lastAt = readNow()
 	let inOrder = true
-	let firstAt: number | undefined
-	let isProof = false
+	const progress = createStreamProgress()
 	const recordPause = (ms: number) => {
 		ctx.metrics.pauses.observe(ms / 1_000)
 		job.times.longestPauseMs = Math.max(job.times.longestPauseMs, ms)
@@ -51,11 +49,7 @@
 			ctx.metrics.firstByte.observe(job.times.startMs / 1_000)
 		}
 		lastAt = now
-		firstAt ??= now
-		if (!isProof && now - firstAt >= STREAM_PROOF_MS) {
-			isProof = true
-			recordPartsServed(ctx, job.request)
-		}
+		recordProgress(ctx, job.request, progress, now)
 		job.eventsRelayed++
 		if (result.work) recordWorkEvent(ctx, result.work)
 		if (queue) queueEvent(ctx, queue, event.bytes)
