Quarantine of parts: while one part is quarantined, one crash of a lone suspect is enough

Several poison parts at once crashed two servers each. While a part is quarantined, the only suspected part of another crash of that minute is quarantined too, for a minute.

--- a/packages/core/src/core/quarantine.ts
+++ b/packages/core/src/core/quarantine.ts
@@ -18,8 +18,9 @@
  */
 const QUARANTINE_MS = 600_000
 /**
- * Quarantine of a part after two crashes beside others that it does not explain, ms.
- * Requests of many callers may contain the part, and only a trial can clear it.
+ * Quarantine of a part after one crash, or after two beside others that no quarantined
+ * subject explains, ms. Requests of many callers may contain the part, and only a trial
+ * can clear it.
  */
 const DOUBTFUL_PART_QUARANTINE_MS = 60_000
 /** Retention of a crash, ms: one day. */
@@ -104,8 +105,8 @@
 	{ kind }: Subject,
 	{ servers, isDoubtful }: Suspicion,
 ): number {
-	if (kind === 'part' && isDoubtful && servers.length <= 2)
-		return DOUBTFUL_PART_QUARANTINE_MS
+	const isSure = servers.length > (isDoubtful ? 2 : 1)
+	if (kind === 'part' && !isSure) return DOUBTFUL_PART_QUARANTINE_MS
 	return QUARANTINE_MS * 2 ** Math.max(0, servers.length - 2)
 }
 
--- a/packages/core/src/core/suspicion.ts
+++ b/packages/core/src/core/suspicion.ts
@@ -119,25 +119,61 @@
 	for (const [key, part] of parts)
 		if (part.isConclusive && isExplainedByRequest(part, requests))
 			parts.set(key, { ...part, isConclusive: false })
-	return markDoubtful(sorted, new Map([...requests, ...parts]))
+	const suspects = new Map([...requests, ...parts])
+	concludeLoneParts(sorted, suspects)
+	markDoubtful(sorted, suspects)
+	return suspects
 }
 
-/** Marks suspicions beside crashes that no quarantined subject explains. */
-function markDoubtful(
+/** Returns the crashes that no quarantined subject explains. */
+function listUnexplained(
 	sorted: readonly ServerCrash[],
-	suspects: Map<string, Suspicion>,
-): Suspicions {
+	suspects: Suspicions,
+): ServerCrash[] {
 	const explained = new Set<string>()
 	for (const { isConclusive, servers } of suspects.values())
 		if (isConclusive) for (const server of servers) explained.add(server)
-	const unexplained = sorted.filter(({ server }) => !explained.has(server))
+	return sorted.filter(({ server }) => !explained.has(server))
+}
+
+/**
+ * Quarantines the only suspected part of a crash while another part is quarantined: where
+ * one part is poison, a further one is more likely than a server that crashes by itself.
+ */
+function concludeLoneParts(
+	sorted: readonly ServerCrash[],
+	suspects: Map<string, Suspicion>,
+): void {
+	const concluded = [...suspects].filter(
+		([key, one]) => one.isConclusive && subjectOf(key).kind === 'part',
+	)
+	for (const { server, at, ran } of listUnexplained(sorted, suspects)) {
+		const parts = [...ran.keys()].filter(
+			key =>
+				subjectOf(key).kind === 'part' &&
+				suspects.get(key)?.servers.includes(server),
+		)
+		const [key] = parts
+		if (key === undefined || parts.length > 1) continue
+		const isNear = concluded.some(
+			([, one]) => at > one.firstAt - DOUBT_MS && at < one.lastAt + DOUBT_MS,
+		)
+		if (isNear) suspects.set(key, { ...suspects.get(key)!, isConclusive: true })
+	}
+}
+
+/** Marks suspicions beside crashes that no quarantined subject explains. */
+function markDoubtful(
+	sorted: readonly ServerCrash[],
+	suspects: Map<string, Suspicion>,
+): void {
+	const unexplained = listUnexplained(sorted, suspects)
 	for (const [key, one] of suspects) {
 		const isDoubtful = unexplained.some(
 			({ at }) => at > one.firstAt - DOUBT_MS && at < one.lastAt + DOUBT_MS,
 		)
 		if (isDoubtful) suspects.set(key, { ...one, isDoubtful })
 	}
-	return suspects
 }
 
 /** Returns how long a complete answer at `at` exempts a subject from crashes, ms. */
--- a/packages/gateway/test/poisonParts.test.ts
+++ b/packages/gateway/test/poisonParts.test.ts
@@ -107,6 +107,13 @@
 		poison: n => [systemPart(n), `dead${n % 2}`],
 		sound: soundParts,
 	},
+	{
+		name: 'three parts',
+		entries: 3,
+		path: '/o/x',
+		poison: n => [systemPart(n), `dead${n % 3}`],
+		sound: soundParts,
+	},
 	{
 		name: 'two requests at once',
 		entries: 3,
