Streams: one whose connection ends before its first event is not complete

An unframed stream ends with its connection. Where that came before the first event, as with a server that crashes as it begins, callers got a complete answer of 200 without any event. Events without ids: a stream that has sent one without an id counts as begun only if it has ids; such streams cannot be resumed either way.

Held before, now with cases: whole unframed streams, those that end inside an event, those whose connection is reset between two events.

--- a/packages/gateway/src/answerProof.ts
+++ b/packages/gateway/src/answerProof.ts
@@ -1,6 +1,5 @@
 /** What answers prove about the server and the parts of a request's prompt. */
 
-import type { IncomingMessage } from 'node:http'
 import { readElapsed } from '@juniperhook/runtime'
 import type { GatewayContext } from './context.ts'
 import {
@@ -13,6 +12,7 @@
 import type { Send } from './send.ts'
 import { isServedSince } from './servedParts.ts'
 import type { ServerAnswer } from './serverCall.ts'
+import { endsWithConnection } from './serverCall.ts'
 
 /**
  * Time since its first event and number of events after which a stream that goes on proves
@@ -81,14 +81,6 @@
 	recordServerAlive(ctx, server.id)
 }
 
-/** Whether the end of a response's body is the end of its connection. */
-function endsWithConnection({ headers }: IncomingMessage): boolean {
-	return (
-		headers['content-length'] === undefined &&
-		headers['transfer-encoding'] === undefined
-	)
-}
-
 /** Whether a part of a prompt has not been proved sound for some time. */
 function needsProof(
 	{ quarantineGate }: GatewayContext,
--- a/packages/gateway/src/serverCall.ts
+++ b/packages/gateway/src/serverCall.ts
@@ -138,6 +138,14 @@
 	}
 }
 
+/** Whether the end of a response's body is marked only by the end of its connection. */
+export function endsWithConnection({ headers }: IncomingMessage): boolean {
+	return (
+		headers['content-length'] === undefined &&
+		headers['transfer-encoding'] === undefined
+	)
+}
+
 function codeOf(err: NodeJS.ErrnoException): string {
 	return err.code ?? err.message
 }
--- a/packages/gateway/src/streamRelay.ts
+++ b/packages/gateway/src/streamRelay.ts
@@ -3,7 +3,7 @@
  * stream is resumed at another server within the same response.
  */
 
-import type { ServerResponse } from 'node:http'
+import type { IncomingMessage, ServerResponse } from 'node:http'
 import { readElapsed, readNow } from '@juniperhook/runtime'
 import { createStreamProgress, recordProgress } from './answerProof.ts'
 import { logAttempt, logServed } from './attemptLog.ts'
@@ -15,6 +15,7 @@
 import { writeStreamHead } from './reply.ts'
 import { endQueue, queueEvent } from './responseQueue.ts'
 import { mayRetry } from './retryDecision.ts'
+import { endsWithConnection } from './serverCall.ts'
 import { recordAnswer, recordWorkEvent } from './workState.ts'
 
 /** Relays the part of a stream that one server sends. */
@@ -71,9 +72,11 @@
 		})
 		message.on('close', () => {
 			if (queue) setSource(queue, undefined)
+			const isFramingComplete =
+				answer.isComplete() && !isUnstarted(job, message)
 			const isComplete =
-				answer.isComplete() && inOrder && splitter.pending.length === 0
-			result.release(classifyEnd(job, isComplete, answer.isComplete()))
+				isFramingComplete && inOrder && splitter.pending.length === 0
+			result.release(classifyEnd(job, isComplete, isFramingComplete))
 			if (job.signal.aborted) {
 				resolve({ kind: 'done' })
 				return
@@ -98,6 +101,14 @@
 	})
 }
 
+/**
+ * Whether a connection ended before the first event of a stream without framing. It looks
+ * complete then, but the server has sent nothing.
+ */
+function isUnstarted({ lastEventId }: Job, message: IncomingMessage): boolean {
+	return lastEventId === undefined && endsWithConnection(message)
+}
+
 /** Classifies the end of a stream's connection. */
 function classifyEnd(
 	job: Job,
--- a/packages/gateway/test/fakeBackends.ts
+++ b/packages/gateway/test/fakeBackends.ts
@@ -112,6 +112,14 @@
 	| 'stream'
 	/** Sends such a stream, truncated in the middle of the third event. */
 	| 'brokenStream'
+	/** Sends a stream without framing, complete when the connection ends. */
+	| 'unframedStream'
+	/** Ends the connection in the middle of the third event of such a stream. */
+	| 'unframedCutStream'
+	/** Resets the connection after the second event of such a stream. */
+	| 'unframedResetStream'
+	/** Ends the connection before the first event of such a stream. */
+	| 'unframedEmptyStream'
 
 /** Number of events of a complete stream. */
 export const STREAM_EVENTS = 5
@@ -198,6 +206,12 @@
 			writeUnframed(req, id, `answer to ${id}`)
 			req.socket.end()
 			return
+		case 'unframedStream':
+		case 'unframedCutStream':
+		case 'unframedResetStream':
+		case 'unframedEmptyStream':
+			streamUnframed(req, id, action)
+			return
 		case 'hang':
 			return
 		case 'otherId':
@@ -215,16 +229,57 @@
 	}
 }
 
-function writeUnframed(req: IncomingMessage, id: string, body: string): void {
+function writeUnframed(
+	req: IncomingMessage,
+	id: string,
+	body: string,
+	type = 'text/plain',
+): void {
 	const head = [
 		'HTTP/1.1 200 OK',
 		`${WIRE.requestId}: ${id}`,
 		`${WIRE.seal}: sealed`,
 		'connection: close',
+		`content-type: ${type}`,
 	]
 	req.socket.write(`${head.join('\r\n')}\r\n\r\n${body}`)
 }
 
+function streamUnframed(
+	req: IncomingMessage,
+	id: string,
+	action: Extract<BackendAction, `unframed${string}Stream`>,
+): void {
+	const from = Number(req.headers[WIRE.lastEventId] ?? 0) + 1
+	const events = Array.from(
+		{ length: STREAM_EVENTS },
+		(_, at) => `id: ${at + 1}\ndata: event ${at + 1}\n\n`,
+	).slice(from - 1)
+	const send = (body: string) =>
+		writeUnframed(req, id, body, 'text/event-stream')
+	const firstEvents = events.slice(0, BROKEN_AFTER).join('')
+	switch (action) {
+		case 'unframedStream':
+			send(events.join(''))
+			req.socket.end()
+			return
+		case 'unframedCutStream':
+			send(`${firstEvents}${events[BROKEN_AFTER]!.slice(0, 9)}`)
+			req.socket.end()
+			return
+		case 'unframedResetStream':
+			send(firstEvents)
+			setTimeout(() => req.socket.resetAndDestroy(), 20)
+			return
+		case 'unframedEmptyStream':
+			send('')
+			req.socket.end()
+			return
+		default:
+			action satisfies never
+	}
+}
+
 function stream(
 	req: IncomingMessage,
 	res: ServerResponse,
