Streams: events without ids also count as the begin of an unframed stream

The check for a stream whose connection ended before its first event looked at event ids; a whole unframed stream without ids was taken for broken (new table case, failed before: not whole).

--- a/packages/gateway/src/streamRelay.ts
+++ b/packages/gateway/src/streamRelay.ts
@@ -105,8 +105,12 @@
  * Whether a connection ended before the first event of a stream without framing. It looks
  * complete then, but the server has sent nothing.
  */
-function isUnstarted({ lastEventId }: Job, message: IncomingMessage): boolean {
-	return lastEventId === undefined && endsWithConnection(message)
+function isUnstarted(
+	{ eventsRelayed, lastEventId }: Job,
+	message: IncomingMessage,
+): boolean {
+	const hasBegun = eventsRelayed > 0 || lastEventId !== undefined
+	return !hasBegun && endsWithConnection(message)
 }
 
 /** Classifies the end of a stream's connection. */
--- a/packages/gateway/test/fakeBackends.ts
+++ b/packages/gateway/test/fakeBackends.ts
@@ -114,6 +114,8 @@
 	| 'brokenStream'
 	/** Sends a stream without framing, complete when the connection ends. */
 	| 'unframedStream'
+	/** Sends such a stream whose events have no ids. */
+	| 'unframedPlainStream'
 	/** Ends the connection in the middle of the third event of such a stream. */
 	| 'unframedCutStream'
 	/** Resets the connection after the second event of such a stream. */
@@ -207,6 +209,7 @@
 			req.socket.end()
 			return
 		case 'unframedStream':
+		case 'unframedPlainStream':
 		case 'unframedCutStream':
 		case 'unframedResetStream':
 		case 'unframedEmptyStream':
@@ -263,6 +266,10 @@
 			send(events.join(''))
 			req.socket.end()
 			return
+		case 'unframedPlainStream':
+			send(events.join('').replaceAll(/id: \d+\n/g, ''))
+			req.socket.end()
+			return
 		case 'unframedCutStream':
 			send(`${firstEvents}${events[BROKEN_AFTER]!.slice(0, 9)}`)
 			req.socket.end()
--- a/packages/gateway/test/gateway.test.ts
+++ b/packages/gateway/test/gateway.test.ts
@@ -212,6 +212,15 @@
 		arrivals: 1,
 		has: WHOLE_STREAM,
 	},
+	{
+		name: 'a stream without ids that ends with its connection is passed on completely',
+		path: '/f/x',
+		method: 'POST',
+		script: ['unframedPlainStream'],
+		status: 200,
+		arrivals: 1,
+		has: WHOLE_STREAM.replaceAll(/id: \d+\n/g, ''),
+	},
 	{
 		name: 'a stream that ends with its connection inside an event resumes',
 		path: '/s/x',
