Entries: new connections are closed unread while sockets or processor time run out

The platform may hand most new connections of a region to one entry. Requests that it reads and cannot serve are lost to their callers; a connection closed before its request is read is retried at another entry. An entry with peers closes new connections unread, and fails its readiness check, while nine tenths of its sockets are open or ten timer ticks in a row are 100 ms late; one connection a second is taken all the same.

--- a/bench/rollback.ts
+++ b/bench/rollback.ts
@@ -145,6 +145,7 @@
 		eventTimeout: { minMs: 2_000, targetFactor: 4, pauseFactor: 8 },
 		coldAllowance: { factor: 1, extra: 0 },
 		memoryMb: 256,
+		maxSockets: 1_024,
 		underPressure: false,
 	}
 	const log = { ...createEventLog('bench'), write: () => {}, flush: () => {} }
--- a/packages/gateway/src/context.ts
+++ b/packages/gateway/src/context.ts
@@ -15,6 +15,7 @@
 } from '@juniperhook/core'
 import type { EventLog } from '@juniperhook/runtime'
 import type { ColdGate } from './coldState.ts'
+import type { ConnectionGate } from './connectionGate.ts'
 import type { CrashDetector } from './crashDetectorState.ts'
 import type { ServiceFeatures } from './features.ts'
 import type { Fleet } from './fleet.ts'
@@ -68,6 +69,8 @@
 	readonly coldAllowance: ColdAllowance
 	/** Memory of this process, MB. */
 	readonly memoryMb: number
+	/** Sockets that this process may open. */
+	readonly maxSockets: number
 	/** Whether callers are expected to press beyond capacity and to read slowly. */
 	readonly underPressure: boolean
 }
@@ -151,6 +154,8 @@
 	readonly coldGate: ColdGate
 	/** Requests suspected of crashing the servers that run them. */
 	readonly quarantineGate: QuarantineGate
+	/** Connections of callers. */
+	readonly connectionGate: ConnectionGate
 	/** Detects suspensions of the VM. */
 	readonly suspension: SuspensionWatch
 	/** Bytes that callers have not taken, and bodies of requests. */
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -21,6 +21,11 @@
 import { followCatalog, tickCatalog } from './catalog.ts'
 import { expireColdServers } from './coldServers.ts'
 import { createColdGate } from './coldState.ts'
+import {
+	createConnectionGate,
+	guardConnections,
+	measureLoad,
+} from './connectionGate.ts'
 import type { GatewayContext, GatewaySettings } from './context.ts'
 import { expireCrashChecks } from './crashDetector.ts'
 import { createCrashDetector } from './crashDetectorState.ts'
@@ -109,6 +114,7 @@
 		sentRequests: createSentRequests(),
 		crashDetector: createCrashDetector(),
 		suspension: createSuspensionWatch(),
+		connectionGate: createConnectionGate(),
 		sharedState,
 		outbox: new Map(),
 		rateLimits: sharedState.rateLimits,
@@ -142,6 +148,7 @@
 
 function tick(ctx: GatewayContext, callers: Server): void {
 	checkSuspension(ctx)
+	measureLoad(ctx, TICK_MS)
 	expireColdServers(ctx)
 	tickCatalog(ctx)
 	expireCrashChecks(ctx)
@@ -177,6 +184,7 @@
 			})
 		},
 	)
+	guardConnections(ctx, server)
 	server.on('clientError', (err: NodeJS.ErrnoException, socket: Duplex) =>
 		answerClientError(ctx, err, socket),
 	)
@@ -208,7 +216,10 @@
 function createReadinessServer(ctx: GatewayContext): Server {
 	return createServer((_req, res) => {
 		const ready =
-			ctx.routes !== undefined && !ctx.stopping && isSynchronized(ctx)
+			ctx.routes !== undefined &&
+			!ctx.stopping &&
+			ctx.connectionGate.overload === undefined &&
+			isSynchronized(ctx)
 		res.writeHead(ready ? 200 : 503, { 'Content-Length': 0 })
 		res.end()
 	})
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -29,6 +29,8 @@
 	readonly quarantinedParts: Gauge
 	/** Prompt parts that are tried by one request at a time. */
 	readonly suspectedParts: Gauge
+	/** Connections of callers that were closed unread, by reason. */
+	readonly closedConnections: Counter<'reason'>
 	/** Servers with a rate limit. */
 	readonly limitedServers: Gauge
 	/** Servers that have requested backoff of this entry. */
@@ -142,6 +144,12 @@
 			help: 'Prompt parts that one request at a time tries, as a server ended under them',
 			registers,
 		}),
+		closedConnections: new Counter({
+			name: 'juniperhook_closed_connections_total',
+			help: 'Connections of callers that were closed before anything was read',
+			labelNames: ['reason'],
+			registers,
+		}),
 		limitedServers: new Gauge({
 			name: 'juniperhook_limited_servers',
 			help: 'Servers that take only so many requests a second, as they say',
--- a/packages/gateway/test/openGateway.ts
+++ b/packages/gateway/test/openGateway.ts
@@ -71,6 +71,7 @@
 		eventTimeout: { minMs: 2_000, targetFactor: 4, pauseFactor: 8 },
 		coldAllowance: { factor: 1, extra: 0 },
 		memoryMb: 256,
+		maxSockets: 1_024,
 		underPressure: false,
 	}
 	const ctx = await startGateway(settings, SERVER_WIRE, source, log)
