Quarantine of parts: tests of refusals, trials and answers; entries do not wait for turns for ever

Turns end 20 s after a crash: a rare sound part would be refused at seven of eight entries of a large fleet until its request meets the right one.

The bench of the quarantine had not run since the gate moved in its context; mended, with parts.

--- a/bench/quarantine.ts
+++ b/bench/quarantine.ts
@@ -21,6 +21,7 @@
 
 const CRASHES = 256
 const REQUESTS_PER_CRASH = 16
+const PARTS_PER_CRASH = 32
 /** Time between crashes, ms; long enough that they do not count as simultaneous. */
 const CRASH_INTERVAL_MS = 1_000
 const MICRO = 1_000
@@ -132,7 +133,12 @@
 					? `${bodyLength.toString(36)}.poison`
 					: `${bodyLength.toString(36)}.${at}-${one}`,
 				50,
-			]),
+			]).concat(
+				Array.from({ length: PARTS_PER_CRASH }, (_, one) => [
+					one === 0 ? '#poison' : `#${at}-${one}`,
+					50,
+				]),
+			) as [string, number][],
 		),
 	}))
 	mergeCrashEvidence(
@@ -154,9 +160,13 @@
 ): string {
 	const body = Buffer.alloc(bytes)
 	const request = { method: 'POST', path: '/x', team: undefined, body }
+	const control = '127.0.0.1:1'
+	const membership = { reachable: [control] }
+	const permitHomes = { membership }
+	const ctx = { quarantineGate: gate, permitHomes, settings: { control } }
 	const startedAt = performance.now()
 	for (let round = 0; round < rounds; round++)
-		isQuarantined({ gate } as never, { ...request } as CallerRequest)
+		isQuarantined(ctx as never, { ...request } as CallerRequest)
 	return (((performance.now() - startedAt) * MICRO) / rounds).toFixed(2)
 }
 
--- a/packages/core/src/core/quarantine.ts
+++ b/packages/core/src/core/quarantine.ts
@@ -10,7 +10,7 @@
  */
 
 import type { Subject, Suspicion, Suspicions } from '../internal.ts'
-import { exemptUntil, findSuspects, subjectOf } from '../internal.ts'
+import { exemptUntil, findSuspects, subjectKindOf } from '../internal.ts'
 
 /**
  * Quarantine after a subject's second crash, ms; doubled at each further one. Then it is
@@ -97,12 +97,12 @@
 ): number {
 	const suspicion = suspects.get(key)
 	if (!suspicion?.isConclusive) return 0
-	const endsAt = suspicion.lastAt + quarantineMs(subjectOf(key), suspicion)
+	const endsAt = suspicion.lastAt + quarantineMs(subjectKindOf(key), suspicion)
 	return Math.max(0, endsAt + turnMs - now)
 }
 
 function quarantineMs(
-	{ kind }: Subject,
+	kind: Subject['kind'],
 	{ servers, isDoubtful }: Suspicion,
 ): number {
 	const isSure = servers.length > (isDoubtful ? 2 : 1)
@@ -142,9 +142,9 @@
 	const known = crashes.get(crash.server)
 	const ran = new Map(known?.ran)
 	const counts = { request: 0, part: 0 }
-	for (const key of ran.keys()) counts[subjectOf(key).kind]++
+	for (const key of ran.keys()) counts[subjectKindOf(key)]++
 	for (const [key, ms] of crash.ran) {
-		const { kind } = subjectOf(key)
+		const kind = subjectKindOf(key)
 		if (!ran.has(key) && counts[kind]++ >= MAX_PER_CRASH[kind]) continue
 		ran.set(key, Math.min(ms, ran.get(key) ?? ms))
 	}
--- a/packages/core/src/core/quarantineSubject.ts
+++ b/packages/core/src/core/quarantineSubject.ts
@@ -20,9 +20,14 @@
 	}
 }
 
+/** Returns the kind of subject that a key refers to. */
+export function subjectKindOf(key: string): Subject['kind'] {
+	return key.startsWith(PART_MARK) ? 'part' : 'request'
+}
+
 /** Returns the subject that a key refers to. */
 export function subjectOf(key: string): Subject {
-	return key.startsWith(PART_MARK)
+	return subjectKindOf(key) === 'part'
 		? { kind: 'part', id: key.slice(PART_MARK.length) }
 		: { kind: 'request', fingerprint: key }
 }
--- a/packages/core/src/core/suspicion.ts
+++ b/packages/core/src/core/suspicion.ts
@@ -18,7 +18,7 @@
  */
 
 import type { ServerCrash, Subject } from '../internal.ts'
-import { subjectOf } from '../internal.ts'
+import { subjectKindOf } from '../internal.ts'
 
 /** Points from which a request is quarantined: three isolated crashes. */
 const QUARANTINE_POINTS = 6
@@ -145,40 +145,42 @@
 	suspects: Map<string, Suspicion>,
 ): void {
 	const concluded = [...suspects].filter(
-		([key, one]) => one.isConclusive && subjectOf(key).kind === 'part',
+		([key, one]) => one.isConclusive && subjectKindOf(key) === 'part',
 	)
 	for (const { server, at, ran } of listUnexplained(sorted, suspects)) {
 		const parts = [...ran.keys()].filter(
 			key =>
-				subjectOf(key).kind === 'part' &&
+				subjectKindOf(key) === 'part' &&
 				suspects.get(key)?.servers.includes(server),
 		)
 		const [key] = parts
 		if (key === undefined || parts.length > 1) continue
-		const isNear = concluded.some(
-			([, one]) => at > one.firstAt - DOUBT_MS && at < one.lastAt + DOUBT_MS,
-		)
-		if (isNear) suspects.set(key, { ...suspects.get(key)!, isConclusive: true })
+		if (concluded.some(([, one]) => isNear(one, at)))
+			suspects.set(key, { ...suspects.get(key)!, isConclusive: true })
 	}
 }
 
-/** Marks suspicions beside crashes that no quarantined subject explains. */
+/** Whether a crash happened about when those that count against a subject did. */
+function isNear({ firstAt, lastAt }: Suspicion, at: number): boolean {
+	return at > firstAt - DOUBT_MS && at < lastAt + DOUBT_MS
+}
+
+/** Marks conclusive suspicions beside crashes that no quarantined subject explains. */
 function markDoubtful(
 	sorted: readonly ServerCrash[],
 	suspects: Map<string, Suspicion>,
 ): void {
 	const unexplained = listUnexplained(sorted, suspects)
 	for (const [key, one] of suspects) {
-		const isDoubtful = unexplained.some(
-			({ at }) => at > one.firstAt - DOUBT_MS && at < one.lastAt + DOUBT_MS,
-		)
+		if (!one.isConclusive) continue
+		const isDoubtful = unexplained.some(({ at }) => isNear(one, at))
 		if (isDoubtful) suspects.set(key, { ...one, isDoubtful })
 	}
 }
 
 /** Returns how long a complete answer at `at` exempts a subject from crashes, ms. */
 export function exemptUntil(key: string, at: number): number {
-	return at + ASSESSMENTS[subjectOf(key).kind].exemptMs
+	return at + ASSESSMENTS[subjectKindOf(key)].exemptMs
 }
 
 /** Whether a quarantined request was in flight at all crashes that count against a part. */
@@ -202,7 +204,7 @@
 	served: ReadonlyMap<string, number>,
 ): Map<string, Suspicion> {
 	const conclusive = new Map<string, Suspicion>()
-	let unexplained = sorted
+	let unexplained = sorted.map(crash => onlyOfKind(crash, kind))
 	for (;;) {
 		const suspects = scoreSubjects(kind, unexplained, served)
 		const primaries = findPrimarySuspects(suspects)
@@ -214,6 +216,12 @@
 	}
 }
 
+/** Returns a crash with only the subjects of a kind. */
+function onlyOfKind(crash: ServerCrash, kind: Subject['kind']): ServerCrash {
+	const ran = [...crash.ran].filter(([key]) => subjectKindOf(key) === kind)
+	return { ...crash, ran: new Map(ran) }
+}
+
 /**
  * Returns the conclusive suspect with the most points; among equal ones the one that was
  * in flight for the shortest time. Parts that were in flight at the same crashes cannot be
@@ -229,7 +237,7 @@
 	}
 	if (!primary) return []
 	const [primaryKey, { servers }] = primary
-	if (subjectOf(primaryKey).kind === 'request') return [primaryKey]
+	if (subjectKindOf(primaryKey) === 'request') return [primaryKey]
 	return [...suspects]
 		.filter(
 			([, one]) => one.isConclusive && one.servers.join() === servers.join(),
@@ -237,7 +245,7 @@
 		.map(([key]) => key)
 }
 
-/** Scores each subject of a kind from crashes in order of time. */
+/** Scores each subject from crashes in order of time; all are of one kind. */
 function scoreSubjects(
 	kind: Subject['kind'],
 	sorted: readonly ServerCrash[],
@@ -258,17 +266,16 @@
 	served: ReadonlyMap<string, number>,
 ): void {
 	const assessment = ASSESSMENTS[kind]
-	const inFlight = [...ran].filter(([key]) => subjectOf(key).kind === kind)
 	const since = correlated[0]!.at
-	const repeated = inFlight.filter(
-		([key]) => (suspects.get(key)?.firstAt ?? since) < since,
+	const repeated = [...ran.keys()].filter(
+		key => (suspects.get(key)?.firstAt ?? since) < since,
 	)
-	for (const [key, ranMs] of inFlight) {
+	for (const [key, ranMs] of ran) {
 		if (at <= exemptUntil(key, lastServedAt(served, key))) continue
 		const before = suspects.get(key)
 		if (before && at - ranMs < before.lastAt - MAX_SKEW_MS) continue
 		const isOnAll = correlated.every(one => one.ran.has(key))
-		const isSingledOut = repeated.length === 1 && repeated[0]![0] === key
+		const isSingledOut = repeated.length === 1 && repeated[0] === key
 		const points =
 			(before?.points ?? 0) + pointsOf(assessment, isOnAll, isSingledOut)
 		suspects.set(key, {
--- a/packages/gateway/src/partGate.ts
+++ b/packages/gateway/src/partGate.ts
@@ -27,6 +27,12 @@
  * them share a turn, so that a sound part does not wait longer in a large fleet.
  */
 const MAX_TURNS = 8
+/**
+ * Time after a crash from which entries no longer wait for their turns, ms: if no trial has
+ * crashed a server by then, requests with the part are rare, and trials of several
+ * entries at the same time unlikely.
+ */
+const TURNS_END_MS = 20_000
 /** Key of the order in which entries take turns; the same for all parts. */
 const TURN_KEY = 'part trials'
 /**
@@ -150,6 +156,7 @@
 	{ permitHomes, settings }: GatewayContext,
 	sinceMs: number,
 ): number {
+	if (sinceMs >= TURNS_END_MS) return 0
 	const { reachable } = permitHomes.membership
 	const turns = Math.min(reachable.length, MAX_TURNS)
 	const order = topByRendezvous(TURN_KEY, reachable, reachable.length)
--- a/packages/gateway/src/quarantineGate.ts
+++ b/packages/gateway/src/quarantineGate.ts
@@ -9,6 +9,7 @@
 	mergeServerUpdates,
 	quarantineLeftMs,
 	subjectKeyOf,
+	subjectKindOf,
 	subjectOf,
 	topByRendezvous,
 } from '@juniperhook/core'
@@ -194,7 +195,7 @@
 	quarantineGate.suspectedParts = new Set(parts)
 	const quarantined = new Set(listQuarantined(quarantineGate.quarantine))
 	quarantineGate.quarantined = quarantined
-	const isPart = (key: string) => subjectOf(key).kind === 'part'
+	const isPart = (key: string) => subjectKindOf(key) === 'part'
 	const quarantinedParts = [...quarantined].filter(isPart).length
 	ctx.metrics.quarantined.set(quarantined.size - quarantinedParts)
 	ctx.metrics.quarantinedParts.set(quarantinedParts)
--- a/packages/gateway/test/crashingServers.ts
+++ b/packages/gateway/test/crashingServers.ts
@@ -5,12 +5,14 @@
 import type { AddressInfo, Socket } from 'node:net'
 import type { ListedServer } from '@juniperhook/core'
 import type { FakeCatalog } from './fakeBackends.ts'
-import { nextRevision, WIRE } from './fakeBackends.ts'
+import { nextRevision, WIRE, writeUnframed } from './fakeBackends.ts'
 
 /** A body that contains this text crashes the server that runs it. */
 export const POISON = 'deadly'
 /** A prompt part whose id starts with this crashes the server that runs it. */
 export const POISON_PART = 'dead'
+/** The same, but the connections end in order, as at the end of answers without framing. */
+export const QUIET_POISON_PART = 'deadquiet'
 /** A body that contains this text runs until its server crashes or `release` is called. */
 export const SLOW = 'slow'
 /** Time from the start of a poison request to the crash, ms. */
@@ -133,9 +135,11 @@
 	const last = Number(req.headers[WIRE.lastEventId] ?? 0)
 	const event = (after: number) => `id: ${last + after}\ndata: text\n\n`
 	const answer = isStream ? event(2) : `answer to ${id}`
-	if (isStream) res.writeHead(200, head).write(event(1))
+	const isQuiet = parts.includes(QUIET_POISON_PART)
+	if (isQuiet) writeUnframed(req, id, event(1), 'text/event-stream')
+	else if (isStream) res.writeHead(200, head).write(event(1))
 	if (body.includes(POISON) || hasPoisonPart(parts)) {
-		setTimeout(() => crash(all, server, name), CRASH_AFTER_MS)
+		setTimeout(() => crash(all, server, name, isQuiet), CRASH_AFTER_MS)
 		return
 	}
 	const finish = () => {
@@ -157,16 +161,19 @@
 	all: CrashingServers,
 	server: CrashingServer,
 	name: string,
+	isQuiet = false,
 ): void {
 	if (server.listed.name !== name || !server.http.listening) return
 	all.crashes.push({ server: name, at: performance.now() })
-	stop(server)
+	stop(server, isQuiet)
 	setTimeout(() => restart(all, server), RESTART_AFTER_MS)
 }
 
-function stop(server: CrashingServer): void {
+function stop(server: CrashingServer, isQuiet = false): void {
 	server.http.close()
-	for (const socket of server.sockets) socket.resetAndDestroy()
+	for (const socket of server.sockets)
+		if (isQuiet) socket.end()
+		else socket.resetAndDestroy()
 	server.slow.clear()
 }
 
--- a/packages/gateway/test/fakeBackends.ts
+++ b/packages/gateway/test/fakeBackends.ts
@@ -232,7 +232,8 @@
 	}
 }
 
-function writeUnframed(
+/** Sends an answer whose end is the end of its connection. */
+export function writeUnframed(
 	req: IncomingMessage,
 	id: string,
 	body: string,
--- a/packages/gateway/test/poisonParts.test.ts
+++ b/packages/gateway/test/poisonParts.test.ts
@@ -9,12 +9,18 @@
 
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
-import { hasPoisonPart } from './crashingServers.ts'
+import { hasPoisonPart, QUIET_POISON_PART } from './crashingServers.ts'
 import type { CallerResponse } from './fakeBackends.ts'
 import { WIRE } from './fakeBackends.ts'
 import { CONTACT_MS } from './openGateway.ts'
 import type { World } from './poisonWorld.ts'
-import { createWorlds, openEntry, pause, send } from './poisonWorld.ts'
+import {
+	createWorlds,
+	openEntry,
+	openIsolatedEntry,
+	pause,
+	send,
+} from './poisonWorld.ts'
 
 /** Maximum number of servers that may crash under poison parts. */
 const MAX_CRASHES = 5
@@ -45,6 +51,8 @@
 	readonly together?: number
 	/** Sends all requests with poison parts to an entry that starts in the course of it. */
 	readonly isNewEntry?: boolean
+	/** Whether one more entry has no contact to the others. */
+	readonly hasIsolatedEntry?: boolean
 }
 
 const SYSTEM_PARTS = ['s0', 's1', 's2', 's3']
@@ -130,6 +138,21 @@
 		sound: soundParts,
 		isNewEntry: true,
 	},
+	{
+		name: 'an entry that is cut off from the others',
+		entries: 2,
+		path: '/o/x',
+		poison: n => [systemPart(n), 'dead1'],
+		sound: soundParts,
+		hasIsolatedEntry: true,
+	},
+	{
+		name: 'streams that end with the connections of the servers that crash',
+		entries: 3,
+		path: '/s/x',
+		poison: n => [systemPart(n), QUIET_POISON_PART],
+		sound: soundParts,
+	},
 ]
 
 /** Sends a request whose body and last prompt part no other request has. */
@@ -197,6 +220,7 @@
 /** Runs a case and describes the violations of its bounds. */
 async function findFaults(one: PartsCase): Promise<string[]> {
 	const world = await openWorld(one.entries, SERVERS)
+	if (one.hasIsolatedEntry) await openIsolatedEntry(world)
 	const { crashes, runs } = world.servers
 	// Sound requests are served before the first poison part arrives.
 	await sendSound(world, one, performance.now() + 600)
--- a/packages/gateway/test/poisonWorld.ts
+++ b/packages/gateway/test/poisonWorld.ts
@@ -9,6 +9,8 @@
 import { openGatewayAt, until } from './openGateway.ts'
 
 const PORTS_EACH = 4
+/** Distance of the ports of isolated entries from those of the others. */
+const ISOLATED_PORTS = 2_000
 /** Time for entries to link to each other, ms. */
 const LINK_MS = 250
 /** Longer than a busy machine takes to crash a server and to report that, ms. */
@@ -71,6 +73,19 @@
 	return entry
 }
 
+/** Opens another entry that neither knows the others nor is known to them. */
+export async function openIsolatedEntry(world: World): Promise<OpenGateway> {
+	const { servers, entries, port, config } = world
+	const listed = servers.servers.map(one => one.listed)
+	const catalog = createCatalog(config, listed)
+	servers.catalogs.push(catalog)
+	const ip = `127.0.0.${entries.length + 1}`
+	const entry = await openGatewayAt(port + ISOLATED_PORTS, catalog, [], ip)
+	entries.push(entry)
+	await until(() => entry.ctx.routes !== undefined)
+	return entry
+}
+
 export function pause(ms: number): Promise<void> {
 	return new Promise(resolve => setTimeout(resolve, ms))
 }
