--- a/packages/entry/src/explain.ts
+++ b/packages/entry/src/explain.ts
@@ -81,7 +81,7 @@
 	servers: ReadonlySet<string | undefined>,
 ): string | undefined {
 	if (isNewerElsewhere(line, outcomeLine)) return `version ${line.version}`
-	const { event, node, group, server, time, fingerprint } = line
+	const { event, node, group, server, time, fingerprint, part, parts } = line
 	const isHere = node === outcomeLine.node
 	const isRecent = outcomeLine.time - time <= STATE_WINDOW_MS
 	switch (event) {
@@ -119,6 +119,12 @@
 			return servers.has(server) ? `ended ${server}` : undefined
 		case 'request quarantined':
 			return fingerprint === outcomeLine.fingerprint ? event : undefined
+		case 'part quarantined':
+			return part !== undefined && part === outcomeLine.part ? event : undefined
+		case 'parts suspected':
+			return outcomeLine.part !== undefined && parts?.includes(outcomeLine.part)
+				? event
+				: undefined
 		case 'server':
 			return isHere && servers.has(server) ? `server ${server}` : undefined
 		case 'demand shifted':
@@ -170,6 +176,8 @@
 			return `The connection to its server broke after it may have run${describeAttempts(requestLines)}${describeCrashes(stateLines)}${describeRollback(outcomeLine, stateLines)}.`
 		case 'quarantined':
 			return explainQuarantine(outcomeLine, stateLines)
+		case 'suspected':
+			return explainSuspicion(outcomeLine, stateLines)
 		case 'unreachable':
 			return `No server that it was sent to accepted it${describeAttempts(requestLines)}${describeRollback(outcomeLine, stateLines)}.`
 		default:
@@ -291,11 +299,22 @@
 	outcomeLine: LogLine,
 	stateLines: readonly LogLine[],
 ): string {
-	const quarantine = stateLines.find(
-		({ event }) => event === 'request quarantined',
-	)
+	const { part, fingerprint } = outcomeLine
+	const event = part ? 'part quarantined' : 'request quarantined'
+	const quarantine = stateLines.find(line => line.event === event)
 	const servers = quarantine?.servers?.join(', ') ?? 'servers'
-	return `${servers} crashed while they ran it (${outcomeLine.fingerprint}); it is quarantined.`
+	return part
+		? `${servers} crashed while they ran prompts with the part ${part}; it is quarantined.`
+		: `${servers} crashed while they ran it (${fingerprint}); it is quarantined.`
+}
+
+function explainSuspicion(
+	{ part, time }: LogLine,
+	stateLines: readonly LogLine[],
+): string {
+	const suspicion = stateLines.find(({ event }) => event === 'parts suspected')
+	const since = suspicion ? ` ${time - suspicion.time} ms before` : ''
+	return `A server crashed${since} while it ran a prompt with the part ${part}; one request at a time tries the part.`
 }
 
 /** Lists its servers that crashed, with how many requests each had in flight. */
--- a/packages/entry/src/logLines.ts
+++ b/packages/entry/src/logLines.ts
@@ -29,7 +29,11 @@
 	reason: optionalText,
 	/** Identifies a repeated request. */
 	fingerprint: optionalText,
-	/** Servers that crashed while they ran the request. */
+	/** Prompt part because of which a request was refused. */
+	part: optionalText,
+	/** Prompt parts that became suspected. */
+	parts: optionalTexts,
+	/** Servers that crashed while they ran the request or a prompt with the part. */
 	servers: optionalTexts,
 	/** Requests in flight at a server when it crashed, by the callers' ids. */
 	requests: optionalTexts,
--- a/packages/entry/test/explain.test.ts
+++ b/packages/entry/test/explain.test.ts
@@ -201,6 +201,40 @@
 		],
 		cause: 'i-1, i-7 crashed while they ran it (c.abc); it is quarantined.',
 	},
+	{
+		name: 'a quarantined prompt part',
+		lines: [
+			line(100, 'parts suspected', { node: 'e2', parts: ['bad', 'x'] }),
+			line(3_000, 'part quarantined', {
+				node: 'e2',
+				part: 'bad',
+				servers: ['i-1', 'i-7'],
+			}),
+			line(3_100, 'part quarantined', { part: 'other', servers: ['i-9'] }),
+			line(5_000, 'request failed', {
+				req: ID,
+				error: 'quarantined',
+				part: 'bad',
+				fingerprint: 'c.abc',
+			}),
+		],
+		cause:
+			'i-1, i-7 crashed while they ran prompts with the part bad; it is quarantined.',
+	},
+	{
+		name: 'a suspected prompt part',
+		lines: [
+			line(100, 'parts suspected', { parts: ['y'] }),
+			line(700, 'parts suspected', { parts: ['bad', 'x'] }),
+			line(1_000, 'request failed', {
+				req: ID,
+				error: 'suspected',
+				part: 'x',
+			}),
+		],
+		cause:
+			'A server crashed 300 ms before while it ran a prompt with the part x; one request at a time tries the part.',
+	},
 	{
 		name: 'a server from a rolled-back source',
 		lines: [
