--- a/bench/gateway.ts
+++ b/bench/gateway.ts
@@ -66,6 +66,7 @@
 		net: NET,
 		faultFilter: '',
 		poisonRequest: false,
+		poisonPart: false,
 		rateLimits: false,
 		backoffs: false,
 		rollbacks: false,
--- a/soak/src/call.ts
+++ b/soak/src/call.ts
@@ -15,6 +15,9 @@
 
 /** Time after the deadline at which the caller closes a connection that hangs, ms. */
 const ABORT_DELAY_MS = 1_000
+/** Tokens of each part of a prompt, and the length of a part's id. */
+const PART_TOKENS = 40
+const MAX_PART_CHARS = 64
 /** Range of callers' deadlines, ms. */
 const DEADLINES_MS = [900, 6_000] as const
 
@@ -35,13 +38,24 @@
 	readonly method: string
 }
 
+/** Content of a request. */
+export interface CallContent {
+	readonly body?: string
+	/** Ids of the parts of its prompt that other requests share. */
+	readonly parts?: readonly string[]
+}
+
+function bodyOfCall(kind: RequestKind, id: string): string {
+	return kind === 'repeatable' ? '' : `body of ${id} `.repeat(20)
+}
+
 /** Creates a request and adds its record. */
 export function prepareCall(
 	{ world, entry, id, random }: CallContext,
 	kind: RequestKind,
 	path: string,
 	key: string,
-	body = kind === 'repeatable' ? '' : `body of ${id} `.repeat(20),
+	{ body = bodyOfCall(kind, id), parts = [] }: CallContent = {},
 ): PreparedCall {
 	const now = performance.now()
 	const deadline = Math.round(randomBetween(random, ...DEADLINES_MS))
@@ -50,6 +64,7 @@
 		kind,
 		path,
 		body,
+		parts,
 		team: TEAM_OF_KEY[key] ?? 'doomed',
 		entry: entry.index,
 		incarnation: entry.incarnation,
@@ -98,6 +113,7 @@
 				[WIRE.deadlineMs]: String(
 					Math.round(request.deadlineAt - request.sentAt),
 				),
+				...promptHeaders(request),
 			},
 		})
 		const abandon = () => {
@@ -121,6 +137,14 @@
 	})
 }
 
+/** Names the parts of a prompt, the last of which is the request's own. */
+function promptHeaders({ id, parts }: RequestRecord): Record<string, string> {
+	if (parts.length === 0) return {}
+	const own = Buffer.from(id).toString('hex').slice(0, MAX_PART_CHARS)
+	const ids = [...parts, own].map(part => `${part}:${PART_TOKENS}`)
+	return { [WIRE.promptParts]: ids.join() }
+}
+
 /** Limits a caller's wait for a process that hangs. */
 function abortAfterDeadline(req: ClientRequest, request: RequestRecord): void {
 	const waitMs = request.deadlineAt - performance.now() + ABORT_DELAY_MS
--- a/soak/src/callers.ts
+++ b/soak/src/callers.ts
@@ -9,6 +9,7 @@
 import { PREFIX_OF, TEAM_OF_KEY } from './config.ts'
 import { probeConfig } from './configProbes.ts'
 import { isUndisturbed } from './disturbances.ts'
+import { soundPartOf } from './poisonParts.ts'
 import type { ManagedProcess } from './processes.ts'
 import { bodyOf, STREAM_EVENTS } from './servers.ts'
 import type { RequestRecord } from './types.ts'
@@ -56,7 +57,9 @@
 	const { world, entry, id, random } = context
 	const kind = randomItem(random, ['once', 'repeatable', 'stream'] as const)
 	const key = randomItem(random, Object.keys(TEAM_OF_KEY))
-	const call = prepareCall(context, kind, `${PREFIX_OF[kind]}${id}`, key)
+	const parts = kind === 'stream' ? [soundPartOf(id)] : []
+	const path = `${PREFIX_OF[kind]}${id}`
+	const call = prepareCall(context, kind, path, key, { parts })
 	const abandonAfterMs = random() < ABANDON_RATIO ? random() * 60 : undefined
 	const answer = await sendCall(context, call, abandonAfterMs)
 	const { request } = call
--- a/soak/src/main.ts
+++ b/soak/src/main.ts
@@ -42,6 +42,7 @@
 		net: Number(values.net),
 		faultFilter: values.only,
 		poisonRequest: !values.harmless,
+		poisonPart: !values.harmless,
 		rateLimits: !values.unlimited,
 		backoffs: !values.restless,
 		rollbacks: !values.steady,
--- a/soak/src/poisonRequest.ts
+++ b/soak/src/poisonRequest.ts
@@ -30,10 +30,14 @@
 const PAUSE_MS = [300, 1_500] as const
 /** Interval of checks whether any entry runs, ms; shorter than the start of a process. */
 const POLL_INTERVAL_MS = 20
-/** Number of crashes after which the poison request must be quarantined. */
-const CRASHES_UNTIL_QUARANTINE = 3
-/** Limit on its sends afterwards. */
-const MAX_LATE_SENDS = 3
+/** How often a poison subject may reach servers. */
+export interface SendLimit {
+	/** Crashes after which it must be quarantined. */
+	readonly crashes: number
+	/** Sends from the contact time after the last of these crashes on. */
+	readonly lateSends: number
+}
+const LIMIT: SendLimit = { crashes: 3, lateSends: 3 }
 
 /** Sends the poison request until the soak ends. */
 export async function runPoisonCaller(world: World): Promise<void> {
@@ -42,13 +46,9 @@
 	for (let number = 0; !world.finished; number++) {
 		const entry = randomItem(random, world.entries)
 		const context = { world, entry, agent, id: `deadly-${number}`, random }
-		const call = prepareCall(
-			context,
-			'once',
-			POISON_PATH,
-			'key-guests',
-			POISON_BODY,
-		)
+		const call = prepareCall(context, 'once', POISON_PATH, 'key-guests', {
+			body: POISON_BODY,
+		})
 		const answer = await sendCall(context, call)
 		count(world.record, `poison requests answered ${answer.status}`)
 		await sleep(randomBetween(random, ...PAUSE_MS))
@@ -69,35 +69,48 @@
 	}
 }
 
-/**
- * Checks how often the request reached servers later than the contact time after the
- * third crash. Counting starts again after each time at which no entry ran, as the
- * evidence was lost.
- */
+/** Checks how often the request reached servers. */
 export function checkPoisonRequest(world: World): void {
 	const { record } = world
 	const sends = [...record.requests.values()]
 		.filter(({ path }) => path === POISON_PATH)
 		.flatMap(({ id }) => record.runs.get(id) ?? [])
-		.sort((a, b) => a.startedAt - b.startedAt)
 	count(record, 'runs of the poison request', sends.length)
-	let since = 0
+	checkLateSends(world, sends, LIMIT)
+}
+
+/**
+ * Checks how often something that crashes servers reached them later than the contact time
+ * after it had crashed several. Counting starts again after each time at which no
+ * entry ran, as the evidence was lost.
+ */
+export function checkLateSends(
+	world: World,
+	sends: readonly Run[],
+	limit: SendLimit,
+): void {
+	const sorted = [...sends].sort((a, b) => a.startedAt - b.startedAt)
 	const evidenceLostAt = [...world.evidenceLostAt].sort((a, b) => a - b)
+	let since = 0
 	for (const until of [...evidenceLostAt, Number.POSITIVE_INFINITY]) {
-		checkLateSends(
-			world,
-			sends.filter(one => one.startedAt >= since && one.startedAt < until),
+		const between = sorted.filter(
+			({ startedAt }) => startedAt >= since && startedAt < until,
 		)
+		checkSendsBetween(world, between, limit)
 		since = until
 	}
 }
 
-function checkLateSends({ record }: World, sends: readonly Run[]): void {
-	const third = sends[CRASHES_UNTIL_QUARANTINE - 1]
-	if (!third) return
-	const checkedFrom = third.startedAt + POISON_CRASH_DELAY_MS + CONTACT_MS
+function checkSendsBetween(
+	{ record }: World,
+	sends: readonly Run[],
+	{ crashes, lateSends }: SendLimit,
+): void {
+	const last = sends[crashes - 1]
+	if (!last) return
+	const checkedFrom = last.startedAt + POISON_CRASH_DELAY_MS + CONTACT_MS
 	const late = sends.filter(({ startedAt }) => startedAt > checkedFrom)
-	if (late.length > MAX_LATE_SENDS)
+	if (late.length > lateSends)
 		recordViolation(
 			record,
 			'BUDGET',
--- a/soak/src/servers.ts
+++ b/soak/src/servers.ts
@@ -13,6 +13,7 @@
 import { PORTS, relayIp, serverIp } from './addresses.ts'
 import { checkRun } from './checks.ts'
 import { handleEngineCall } from './engineApi.ts'
+import { hasPoisonPart } from './poisonParts.ts'
 import { POISON_CRASH_DELAY_MS, POISON_PATH } from './poisonRequest.ts'
 import type { ReportedLimit } from './rateLimits.ts'
 import { recordArrival } from './rateLimits.ts'
@@ -86,7 +87,7 @@
 	readonly net: number
 	/** Whether the group serves, which requires that all its ranks run. */
 	groupOpen: boolean
-	/** Called when a server has run the poison request. */
+	/** Called when a server has run a poison request. */
 	onPoisonRequest: (backend: BackendServer) => void
 	/** Refuses a request if the server requests a backoff; returns whether it did. */
 	refuseWithBackoff: (
@@ -171,7 +172,8 @@
 	res.on('close', () => {
 		run.endedAt ??= performance.now()
 	})
-	if (req.url === POISON_PATH) {
+	const { parts = [] } = servers.record.requests.get(run.id) ?? {}
+	if (req.url === POISON_PATH || hasPoisonPart({ parts })) {
 		await sleep(POISON_CRASH_DELAY_MS)
 		servers.onPoisonRequest(backend)
 		return
--- a/soak/src/soak.ts
+++ b/soak/src/soak.ts
@@ -12,6 +12,7 @@
 import { crashUnderPoisonRequest, injectFaults } from './faults.ts'
 import { checkRecord } from './finalChecks.ts'
 import { checkLeaving } from './leaving.ts'
+import { checkPoisonPart, runPoisonPartCaller } from './poisonParts.ts'
 import {
 	checkPoisonRequest,
 	runPoisonCaller,
@@ -49,12 +50,11 @@
 	const callers = Array.from({ length: options.clients }, (_, caller) =>
 		runCaller(world, caller),
 	)
-	if (options.poisonRequest) {
-		world.servers.onPoisonRequest = backend =>
-			crashUnderPoisonRequest(world, backend)
-		void runPoisonCaller(world)
-		void watchEntryOutages(world)
-	}
+	world.servers.onPoisonRequest = backend =>
+		crashUnderPoisonRequest(world, backend)
+	void watchEntryOutages(world)
+	if (options.poisonRequest) void runPoisonCaller(world)
+	if (options.poisonPart) void runPoisonPartCaller(world)
 	if (options.rateLimits) void injectRateLimits(world)
 	if (options.backoffs) {
 		world.servers.refuseWithBackoff = (...args) =>
@@ -77,6 +77,7 @@
 	await Promise.race([Promise.all(callers), sleep(FINAL_ANSWERS_MS)])
 	checkRecord(world, recoveryDueAt, stall.stop())
 	if (options.poisonRequest) checkPoisonRequest(world)
+	checkPoisonPart(world)
 	if (options.checksTiming && options.rateLimits) checkRateLimits(world)
 	if (options.checksTiming) checkBackoffs(world)
 	checkLeaving(world)
--- a/soak/src/types.ts
+++ b/soak/src/types.ts
@@ -14,6 +14,8 @@
 	readonly kind: RequestKind
 	readonly path: string
 	readonly body: string
+	/** Ids of the parts of its prompt that other requests share. */
+	readonly parts: readonly string[]
 	readonly team: string
 	readonly entry: number
 	/** The entry's incarnation when the request was sent. */
@@ -94,6 +96,8 @@
 	readonly net: number
 	/** Whether a caller repeatedly sends a request that crashes servers. */
 	readonly poisonRequest: boolean
+	/** Whether streams with a part that crashes the ranks that run them are sent. */
+	readonly poisonPart: boolean
 	/** Whether servers report rate limits, one at a time. */
 	readonly rateLimits: boolean
 	/** Whether servers refuse requests and ask entries to back off. */
--- a/soak/test/checks.test.ts
+++ b/soak/test/checks.test.ts
@@ -20,6 +20,7 @@
 	kind: 'once',
 	path: '/o/1',
 	body: 'body',
+	parts: [],
 	team: 'rangers',
 	entry: 0,
 	incarnation: 1,
--- a/soak/test/soak.process.test.ts
+++ b/soak/test/soak.process.test.ts
@@ -28,6 +28,7 @@
 	readonly seed: number
 	readonly cause: string
 	readonly poisonRequest?: boolean
+	readonly poisonPart?: boolean
 	readonly rateLimits?: boolean
 	readonly backoffs?: boolean
 	readonly rollbacks?: boolean
@@ -38,6 +39,7 @@
 }[] = [
 	{ seed: 7, cause: 'none: a first one' },
 	{ seed: 8, cause: 'none: with a poison request', poisonRequest: true },
+	{ seed: 13, cause: 'none: with a poison prompt part', poisonPart: true },
 	{ seed: 9, cause: 'none: with servers that report limits', rateLimits: true },
 	{
 		seed: 11,
@@ -80,6 +82,7 @@
 			net: 14,
 			faultFilter: '',
 			poisonRequest: options.poisonRequest ?? false,
+			poisonPart: options.poisonPart ?? false,
 			rateLimits: options.rateLimits ?? false,
 			backoffs: options.backoffs ?? false,
 			rollbacks: options.rollbacks ?? false,
