--- a/scripts/ablation.ts
+++ b/scripts/ablation.ts
@@ -165,6 +165,12 @@
 		on: 'const QUARANTINE_POINTS = 6',
 		off: 'const QUARANTINE_POINTS = Number.POSITIVE_INFINITY',
 	},
+	{
+		name: 'partQuarantine',
+		file: SUSPICION,
+		on: 'const PART_QUARANTINE_POINTS = 5',
+		off: 'const PART_QUARANTINE_POINTS = Number.POSITIVE_INFINITY',
+	},
 	{
 		name: 'singledOut',
 		file: SUSPICION,
