Quarantine of parts: entries also take turns when a quarantine ends

At its end all entries could have tried the part at the same moment (new test: three crashes where one is allowed; failed before). Turns begin when a part may be tried. Found by reading.

--- a/packages/core/src/core/quarantine.ts
+++ b/packages/core/src/core/quarantine.ts
@@ -10,7 +10,12 @@
  */
 
 import type { Subject, Suspicion, Suspicions } from '../internal.ts'
-import { exemptUntil, findSuspects, subjectKindOf } from '../internal.ts'
+import {
+	CRASH_CORRELATION_MS,
+	exemptUntil,
+	findSuspects,
+	subjectKindOf,
+} from '../internal.ts'
 
 /**
  * Quarantine after a subject's second crash, ms; doubled at each further one. Then it is
@@ -97,8 +102,21 @@
 ): number {
 	const suspicion = suspects.get(key)
 	if (!suspicion?.isConclusive) return 0
-	const endsAt = suspicion.lastAt + quarantineMs(subjectKindOf(key), suspicion)
-	return Math.max(0, endsAt + turnMs - now)
+	return Math.max(0, quarantineEndOf(key, suspicion) + turnMs - now)
+}
+
+/**
+ * Returns when a suspected subject may be tried at the earliest, ms: after its quarantine,
+ * or so late that another crash is evidence of its own.
+ */
+export function triableFrom(key: string, suspicion: Suspicion): number {
+	return suspicion.isConclusive
+		? quarantineEndOf(key, suspicion)
+		: suspicion.lastAt + CRASH_CORRELATION_MS
+}
+
+function quarantineEndOf(key: string, suspicion: Suspicion): number {
+	return suspicion.lastAt + quarantineMs(subjectKindOf(key), suspicion)
 }
 
 function quarantineMs(
--- a/packages/gateway/src/partGate.ts
+++ b/packages/gateway/src/partGate.ts
@@ -5,12 +5,7 @@
  */
 
 import type { ErrorKind, Suspicion } from '@juniperhook/core'
-import {
-	CRASH_CORRELATION_MS,
-	quarantineLeftMs,
-	subjectKeyOf,
-	topByRendezvous,
-} from '@juniperhook/core'
+import { subjectKeyOf, topByRendezvous, triableFrom } from '@juniperhook/core'
 import { readElapsed } from '@juniperhook/runtime'
 import type { GatewayContext } from './context.ts'
 import type { CallerRequest, Job } from './job.ts'
@@ -28,7 +23,7 @@
  */
 const MAX_TURNS = 8
 /**
- * Time after a crash from which entries no longer wait for their turns, ms: if no trial has
+ * Time from the first turn until entries no longer wait for theirs, ms: if no trial has
  * crashed a server by then, requests with the part are rare, and trials of several
  * entries at the same time unlikely.
  */
@@ -80,32 +75,47 @@
 	const { quarantine, suspectedParts } = ctx.quarantineGate
 	if (suspectedParts.size === 0) return { kind: 'free' }
 	const parts = sharedParts.filter(id => suspectedParts.has(id))
-	const [first] = parts
-	if (first === undefined) return { kind: 'free' }
-	const now = readElapsed()
-	let newest: Suspicion | undefined
-	for (const part of parts) {
+	const suspects = parts.map(part => {
 		const key = subjectKeyOf({ kind: 'part', id: part })
-		const leftMs = quarantineLeftMs(quarantine, key, now)
-		if (leftMs > 0) return { kind: 'quarantined', part, leftMs }
 		const suspicion = quarantine.suspects.get(key)!
-		if (!newest || suspicion.lastAt > newest.lastAt) newest = suspicion
-	}
-	const sinceMs = Math.max(0, now - newest!.lastAt)
-	if (sinceMs < EVIDENCE_MS)
-		return { kind: 'pending', part: first, leftMs: EVIDENCE_MS - sinceMs }
-	// An earlier trial could crash a server so soon that it would not count as a second crash.
-	const waitMs =
-		sinceMs < CRASH_CORRELATION_MS
-			? CRASH_CORRELATION_MS - sinceMs
-			: untilOwnTurnMs(ctx, sinceMs)
-	if (waitMs > 0) return { kind: 'suspected', part: first, leftMs: waitMs }
+		return { part, suspicion, from: triableFrom(key, suspicion) }
+	})
+	const last = suspects.reduce<SuspectedPart | undefined>(
+		(latest, one) => (latest && latest.from >= one.from ? latest : one),
+		undefined,
+	)
+	if (!last) return { kind: 'free' }
+	const now = readElapsed()
+	if (last.from > now) return refusalBefore(last, now)
+	const waitMs = untilOwnTurnMs(ctx, now - last.from)
+	if (waitMs > 0) return { kind: 'suspected', part: last.part, leftMs: waitMs }
 	const tried = parts.find(part => isBeingTried(ctx, part, now))
 	return tried === undefined
 		? { kind: 'trial', parts }
 		: { kind: 'suspected', part: tried, leftMs: TURN_MS }
 }
 
+/** A suspected part of a prompt. */
+interface SuspectedPart {
+	readonly part: string
+	readonly suspicion: Suspicion
+	/** When it may be tried at the earliest, ms. */
+	readonly from: number
+}
+
+/** Returns the verdict on a part that must not be tried yet. */
+function refusalBefore(
+	{ part, suspicion, from }: SuspectedPart,
+	now: number,
+): PartRefusal {
+	const { isConclusive, lastAt } = suspicion
+	if (isConclusive) return { kind: 'quarantined', part, leftMs: from - now }
+	const evidenceLeftMs = lastAt + EVIDENCE_MS - now
+	if (evidenceLeftMs > 0)
+		return { kind: 'pending', part, leftMs: evidenceLeftMs }
+	return { kind: 'suspected', part, leftMs: from - now }
+}
+
 /** Whether a request with this verdict may be sent. */
 export function isSendable(
 	verdict: PartVerdict,
@@ -151,7 +161,7 @@
 	return isSendable(verdict) ? 0 : verdict.leftMs
 }
 
-/** Returns the time until this entry's turn to try suspected parts, ms. */
+/** Returns the time until this entry's turn, `sinceMs` after the first turn began, ms. */
 function untilOwnTurnMs(
 	{ permitHomes, settings }: GatewayContext,
 	sinceMs: number,
--- a/packages/gateway/test/partGate.test.ts
+++ b/packages/gateway/test/partGate.test.ts
@@ -1,6 +1,7 @@
 /** Tests how entries refuse, try and clear suspected prompt parts. */
 
 import { subjectKeyOf } from '@juniperhook/core'
+import { clocks } from '@juniperhook/runtime'
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
 import { handleGroupBroken } from '../src/closedGroups.ts'
@@ -19,6 +20,8 @@
 const EVIDENCE_MS = 200
 /** Time after which a suspected part may be tried, ms. */
 const TRIAL_MS = 600
+/** Quarantine of a part that crashed two servers, ms. */
+const QUARANTINE_MS = 600_000
 
 /** An evidence of crashes under a part that another entry reports, `agesMs` ago. */
 function reportCrashes(
@@ -77,6 +80,21 @@
 	world.servers.close()
 })
 
+test('part gate: after the quarantine the entries try the part in turns', async () => {
+	const [world, entries] = await openEntries(3)
+	for (const entry of entries) reportCrashes(entry, 'dead', [9_000, 5_000])
+	const { now } = clocks
+	clocks.now = () => now() + QUARANTINE_MS
+	// Turns begin at the end of the quarantine.
+	await pause(TRIAL_MS)
+	const responses = entries.map(entry => sendWith(entry, 'dead', 'again'))
+	const got = await Promise.all(responses)
+	clocks.now = now
+	assert.ok(world.servers.crashes.length <= 1)
+	assert.ok(got.filter(({ status }) => status === 503).length >= 2)
+	world.servers.close()
+})
+
 test('part gate: an answer clears a suspected part at all entries', async () => {
 	const [world, entries] = await openEntries(2)
 	for (const entry of entries) reportCrashes(entry, 'x', [TRIAL_MS])
