--- a/packages/core/src/core/suspicion.ts
+++ b/packages/core/src/core/suspicion.ts
@@ -138,7 +138,8 @@
 
 /**
  * Quarantines the only suspected part of a crash while another part is quarantined: where
- * one part is poison, a further one is more likely than a server that crashes by itself.
+ * one part is poison, a further one is more likely than a server that crashes by itself,
+ * unless another crash of that time shows that servers do.
  */
 function concludeLoneParts(
 	sorted: readonly ServerCrash[],
@@ -147,19 +148,35 @@
 	const concluded = [...suspects].filter(
 		([key, one]) => one.isConclusive && subjectKindOf(key) === 'part',
 	)
-	for (const { server, at, ran } of listUnexplained(sorted, suspects)) {
-		const parts = [...ran.keys()].filter(
-			key =>
-				subjectKindOf(key) === 'part' &&
-				suspects.get(key)?.servers.includes(server),
-		)
-		const [key] = parts
-		if (key === undefined || parts.length > 1) continue
-		if (concluded.some(([, one]) => isNear(one, at)))
-			suspects.set(key, { ...suspects.get(key)!, isConclusive: true })
+	if (concluded.length === 0) return
+	const unexplained = listUnexplained(sorted, suspects)
+	const others = unexplained.filter(
+		crash => findLoneSuspect(crash, suspects) === undefined,
+	)
+	for (const crash of unexplained) {
+		const key = findLoneSuspect(crash, suspects)
+		if (key === undefined) continue
+		const suspicion = suspects.get(key)!
+		const isBesidePoison = concluded.some(([, one]) => isNear(one, crash.at))
+		const isDoubtful = others.some(({ at }) => isNear(suspicion, at))
+		if (isBesidePoison && !isDoubtful)
+			suspects.set(key, { ...suspicion, isConclusive: true })
 	}
 }
 
+/** Returns the key of the only part that a crash counts against, if it is the only one. */
+function findLoneSuspect(
+	{ server, ran }: ServerCrash,
+	suspects: Suspicions,
+): string | undefined {
+	const parts = [...ran.keys()].filter(
+		key =>
+			subjectKindOf(key) === 'part' &&
+			suspects.get(key)?.servers.includes(server),
+	)
+	return parts.length === 1 ? parts[0] : undefined
+}
+
 /** Whether a crash happened about when those that count against a subject did. */
 function isNear({ firstAt, lastAt }: Suspicion, at: number): boolean {
 	return at > firstAt - DOUBT_MS && at < lastAt + DOUBT_MS
--- a/packages/core/test/poisonParts.test.ts
+++ b/packages/core/test/poisonParts.test.ts
@@ -163,6 +163,17 @@
 		quarantined: ['#bad1', '#bad2', '#bad3'],
 		suspected: [],
 	},
+	{
+		name: 'one crash of the only suspected part, beside a quarantined part and a server that crashes by itself',
+		ends: [
+			['a', 0, { r1: 40, '#x': 40 }],
+			['b', 1_000, { r2: 40 }],
+			['c', 4_000, { r3: 40, '#bad': 40 }],
+			['d', 8_000, { r4: 40, '#bad': 40 }],
+		],
+		quarantined: ['#bad'],
+		suspected: ['#x'],
+	},
 	{
 		name: 'one crash of two suspected parts, beside a quarantined part',
 		ends: [
--- a/soak/src/call.ts
+++ b/soak/src/call.ts
@@ -76,6 +76,7 @@
 		promisedNotRunAt: undefined,
 		answeredAt: undefined,
 		status: 0,
+		isComplete: false,
 		error: '',
 	}
 	world.record.requests.set(request.id, request)
--- a/soak/src/callers.ts
+++ b/soak/src/callers.ts
@@ -98,6 +98,7 @@
 	const now = performance.now()
 	request.answeredAt = now
 	request.status = answer.status
+	request.isComplete = answer.complete
 	request.error = errorKindOf(answer)
 	const wasKilled =
 		entry.incarnation !== request.incarnation || entry.killedAt > request.sentAt
--- a/soak/src/poisonParts.ts
+++ b/soak/src/poisonParts.ts
@@ -86,6 +86,7 @@
 		[...record.requests.values()].some(
 			other =>
 				other.status === 200 &&
+				other.isComplete &&
 				other.parts.includes(part) &&
 				other.sentAt > since &&
 				(other.answeredAt ?? request.sentAt) < request.sentAt - CONTACT_MS,
--- a/soak/src/types.ts
+++ b/soak/src/types.ts
@@ -16,6 +16,8 @@
 	readonly body: string
 	/** Ids of the parts of its prompt that other requests share. */
 	readonly parts: readonly string[]
+	/** Whether its answer arrived completely. */
+	isComplete: boolean
 	readonly team: string
 	readonly entry: number
 	/** The entry's incarnation when the request was sent. */
--- a/soak/test/checks.test.ts
+++ b/soak/test/checks.test.ts
@@ -21,6 +21,7 @@
 	path: '/o/1',
 	body: 'body',
 	parts: [],
+	isComplete: false,
 	team: 'rangers',
 	entry: 0,
 	incarnation: 1,
