--- a/packages/gateway/src/answerProof.ts
+++ b/packages/gateway/src/answerProof.ts
@@ -7,8 +7,8 @@
 	recordBrokenConnection,
 	recordServerAlive,
 } from './crashDetector.ts'
+import { recordPartsServed, recordServed } from './crashEvidence.ts'
 import type { CallerRequest } from './job.ts'
-import { recordPartsServed, recordServed } from './quarantineGate.ts'
 import type { Send } from './send.ts'
 import { isServedSince } from './servedParts.ts'
 import type { ServerAnswer } from './serverCall.ts'
--- a/packages/gateway/src/crashDetector.ts
+++ b/packages/gateway/src/crashDetector.ts
@@ -12,7 +12,7 @@
 import { handleRankCrash, stalledForMs } from './closedGroups.ts'
 import type { GatewayContext } from './context.ts'
 import type { CrashCheck } from './crashDetectorState.ts'
-import { recordServerCrash } from './quarantineGate.ts'
+import { recordServerCrash } from './crashEvidence.ts'
 import { listInFlight } from './sentRequests.ts'
 
 /** Maximum number of concurrent probes; each takes one round trip. */
