--- a/soak/src/poisonParts.ts
+++ b/soak/src/poisonParts.ts
@@ -81,7 +81,10 @@
 	if (request.error !== 'quarantined' || request.parts.length === 0)
 		return false
 	if (hasPoisonPart(request)) return false
-	const since = Math.max(0, ...evidenceLostAt.filter(at => at < request.sentAt))
+	const since = Math.max(
+		-Infinity,
+		...evidenceLostAt.filter(at => at < request.sentAt),
+	)
 	return request.parts.every(part =>
 		[...record.requests.values()].some(
 			other =>
