--- a/soak/src/poisonParts.ts
+++ b/soak/src/poisonParts.ts
@@ -35,11 +35,11 @@
 	return SOUND_PARTS[hashText(id) % SOUND_PARTS.length]!
 }
 
-/** Sends streams with the poison part until the soak ends. */
+/** Sends streams with the poison part, which crash ranks, until the faults end. */
 export async function runPoisonPartCaller(world: World): Promise<void> {
 	const random = createRandom(world.options.seed + 4)
 	const agent = new Agent({ keepAlive: false })
-	for (let number = 0; !world.finished; number++) {
+	for (let number = 0; !world.faultsEnded; number++) {
 		const entry = randomItem(random, world.entries)
 		const id = `part-${number}`
 		const context = { world, entry, agent, id, random }
--- a/soak/src/soak.ts
+++ b/soak/src/soak.ts
@@ -68,6 +68,7 @@
 		void injectEvacuations(world)
 	}
 	await injectFaults(world)
+	world.faultsEnded = true
 	await sleep(RECOVERY_MS)
 	const recoveryDueAt = performance.now()
 	const stall = watchStalls()
--- a/soak/src/world.ts
+++ b/soak/src/world.ts
@@ -75,6 +75,8 @@
 	readonly evacuationLog: EvacuationLog
 	readonly relayedLeavings: RelayedLeaving[]
 	readonly unavailableMoments: UnavailableMoment[]
+	/** Set when the time without faults begins, in which recovery is measured. */
+	faultsEnded: boolean
 	/** Set when the soak ends. */
 	finished: boolean
 }
@@ -118,6 +120,7 @@
 		evacuationLog: createEvacuationLog(),
 		relayedLeavings: [],
 		unavailableMoments: [],
+		faultsEnded: false,
 		finished: false,
 	}
 	publish(world, 1, true)
