--- a/packages/core/src/core/suspicion.ts
+++ b/packages/core/src/core/suspicion.ts
@@ -139,12 +139,18 @@
 	sorted: readonly ServerCrash[],
 	served: ReadonlyMap<string, number>,
 ): Map<string, Suspicion> {
+	const crashes = sorted.map(crash => onlyOfKind(crash, kind))
 	const conclusive = new Map<string, Suspicion>()
-	let unexplained = sorted.map(crash => onlyOfKind(crash, kind))
+	let unexplained = crashes
 	for (;;) {
 		const suspects = scoreSubjects(kind, unexplained, served)
 		const primaries = findPrimarySuspects(suspects)
-		if (primaries.length === 0) return new Map([...suspects, ...conclusive])
+		if (primaries.length === 0) {
+			const suspicionWithout = (key: string, others: readonly string[]) =>
+				scoreWithout(kind, crashes, served, key, others)
+			const kept = withdrawExplained(conclusive, suspicionWithout)
+			return new Map([...suspects, ...kept])
+		}
 		for (const key of primaries) conclusive.set(key, suspects.get(key)!)
 		unexplained = unexplained.filter(
 			({ ran }) => !primaries.some(key => ran.has(key)),
@@ -152,6 +158,45 @@
 	}
 }
 
+/**
+ * Withdraws the quarantine of subjects whose crashes the other quarantined ones explain:
+ * a subject that ran beside the cause several times may have been the primary suspect
+ * before the cause was known.
+ */
+function withdrawExplained(
+	conclusive: ReadonlyMap<string, Suspicion>,
+	suspicionWithout: (
+		key: string,
+		others: readonly string[],
+	) => Suspicion | undefined,
+): Map<string, Suspicion> {
+	const kept = new Map(conclusive)
+	for (const [key, { servers }] of conclusive) {
+		const others = [...kept]
+			.filter(([, one]) => one.isConclusive)
+			.filter(([, one]) => one.servers.join() !== servers.join())
+			.map(([other]) => other)
+		if (others.length === 0) continue
+		const remaining = suspicionWithout(key, others)
+		if (remaining?.isConclusive) continue
+		if (remaining) kept.set(key, remaining)
+		else kept.delete(key)
+	}
+	return kept
+}
+
+/** Scores a subject by the crashes without other subjects in flight. */
+function scoreWithout(
+	kind: Subject['kind'],
+	crashes: readonly ServerCrash[],
+	served: ReadonlyMap<string, number>,
+	key: string,
+	others: readonly string[],
+): Suspicion | undefined {
+	const rest = crashes.filter(({ ran }) => !others.some(one => ran.has(one)))
+	return scoreSubjects(kind, rest, served).get(key)
+}
+
 /** Returns a crash with only the subjects of a kind. */
 function onlyOfKind(crash: ServerCrash, kind: Subject['kind']): ServerCrash {
 	const ran = [...crash.ran].filter(([key]) => subjectKindOf(key) === kind)
--- a/packages/core/test/poisonParts.test.ts
+++ b/packages/core/test/poisonParts.test.ts
@@ -131,6 +131,19 @@
 		quarantined: ['r1', '#bad'],
 		suspected: [],
 	},
+	{
+		name: 'a part beside the cause twice and at a crash of its own',
+		ends: [
+			['a', 0, { r1: 40, '#bad': 40, '#x': 10, '#y': 40 }],
+			['b', 4_000, { r2: 40, '#x': 10 }],
+			['c', 8_000, { r3: 40, '#bad': 9_000, '#x': 10 }],
+			['d', 12_000, { r4: 40, '#bad': 40, '#y': 40 }],
+			['e', 16_000, { r5: 40, '#bad': 40 }],
+			['z', 20_000, { r6: 40 }],
+		],
+		quarantined: ['#bad'],
+		suspected: ['#x'],
+	},
 	{
 		name: 'two parts whose servers crash together, twice',
 		ends: [
