--- a/packages/gateway/src/partGate.ts
+++ b/packages/gateway/src/partGate.ts
@@ -31,6 +31,7 @@
 const TURNS_END_MS = 20_000
 /** Key of the order in which entries take turns; the same for all parts. */
 const TURN_KEY = 'part trials'
+
 /** Whether a request may be sent. */
 export type PartVerdict =
 	/** No part is suspected. */
@@ -70,15 +71,12 @@
 	const { quarantine, suspectedParts } = ctx.quarantineGate
 	if (suspectedParts.size === 0) return { kind: 'free' }
 	const parts = sharedParts.filter(id => suspectedParts.has(id))
-	const suspects = parts.map(part => {
+	const suspects: SuspectedPart[] = parts.map(part => {
 		const key = subjectKeyOf({ kind: 'part', id: part })
 		const suspicion = quarantine.suspects.get(key)!
 		return { part, suspicion, from: triableFrom(key, suspicion) }
 	})
-	const last = suspects.reduce<SuspectedPart | undefined>(
-		(latest, one) => (latest && latest.from >= one.from ? latest : one),
-		undefined,
-	)
+	const [last] = suspects.sort((a, b) => b.from - a.from)
 	if (!last) return { kind: 'free' }
 	const now = readElapsed()
 	const pending = findPending(ctx, parts, now)
