--- a/packages/core/src/core/suspicion.ts
+++ b/packages/core/src/core/suspicion.ts
@@ -252,7 +252,8 @@
 		key => (suspects.get(key)?.firstAt ?? since) < since,
 	)
 	for (const [key, ranMs] of ran) {
-		if (at <= exemptUntil(key, lastServedAt(served, key))) continue
+		const servedAt = served.get(key) ?? Number.NEGATIVE_INFINITY
+		if (at <= exemptUntil(key, servedAt)) continue
 		const before = suspects.get(key)
 		if (before && at - ranMs < before.lastAt - MAX_SKEW_MS) continue
 		const isOnAll = correlated.every(one => one.ran.has(key))
@@ -282,13 +283,6 @@
 	return isSingledOut ? points + bonus : points
 }
 
-function lastServedAt(
-	served: ReadonlyMap<string, number>,
-	key: string,
-): number {
-	return served.get(key) ?? Number.NEGATIVE_INFINITY
-}
-
 /** Groups crashes that are so close in time that a common cause is likely. */
 function groupCorrelated(sorted: readonly ServerCrash[]): ServerCrash[][] {
 	const groups: ServerCrash[][] = []
