Review: a stream without a seal reaches the caller as a success

Cause: the seal of a 2xx is checked for plain answers only. A 200 of type text/event-stream is relayed without it, also into a response that another engine has begun.

--- a/review/lib/deployment.mjs
+++ b/review/lib/deployment.mjs
@@ -208,7 +208,7 @@
 	})
 }
 
-function recordOf({ id, ip, port, rank }) {
+function recordOf({ ip, port, rank }) {
 	return {
 		service: 'huvo11a',
 		address: `${ip}:${port}`,
--- a/review/lib/engine.mjs
+++ b/review/lib/engine.mjs
@@ -51,6 +51,7 @@
 			res.write(eventText(attempt, event))
 			one.sent = event
 			await pause(eventMs)
+			if (behaviour.breakOff?.(one, res)) return
 		}
 		if (res.destroyed) return
 		one.end = 'complete'
