--- a/review/3/case.mjs
+++ b/review/3/case.mjs
@@ -22,6 +22,8 @@
 const END_GAP_MS = 60
 /** Requests sent up to this time after the SIGTERM are excused, ms. */
 const EXCUSED_MS = 3_000
+/** Deadline of the streams and `timeout_ms` of their route, ms. */
+const TIMEOUT_MS = 8_000
 
 const record = createRecord(dirname(fileURLToPath(import.meta.url)))
 const behaviour = {
@@ -132,13 +134,14 @@
 
 /**
  * LOST, around the SIGTERM of the machine that took the request: it was passed on, its
- * connection ended without a complete answer, and none of the excuses applies.
+ * connection ended without a complete answer, and none of the excuses applies. Without the
+ * SIGTERM no such end is allowed at all.
  */
 function isLost({ attempt, answer, sentAt, endedAt }, runs, termAt) {
-	if (!HAS_TROUBLE || answer.isComplete) return !answer.isComplete
 	const isPassedOn = runs.some(run => run.attempt === attempt)
+	const isTimedOut = endedAt - sentAt >= TIMEOUT_MS
+	if (answer.isComplete || isTimedOut || !isPassedOn) return false
+	if (!HAS_TROUBLE) return true
 	const isInTime = endedAt <= termAt + GRACE_MS + 1_000
-	const isTimedOut = endedAt - sentAt >= 8_000
-	const isExcused = sentAt <= termAt + EXCUSED_MS
-	return isPassedOn && isInTime && !isTimedOut && !isExcused
+	return isInTime && sentAt > termAt + EXCUSED_MS
 }
