Review: an error of a script itself ends it with 2

Cause: a client without a connection within 1 s left a rejected promise, on which Node ends with 1, as if the rule were broken; a script that ran out of time ended with 124. A SIGTERM to run.sh now ends its processes too and leaves no folder.

--- a/review/2/case.mjs
+++ b/review/2/case.mjs
@@ -110,7 +110,11 @@
 
 async function send(entry, attempt) {
 	record.note(`a client sends ${attempt} to ${entry.name}`)
-	const connection = await openConnection(entry.ip, entry.port)
+	const connection = await openConnection(entry.ip, entry.port).catch(() => {})
+	if (!connection) {
+		record.note(`${attempt} has no connection to ${entry.name}`)
+		return { attempt, isSuccess: false }
+	}
 	const answer = await connection.request(streamRequest(attempt))
 	connection.socket.destroy()
 	const { status, isComplete } = answer
--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -3,4 +3,10 @@
 # TROUBLE=0 leaves out the disruption. What was sent, answered and run is in record.txt.
 cd "$(dirname "$0")/../.." || exit 2
 [ -f target/main.js ] || node scripts/buildPlatform.mjs || exit 2
-exec timeout -k 5 110 node review/2/case.mjs
+timeout -k 5 110 node review/2/case.mjs &
+child=$!
+trap 'kill "$child"' TERM INT
+wait "$child"
+code=$?
+[ "$code" -le 1 ] || code=2
+exit "$code"
--- a/review/lib/deployment.mjs
+++ b/review/lib/deployment.mjs
@@ -50,9 +50,16 @@
 	const folder = mkdtempSync(join(tmpdir(), 'review-'))
 	const children = new Set()
 	const servers = []
-	// However the script ends, none of the processes that it has started outlives it.
+	// However the script ends, nothing of what it has started outlives it.
 	process.on('exit', () => {
 		for (const child of children) child.kill('SIGKILL')
+		rmSync(folder, { recursive: true, force: true })
+	})
+	// An error of the script itself says nothing of the rule.
+	process.on('uncaughtException', err => {
+		record.note(`the case could not run: ${err.stack}`)
+		record.save()
+		process.exit(2)
 	})
 	process.on('SIGTERM', () => process.exit(2))
 	process.on('SIGINT', () => process.exit(2))
