--- a/review/stand-ins-2/deployment.mjs
+++ b/review/stand-ins-2/deployment.mjs
@@ -55,6 +55,8 @@
 	lines = []
 	clients = []
 	isStopping = false
+	/** Whether the clients send nothing for now. */
+	isPaused = false
 
 	constructor({ bounds = {} } = {}) {
 		this.bounds = { ...BOUNDS, ...bounds }
@@ -155,7 +157,7 @@
 			'discovery=platform',
 			'entry=vip',
 			'heartbeat_ms=1200',
-			'contracts=base,drain,config,cost,retry,recover,engine,stream,tenants,platform',
+			'contracts=base,drain,config,cost,retry,recover,health,pool,engine,stream,tenants,platform',
 			'fault_tolerance.machines=2',
 			...Object.entries(this.bounds).map(([key, value]) => {
 				return `bounds.${key}=${value}`
@@ -248,7 +250,7 @@
 
 	async runClient(request, pauseMs) {
 		while (!this.isStopping) {
-			await this.send(pick(this.entries), request)
+			if (!this.isPaused) await this.send(pick(this.entries), request)
 			await sleep(pauseMs())
 		}
 	}
--- a/review/stand-ins-2/engine.mjs
+++ b/review/stand-ins-2/engine.mjs
@@ -95,6 +95,7 @@
 		arrival.ran = true
 		this.running++
 		if (this.maxPerS !== undefined && this.isCold() && this.isOverrun()) {
+			this.fellOver = true
 			this.end(`over ${this.maxPerS} requests within a second while cold`)
 			return
 		}
