Review: entries never learn that the store has another address (CONFIG)

Cause: the store's client keeps the address of the start; a settings file that names another one is taken after SIGHUP, without this field.

Seen: 442 of 442 requests sent more than config_apply_ms after a new version was acknowledged were run as only the old one allows, 220 with a key that was taken away; without the change of address 0 of 515.

--- a/review/stand-ins-2/deployment.mjs
+++ b/review/stand-ins-2/deployment.mjs
@@ -170,7 +170,8 @@
 			'platform.value_bytes=1048576',
 			'platform.ttl_min_ms=1000',
 		]
-		fs.writeFileSync(file, `${lines.join('\n')}\n`)
+		fs.writeFileSync(`${file}.new`, `${lines.join('\n')}\n`)
+		fs.renameSync(`${file}.new`, file)
 	}
 
 	/** Starts an entry with the command of the deploy file. */
@@ -192,6 +193,18 @@
 		this.note(`${entry.name} started`)
 	}
 
+	/** Names another address of the store in an entry's settings, and sends SIGHUP. */
+	async moveStoreOf(entry) {
+		const former = entry.proxy
+		entry.proxy = new StoreProxy()
+		await entry.proxy.start(this.ip(2), this.store.address)
+		this.writeSettings(entry)
+		entry.process.kill('SIGHUP')
+		const { address } = entry.proxy
+		this.note(`${entry.name}: SIGHUP, platform.address=${address}`)
+		return former
+	}
+
 	/** Kills an entry and starts it again after a short delay. */
 	async killEntry(entry, downMs) {
 		entry.isExpectedToEnd = true
@@ -259,7 +272,7 @@
 	send(entry, { method, host, path: target, key, deadlineMs, body }) {
 		const id = randomHex(8)
 		const url = `${target}${randomHex(3)}`
-		const sent = { id, entry: entry.name, url, sentAt: this.elapsed() }
+		const sent = { id, key, entry: entry.name, url, sentAt: this.elapsed() }
 		this.requests.push(sent)
 		return new Promise(resolve => {
 			const end = outcome => {
--- a/review/stand-ins-2/store.mjs
+++ b/review/stand-ins-2/store.mjs
@@ -115,6 +115,7 @@
 				near.destroy()
 				far.destroy()
 			}
+			link.close = close
 			this.open.add(link)
 			for (const [from, to] of [
 				[near, far],
@@ -139,4 +140,10 @@
 		this.silencedAt = now()
 		return this.open.size
 	}
+
+	/** Closes the address and all its connections. */
+	stop() {
+		this.server.close()
+		for (const link of this.open) link.close()
+	}
 }
