A process waits for an address that is in use

Callers saw an entry fewer, or none: a process that starts while its predecessor still drains, or while anybody holds one of its addresses, ended with EADDRINUSE and code 1.

Cause: each listener was bound once, and the error ended the process. The error listener of that one attempt also took the first error of a running listener; the second one (no descriptor left for a connection) had none and ended the process as well.

Now bindServer tries each 100 ms until the address is free. The log has 'waiting' with the need and the reason and 'wait ended' with the time, the metrics juniperhook_waiting and juniperhook_waits_total. All listeners are bound side by side; the process is ready once all are but that of the metrics, without which it serves. SIGTERM ends the wait. The same in the product's own mode, which also waits for its settings file, and for agents.

Errors that nothing has handled (a throw in a callback, a rejection) are logged and counted and end nothing; following the store starts over instead of ending the process. A garbled line on a control connection that closes at that moment was such a rejection.

--- a/packages/agent/src/agent.ts
+++ b/packages/agent/src/agent.ts
@@ -10,7 +10,14 @@
 	recordServerSet,
 	splitAddress,
 } from '@juniperhook/core'
-import type { Hello, RpcLink, Settings, Vm } from '@juniperhook/runtime'
+import type {
+	Hello,
+	Need,
+	RpcLink,
+	Settings,
+	Vm,
+	Waits,
+} from '@juniperhook/runtime'
 import {
 	AttemptRefSchema,
 	activeRevision,
@@ -18,6 +25,7 @@
 	createFollowerMethods,
 	createLog,
 	createMetrics,
+	describeBind,
 	describeFollower,
 	fail,
 	flushLog,
@@ -65,10 +73,13 @@
 const MAX_OFFER_HEADER_BYTES = 65_536
 const log = createLog('agent')
 
-/** Starts an agent and resolves when it is listening. */
-export async function startAgent(settings: Settings): Promise<AgentProcess> {
+/** Starts an agent; resolves once it listens, or has stopped before. */
+export async function startAgent(
+	settings: Settings,
+	waits: Waits,
+): Promise<AgentProcess> {
 	const incarnation = `${Date.now()}-${randomBytes(4).toString('hex')}`
-	const metrics = createMetrics()
+	const metrics = createMetrics(waits)
 	const seed = randomBytes(4).readUInt32LE()
 	const follower = startFollower(
 		settings,
@@ -89,31 +100,55 @@
 		reportPeriods: 0,
 		listener: undefined,
 		operators: undefined,
+		isListening: false,
 		requests: undefined,
 		group: undefined,
 	}
 	process.on('SIGTERM', () => void stopAgent(agent))
-	await serveRpc(settings.listen.control, createMethods(agent), link => {
-		agent.links.add(link)
-		link.socket.once('close', () => agent.links.delete(link))
-	})
-	agent.listener = await listen(
-		createOfferApp(() => agent.requests),
-		settings.listen.data,
-		{
-			maxHeaderSize: MAX_OFFER_HEADER_BYTES,
-		},
-	)
-	agent.operators = await listenOperators(settings.listen.operators, {
-		metrics,
-		isReady: () => readServerState(agent.requests) === 'serving',
-		status: () => describeAgent(agent),
-	})
 	startTimers(agent)
-	log({ msg: 'agent listens', server: settings.process.name })
+	await bindListeners(agent, waits)
 	return agent
 }
 
+/** Binds all listeners; returns once that is done, or the agent has stopped before. */
+async function bindListeners(agent: AgentProcess, waits: Waits): Promise<void> {
+	const { settings, metrics, follower } = agent
+	const bind = (need: Need) => describeBind(need, waits, () => follower.stopped)
+	const bindControl = async () => {
+		const onLink = (link: RpcLink) => {
+			agent.links.add(link)
+			link.socket.once('close', () => agent.links.delete(link))
+		}
+		const { control } = settings.listen
+		await serveRpc(control, createMethods(agent), onLink, bind('control'))
+	}
+	const bindData = async () => {
+		agent.listener = await listen(
+			createOfferApp(() => agent.requests),
+			settings.listen.data,
+			bind('data'),
+			{ maxHeaderSize: MAX_OFFER_HEADER_BYTES },
+		)
+	}
+	const bindOperators = async () => {
+		const handlers = {
+			metrics,
+			isReady: () =>
+				agent.isListening && readServerState(agent.requests) === 'serving',
+			status: () => describeAgent(agent),
+		}
+		agent.operators = await listenOperators(
+			settings.listen.operators,
+			handlers,
+			bind('operators'),
+		)
+	}
+	await Promise.all([bindControl(), bindData(), bindOperators()])
+	if (follower.stopped) return
+	agent.isListening = true
+	log({ msg: 'agent listens', server: settings.process.name })
+}
+
 function applyConfig(agent: AgentProcess, active: ActiveConfig): void {
 	const name = agent.settings.process.name
 	const server = active.config.server[name]
--- a/packages/agent/src/agentState.ts
+++ b/packages/agent/src/agentState.ts
@@ -25,6 +25,8 @@
 	listener: Listener | undefined
 	/** Listener for operators. */
 	operators: Listener | undefined
+	/** Whether all its listeners are bound. */
+	isListening: boolean
 	/** Undefined until a configuration that contains this server is in force. */
 	requests: RequestTable | undefined
 	/** Undefined for a server outside any group. */
--- a/packages/agent/src/bin.ts
+++ b/packages/agent/src/bin.ts
@@ -3,6 +3,9 @@
  * that the command-line library is never loaded into its memory.
  */
 
+// SIGHUP would terminate Node until the daemon installs its own handler.
+process.on('SIGHUP', () => {})
+
 const args = process.argv.slice(2)
 const [file] = args
 const isDirectStart = args.length === 1 && !file?.startsWith('-')
--- a/packages/agent/src/command.ts
+++ b/packages/agent/src/command.ts
@@ -5,7 +5,8 @@
 	static override summary = 'Run the agent beside one backend server.'
 	static override description = `Reads its own addresses from the settings file
 and the configuration from the platform's service. SIGTERM refuses new work at
-once and finishes what is in flight. Exit code 1: the settings are wrong.`
+once and finishes what is in flight. While the settings file is missing or
+invalid, or an address is in use, it waits and says so in its log.`
 	static override examples = ['<%= config.bin %> /etc/juniperhook-agent.ini']
 	static override args = {
 		settings: Args.file({
--- a/packages/agent/test/serverSignals.test.ts
+++ b/packages/agent/test/serverSignals.test.ts
@@ -5,7 +5,7 @@
 import { createServer } from 'node:http'
 import type { AddressInfo } from 'node:net'
 import type { AdmissionEvent, Config, ServerConfig } from '@juniperhook/core'
-import { createMetrics } from '@juniperhook/runtime'
+import { createMetrics, createWaits } from '@juniperhook/runtime'
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
 import { createAnswerLog } from '../src/io/answerLog.ts'
@@ -127,7 +127,7 @@
 		'1',
 		{} as Config,
 		{ ...SERVER, backend: `127.0.0.1:${address.port}` },
-		createMetrics(),
+		createMetrics(createWaits(() => {})),
 		{
 			onChange: () => {
 				changes++
@@ -162,7 +162,7 @@
 		'1',
 		{} as Config,
 		{ ...SERVER, backend: `127.0.0.1:${address.port}` },
-		createMetrics(),
+		createMetrics(createWaits(() => {})),
 		{ onChange: () => {}, onConnectionBroken: check },
 	)
 	stepTable(table, { type: 'rest', forMs: 60_000 })
--- a/packages/entry/src/bin.ts
+++ b/packages/entry/src/bin.ts
@@ -3,6 +3,9 @@
  * the command-line library is not loaded into its memory.
  */
 
+// SIGHUP would terminate Node until the daemon installs its own handler.
+process.on('SIGHUP', () => {})
+
 const args = process.argv.slice(2)
 const [command, file] = args
 const isDirectStart =
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -13,9 +13,12 @@
 	Follower,
 	Hello,
 	Listener,
+	Methods,
 	Metrics,
+	Need,
 	Settings,
 	Vm,
+	Waits,
 } from '@juniperhook/runtime'
 import {
 	activeRevision,
@@ -23,6 +26,7 @@
 	createFollowerMethods,
 	createLog,
 	createMetrics,
+	describeBind,
 	describeFollower,
 	flushLog,
 	handleNode,
@@ -81,11 +85,16 @@
 	listener: Listener | undefined
 	/** Listener for operators. */
 	operators: Listener | undefined
+	/** Whether all its listeners are bound. */
+	isListening: boolean
 }
 
-/** Starts an entry; resolves once it listens. */
-export async function startEntry(settings: Settings): Promise<EntryProcess> {
-	const metrics = createMetrics()
+/** Starts an entry; resolves once it listens, or has stopped before. */
+export async function startEntry(
+	settings: Settings,
+	waits: Waits,
+): Promise<EntryProcess> {
+	const metrics = createMetrics(waits)
 	const incarnation = `${Date.now()}-${randomBytes(4).toString('hex')}`
 	const createHello = (): Hello => ({
 		name: settings.process.name,
@@ -139,26 +148,57 @@
 		ctx,
 		listener: undefined,
 		operators: undefined,
+		isListening: false,
 	}
 	process.on('SIGTERM', () => void stopEntry(entry))
-	await serveRpc(settings.listen.control, {
-		...createFollowerMethods(() => follower),
-		...ownMethods,
-	})
-	entry.operators = await listenOperators(settings.listen.operators, {
-		metrics,
-		isReady: () => ctx.config !== undefined && !ctx.leaving,
-		status: () => describeEntry(entry),
-	})
-	entry.listener = await listen(createApp(ctx), settings.listen.data, {
-		onBadRequest: kind => metrics.refusals.inc({ kind }),
-	})
 	setInterval(() => tickExchanges(ctx), EXCHANGE_TICK_INTERVAL_MS)
 	setInterval(() => reportToAllTeamHomes(ctx), TEAM_REPORT_INTERVAL_MS)
-	log({ msg: 'entry listens', server: settings.process.name })
+	const methods = { ...createFollowerMethods(() => follower), ...ownMethods }
+	await bindListeners(entry, methods, waits)
 	return entry
 }
 
+/** Binds all listeners; returns once that is done, or the entry has stopped before. */
+async function bindListeners(
+	entry: EntryProcess,
+	methods: Methods,
+	waits: Waits,
+): Promise<void> {
+	const { settings, metrics, ctx } = entry
+	const bind = (need: Need) => describeBind(need, waits, () => ctx.leaving)
+	const bindOperators = async () => {
+		const handlers = {
+			metrics,
+			isReady: () =>
+				entry.isListening && ctx.config !== undefined && !ctx.leaving,
+			status: () => describeEntry(entry),
+		}
+		const { operators } = settings.listen
+		entry.operators = await listenOperators(
+			operators,
+			handlers,
+			bind('operators'),
+		)
+	}
+	const bindData = async () => {
+		entry.listener = await listen(
+			createApp(ctx),
+			settings.listen.data,
+			bind('data'),
+			{ onBadRequest: kind => metrics.refusals.inc({ kind }) },
+		)
+	}
+	const { control } = settings.listen
+	await Promise.all([
+		bindOperators(),
+		bindData(),
+		serveRpc(control, methods, () => {}, bind('control')),
+	])
+	if (ctx.leaving) return
+	entry.isListening = true
+	log({ msg: 'entry listens', server: settings.process.name })
+}
+
 function createApp(ctx: EntryContext): H3 {
 	const app = new H3()
 	const models = handleNode((req, res) =>
--- a/packages/entry/src/main.ts
+++ b/packages/entry/src/main.ts
@@ -1,11 +1,9 @@
 /** Starts an entry from the settings file given on the command line. */
 
-import { loadSettings, setLogLevel } from '@juniperhook/runtime'
+import { startDaemon } from '@juniperhook/runtime'
 import { startEntry } from './entry.ts'
 
 /** Starts the daemon, which runs until SIGTERM. */
 export async function runEntry(settingsPath: string): Promise<void> {
-	const settings = loadSettings(settingsPath)
-	setLogLevel(settings.log.level)
-	await startEntry(settings)
+	await startDaemon(settingsPath, startEntry)
 }
--- a/packages/gateway/src/callerListener.ts
+++ b/packages/gateway/src/callerListener.ts
@@ -6,7 +6,9 @@
 import type { ErrorKind } from '@juniperhook/core'
 import { ERRORS } from '@juniperhook/core'
 import {
+	describeFault,
 	endMalformed,
+	faults,
 	kindOfClientError,
 	trackConnections,
 } from '@juniperhook/runtime'
@@ -36,7 +38,8 @@
 		},
 		(req, res) => {
 			serveCaller(ctx, req, res).catch(err => {
-				ctx.log.write('internal fault', { detail: String(err?.stack ?? err) })
+				faults.count++
+				ctx.log.write('internal fault', { detail: describeFault(err) })
 				res.destroy()
 			})
 		},
--- a/packages/gateway/src/context.ts
+++ b/packages/gateway/src/context.ts
@@ -101,8 +101,10 @@
 	readonly fleet: Fleet
 	readonly pool: ServerPool
 	readonly list: ServerList
-	/** When this entry started, ms of elapsed time. */
-	readonly startedAt: number
+	/** Since when peers can reach this entry, ms of elapsed time; first its start. */
+	startedAt: number
+	/** Whether all its listeners but that of the metrics are bound. */
+	isListening: boolean
 	/** Whether a peer has sent its state since this entry started. */
 	hasPeerState: boolean
 	/** Deferred removals that were confirmed, for peers that cannot reach the source. */
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -6,12 +6,14 @@
 	createRandom,
 	createServerList,
 	createSharedState,
-	splitAddress,
 } from '@juniperhook/core'
-import type { EventLog } from '@juniperhook/runtime'
+import type { BindOptions, EventLog, Need, Waits } from '@juniperhook/runtime'
 import {
+	bindServer,
+	createLoggedWaits,
 	createServerInTurn,
-	messageOf,
+	describeFault,
+	faults,
 	readElapsed,
 } from '@juniperhook/runtime'
 import { applyTimeouts, createCallerListener } from './callerListener.ts'
@@ -48,12 +50,19 @@
 /** Interval of the periodic work on queues, removals and limits, ms. */
 const TICK_MS = 50
 
-/** Starts a gateway; resolves once it listens. */
+/** Delay before the source is followed again after an internal fault, ms. */
+const FOLLOW_RESTART_MS = 1_000
+
+/**
+ * Starts a gateway; resolves once it listens, or has stopped before. `waits` records what
+ * it waits for.
+ */
 export async function startGateway(
 	settings: GatewaySettings,
 	{ names, readStatement, readRequestSize, readSharedParts }: ServerWire,
 	source: CatalogSource,
 	log: EventLog,
+	waits: Waits = createLoggedWaits(log),
 ): Promise<GatewayContext> {
 	const list = createServerList()
 	const sharedState = createSharedState(list.departed)
@@ -65,12 +74,13 @@
 		readSharedParts,
 		unrecognizedSignals: createUnrecognizedSignals(),
 		log,
-		metrics: createGatewayMetrics(),
+		metrics: createGatewayMetrics(waits),
 		random: createRandom(randomBytes(4).readUInt32LE()),
 		fleet: createFleet(),
 		pool: createServerPool(),
 		list,
 		startedAt: readElapsed(),
+		isListening: false,
 		hasPeerState: false,
 		settledRemovals: [],
 		sourceAway: false,
@@ -110,22 +120,54 @@
 	}
 	const callers = createCallerListener(ctx)
 	stopOnSignal(ctx, callers)
-	await listenOn(callers, settings.callers)
-	await listenOn(createReadinessServer(ctx), settings.readiness)
-	if (settings.metrics)
-		await listenOn(createMetricsServer(ctx), settings.metrics)
-	await startPeers(ctx, source)
-	void followCatalog(ctx, source).catch(async err => {
-		// An entry that no longer follows the source serves stale state; it is restarted.
-		log.write('internal fault', { detail: messageOf(err) })
-		await log.flush()
-		process.exit(1)
-	})
+	void keepFollowing(ctx, source)
 	setInterval(() => tick(ctx, callers), TICK_MS)
+	const bind = (need: Need) => describeBind(ctx, waits, need)
+	// Requests are served without metrics.
+	if (settings.metrics)
+		void bindServer(createMetricsServer(ctx), settings.metrics, bind('metrics'))
+	const readiness = createReadinessServer(ctx)
+	const bound = await Promise.all([
+		bindServer(callers, settings.callers, bind('callers')),
+		bindServer(readiness, settings.readiness, bind('readiness')),
+		startPeers(ctx, source, bind('control')),
+	])
+	if (bound.includes(false)) return ctx
+	ctx.isListening = true
 	log.write('entry started', { name: settings.name, address: settings.callers })
 	return ctx
 }
 
+function describeBind(
+	ctx: GatewayContext,
+	waits: Waits,
+	need: Need,
+): BindOptions {
+	return {
+		need,
+		waits,
+		isStopping: () => ctx.shutdown !== undefined,
+		onError: err =>
+			ctx.log.write('connection not accepted', { need, reason: err.message }),
+	}
+}
+
+/** Follows the source; after an internal fault, everything is read again. */
+async function keepFollowing(
+	ctx: GatewayContext,
+	source: CatalogSource,
+): Promise<void> {
+	for (;;) {
+		try {
+			await followCatalog(ctx, source)
+		} catch (err) {
+			faults.count++
+			ctx.log.write('internal fault', { detail: describeFault(err) })
+		}
+		await new Promise(resolve => setTimeout(resolve, FOLLOW_RESTART_MS))
+	}
+}
+
 function tick(ctx: GatewayContext, callers: Server): void {
 	checkSuspension(ctx)
 	measureLoad(ctx, TICK_MS)
@@ -148,6 +190,7 @@
 function createReadinessServer(ctx: GatewayContext): Server {
 	return createServerInTurn(ctx.operatorConnections, {}, (_req, res) => {
 		const ready =
+			ctx.isListening &&
 			ctx.routes !== undefined &&
 			!ctx.shutdown &&
 			ctx.connectionGate.overload === undefined &&
@@ -165,11 +208,3 @@
 		res.end(text)
 	})
 }
-
-function listenOn(server: Server, address: string): Promise<void> {
-	const { ip, port } = splitAddress(address)
-	return new Promise((resolve, reject) => {
-		server.once('error', reject)
-		server.listen(port, ip, resolve)
-	})
-}
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -1,7 +1,13 @@
 /** Prometheus metrics of a gateway. */
 
 import { ERROR_KINDS } from '@juniperhook/core'
-import { registerControlTraffic } from '@juniperhook/runtime'
+import type { Waits } from '@juniperhook/runtime'
+import {
+	createWaits,
+	registerControlTraffic,
+	registerFaults,
+	registerWaits,
+} from '@juniperhook/runtime'
 import { Counter, Gauge, Histogram, Registry } from 'prom-client'
 
 const LATENCY_BUCKETS = [
@@ -85,11 +91,15 @@
 }
 
 /** Creates the metrics, with all known error kinds at zero. */
-export function createGatewayMetrics(): GatewayMetrics {
+export function createGatewayMetrics(
+	waits: Waits = createWaits(() => {}),
+): GatewayMetrics {
 	const registry = new Registry()
 	const registers = [registry]
 	// First in the output, so that collectors that truncate it still get them.
 	const source = createSourceMetrics(registry)
+	registerWaits(registry, waits)
+	registerFaults(registry)
 	registerControlTraffic(registry)
 	const refusals = new Counter({
 		name: 'juniperhook_refusals_total',
--- a/packages/gateway/src/peers.ts
+++ b/packages/gateway/src/peers.ts
@@ -1,7 +1,7 @@
 /** RPC server of an entry for other entries and coordinators, and its links to entries. */
 
 import { recordEntryDiscovered } from '@juniperhook/core'
-import type { Methods, RpcLink } from '@juniperhook/runtime'
+import type { BindOptions, Methods, RpcLink } from '@juniperhook/runtime'
 import { call, messageOf, readElapsed, serveRpc } from '@juniperhook/runtime'
 import * as v from 'valibot'
 import { answerPiece, createConfigServer } from './configTransfer.ts'
@@ -41,11 +41,15 @@
 /** Timeout for a permit home's answer, ms; one that exceeds it is suspended or gone. */
 const PERMIT_TIMEOUT_MS = 300
 
-/** Serves peers and maintains links to them. */
+/**
+ * Serves peers and, once they can reach this entry, maintains links to them. Returns
+ * whether they can; false if the process stops before.
+ */
 export async function startPeers(
 	ctx: GatewayContext,
 	source: CatalogSource,
-): Promise<void> {
+	bind: BindOptions,
+): Promise<boolean> {
 	const states = createPeerStates(createPeerPulls(source))
 	const configs = createConfigServer()
 	const methods: Methods = {
@@ -84,7 +88,14 @@
 	for (const seed of ctx.settings.seeds)
 		if (seed !== ctx.settings.control)
 			recordEntryDiscovered(ctx.permitHomes.membership, seed, readElapsed())
-	await serveRpc(ctx.settings.control, methods)
+	const { listening } = await serveRpc(
+		ctx.settings.control,
+		methods,
+		() => {},
+		bind,
+	)
+	if (!listening) return false
+	ctx.startedAt = readElapsed()
 	setInterval(() => {
 		updateLinks(ctx, peers)
 		updatePermitHomes(ctx, address => peers.maintained.has(address))
@@ -94,6 +105,7 @@
 		expireSilentPeers(ctx, states)
 		expireGroupReports(ctx, readElapsed())
 	}, TICK_MS)
+	return true
 }
 
 /** Requests permits from a permit home; without a link, requests the link instead. */
--- a/packages/groups/src/agent.ts
+++ b/packages/groups/src/agent.ts
@@ -7,11 +7,13 @@
 import { randomBytes } from 'node:crypto'
 import type { RankReport } from '@juniperhook/core'
 import { ANCHOR_RANK, createRandom, splitAddress } from '@juniperhook/core'
-import type { EventLog, RpcLink } from '@juniperhook/runtime'
+import type { EventLog, RpcLink, Waits } from '@juniperhook/runtime'
 import {
 	call,
 	connectRpc,
-	messageOf,
+	createLoggedWaits,
+	describeFault,
+	faults,
 	readElapsed,
 	readNow,
 	serveRpc,
@@ -83,12 +85,13 @@
 	stopping: boolean
 }
 
-/** Starts an agent. Runs until the process is terminated. */
+/** Starts an agent. Runs until the process is terminated; `waits` records its waits. */
 export async function startAgent(
 	settings: AgentSettings,
 	port: EnginePort,
 	source: GroupSource,
 	log: EventLog,
+	waits: Waits = createLoggedWaits(log),
 ): Promise<void> {
 	const agent: Agent = {
 		settings,
@@ -112,13 +115,22 @@
 		active: agent.coordinator !== undefined,
 	})
 	process.on('SIGTERM', () => void stopAgent(agent))
-	await serveRpc(
+	const { listening } = await serveRpc(
 		`${settings.ip}:${settings.agentPort}`,
 		createRankMethods(port, settings.engine, hello, () => agent.report),
+		() => {},
+		{
+			need: 'control',
+			waits,
+			isStopping: () => agent.stopping,
+			onError: err =>
+				log.write('connection not accepted', { reason: err.message }),
+		},
 	)
+	if (!listening) return
 	log.write('agent started', { name: settings.name, engine: settings.engine })
 	while (!agent.stopping) {
-		await poll(agent)
+		await pollSafely(agent)
 		const intervalMs = isCandidate(agent.report)
 			? CANDIDATE_POLL_INTERVAL_MS
 			: POLL_INTERVAL_MS
@@ -138,6 +150,16 @@
 	process.exit(0)
 }
 
+/** Polls; after an internal fault, the next poll starts over. */
+async function pollSafely(agent: Agent): Promise<void> {
+	try {
+		await poll(agent)
+	} catch (err) {
+		faults.count++
+		agent.log.write('internal fault', { detail: describeFault(err) })
+	}
+}
+
 async function poll(agent: Agent): Promise<void> {
 	const report = await agent.port.report(agent.settings.engine)
 	if (report) applyReport(agent, report)
@@ -251,7 +273,8 @@
 	agent.coordinator = co
 	log.write('coordinates', { group: report.group, rank: report.rank })
 	void runCoordinator(co).catch(err => {
-		log.write('internal fault', { detail: messageOf(err) })
+		faults.count++
+		log.write('internal fault', { detail: describeFault(err) })
 		stopCoordinating(agent, 'internal fault')
 	})
 }
--- a/packages/runtime/src/io/listener.ts
+++ b/packages/runtime/src/io/listener.ts
@@ -4,10 +4,12 @@
 import { STATUS_CODES } from 'node:http'
 import type { Socket } from 'node:net'
 import type { ErrorKind } from '@juniperhook/core'
-import { ERRORS, splitAddress } from '@juniperhook/core'
+import { ERRORS } from '@juniperhook/core'
 import { type EventHandler, fromNodeHandler, H3, toNodeHandler } from 'h3'
 import { kindOfClientError } from '../utils/clientError.ts'
 import { sleep } from '../utils/clock.ts'
+import type { BindOptions } from './bind.ts'
+import { bindServer } from './bind.ts'
 import type { HttpConnections } from './httpConnections.ts'
 import {
 	closeIdle,
@@ -50,13 +52,16 @@
 	readonly connections: HttpConnections
 }
 
-/** Starts an HTTP server for `app`. */
-export function listen(
+/**
+ * Starts an HTTP server for `app`; resolves once its address is bound, or undefined if the
+ * process stops before.
+ */
+export async function listen(
 	app: H3,
 	address: string,
+	bind: BindOptions,
 	options: ListenOptions = {},
-): Promise<Listener> {
-	const { ip, port } = splitAddress(address)
+): Promise<Listener | undefined> {
 	const connections: HttpConnections = new Map()
 	const server = createServerInTurn(
 		connections,
@@ -74,10 +79,8 @@
 		if (kind) options.onBadRequest?.(kind)
 		answerClientError(connections, socket as Socket, kind)
 	})
-	return new Promise((resolve, reject) => {
-		server.once('error', reject)
-		server.listen(port, ip, () => resolve({ server, connections }))
-	})
+	const isBound = await bindServer(server, address, bind)
+	return isBound ? { server, connections } : undefined
 }
 
 /**
@@ -156,7 +159,8 @@
 export function listenOperators(
 	address: string,
 	handlers: OperatorHandlers,
-): Promise<Listener> {
+	bind: BindOptions,
+): Promise<Listener | undefined> {
 	const app = new H3()
 	app.get('/healthz', () => 'ok\n')
 	app.get('/readyz', event => {
@@ -170,7 +174,7 @@
 		return registry.metrics()
 	})
 	app.get('/status', () => handlers.status())
-	return listen(app, address)
+	return listen(app, address, bind)
 }
 
 /** Reads a body; returns `undefined` if it exceeds `limit` bytes. */
--- a/packages/runtime/src/io/metrics.ts
+++ b/packages/runtime/src/io/metrics.ts
@@ -2,7 +2,10 @@
 
 import { ERROR_KINDS } from '@juniperhook/core'
 import { Counter, Gauge, Histogram, Registry } from 'prom-client'
+import { registerFaults } from '../utils/faultGuard.ts'
 import { rpcCounts } from './rpc.ts'
+import type { Waits } from './waits.ts'
+import { registerWaits } from './waits.ts'
 
 const LATENCY_BUCKETS = [
 	0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 30, 60,
@@ -32,9 +35,11 @@
 }
 
 /** Creates the metrics of a process, with every error kind at zero. */
-export function createMetrics(): Metrics {
+export function createMetrics(waits: Waits): Metrics {
 	const registry = new Registry()
 	const registers = [registry]
+	registerWaits(registry, waits)
+	registerFaults(registry)
 	const name = (part: string) => `juniperhook_${part}`
 	const counter = (part: string, help: string) =>
 		new Counter({ name: name(part), help, registers })
--- a/packages/runtime/src/io/rpc.ts
+++ b/packages/runtime/src/io/rpc.ts
@@ -17,6 +17,8 @@
 	JSONRPCServerAndClient,
 } from 'json-rpc-2.0'
 import { messageOf } from '../utils/fail.ts'
+import type { BindOptions } from './bind.ts'
+import { bindServer, SILENT_BIND } from './bind.ts'
 
 /** Allowance in a line for the message around the texts that it carries, bytes. */
 const ENVELOPE_BYTES = 65_536
@@ -112,20 +114,21 @@
 	return err instanceof JSONRPCErrorException && err.code === STOPPING_CODE
 }
 
-/** Listens for connections and serves `methods` on them. */
-export function serveRpc(
+/**
+ * Listens for connections and serves `methods` on them; resolves once the address is
+ * bound, or without a listener if the process stops before.
+ */
+export async function serveRpc(
 	address: string,
 	methods: Methods,
 	onLink: (link: RpcLink) => void = () => {},
+	bind: BindOptions = SILENT_BIND,
 ): Promise<Server> {
-	const { ip, port } = splitAddress(address)
 	const server = createServer(socket =>
 		onLink(openLink(socket, methods, 'there')),
 	)
-	return new Promise((resolve, reject) => {
-		server.once('error', reject)
-		server.listen(port, ip, () => resolve(server))
-	})
+	await bindServer(server, address, bind)
+	return server
 }
 
 /** Connects to another process; rejects on an error or after `timeoutMs`. */
@@ -193,8 +196,10 @@
 	} catch {
 		rpcCounts.badFrames++
 		const code = JSONRPCErrorCode.ParseError
-		const res = createJSONRPCErrorResponse(null, code, 'not a JSON text')
-		send(link.socket, res)
+		reply(
+			link.socket,
+			createJSONRPCErrorResponse(null, code, 'not a JSON text'),
+		)
 		return
 	}
 	if (served.isStopping && isJSONRPCRequest(payload)) {
@@ -215,17 +220,21 @@
 
 /** Notifications get no answer. */
 function refuseCall({ socket }: RpcLink, { id }: JSONRPCRequest): void {
-	if (id === undefined || socket.destroyed) return
-	send(
+	if (id === undefined) return
+	reply(
 		socket,
 		createJSONRPCErrorResponse(id, STOPPING_CODE, 'the process stops'),
 	)
 }
 
 function sendInvalidRequest(socket: Socket, text: string): void {
-	if (socket.destroyed) return
 	const code = JSONRPCErrorCode.InvalidRequest
-	send(socket, createJSONRPCErrorResponse(null, code, text))
+	reply(socket, createJSONRPCErrorResponse(null, code, text))
+}
+
+/** Sends an answer unless the peer has disconnected. */
+function reply(socket: Socket, payload: unknown): void {
+	if (!socket.destroyed) send(socket, payload)
 }
 
 function readLines(socket: Socket, onLine: (line: string) => void): void {
--- a/packages/runtime/src/types/settings.ts
+++ b/packages/runtime/src/types/settings.ts
@@ -4,6 +4,9 @@
 import type { Fault } from '@juniperhook/core'
 import { isAddress, readDocument } from '@juniperhook/core'
 import * as v from 'valibot'
+import type { Attempt, Waits } from '../io/waits.ts'
+import { awaitNeed } from '../io/waits.ts'
+import { messageOf } from '../utils/fail.ts'
 
 const address = v.pipe(
 	v.string('a value'),
@@ -62,13 +65,36 @@
 	return readDocument(text, SettingsSchema)
 }
 
-/** Loads a settings file; prints all its faults and exits if it is invalid. */
-export function loadSettings(path: string): Settings {
-	const result = readSettings(readFileSync(path, 'utf8'))
-	if (result.valid) return result.config
-	for (const fault of result.faults)
-		process.stderr.write(`${formatFault(path, fault)}\n`)
-	process.exit(1)
+/** Interval of attempts to read a settings file that is missing or invalid, ms. */
+const RETRY_MS = 200
+
+/** Reads a settings file; waits until it is there and valid. */
+export async function awaitSettings(
+	path: string,
+	waits: Waits,
+): Promise<Settings> {
+	const isStopping = () => false
+	const settings = await awaitNeed(
+		waits,
+		'settings',
+		RETRY_MS,
+		isStopping,
+		async () => readSettingsFile(path),
+	)
+	// An attempt that is never given up ends with a value.
+	return settings!
+}
+
+function readSettingsFile(path: string): Attempt<Settings> {
+	try {
+		const result = readSettings(readFileSync(path, 'utf8'))
+		if (result.valid) return { ok: true, value: result.config }
+		const faults = result.faults.map(fault => formatFault(path, fault))
+		return { ok: false, reason: faults.join('\n') }
+	} catch (err) {
+		// The path is part of the message.
+		return { ok: false, reason: messageOf(err) }
+	}
 }
 
 /** Formats a fault as one line: file, line, section, key and what was expected. */
--- a/packages/runtime/src/utils/eventLog.ts
+++ b/packages/runtime/src/utils/eventLog.ts
@@ -21,6 +21,8 @@
 export interface EventLog {
 	/** Number of lines dropped since the start. */
 	dropped: number
+	/** Changes the name of the process in further lines. */
+	rename(node: string): void
 	/** Writes one line: an event and the inputs of the decision behind it. */
 	write(event: string, fields?: LogFields): void
 	/** Passes waiting lines on before the process exits; takes a limited time. */
@@ -36,10 +38,7 @@
 	const out = hasReader(process.stdout)
 		? openLineOutput(process.stdout, onDrop)
 		: openFileOutput(onDrop)
-	const logger = pino(
-		{ base: { node }, messageKey: 'event', timestamp: formatTime },
-		out,
-	)
+	let logger = createLogger(node, out)
 	let window = 0
 	let lines = 0
 	let unreportedDrops = 0
@@ -51,6 +50,9 @@
 	}
 	const log: EventLog = {
 		dropped: 0,
+		rename(name) {
+			logger = createLogger(name, out)
+		},
 		write(event, fields = {}) {
 			const now = Math.floor(performance.now() / RATE_WINDOW_MS)
 			if (now !== window) lines = 0
@@ -68,6 +70,13 @@
 	return log
 }
 
+function createLogger(node: string, out: LineOutput) {
+	return pino(
+		{ base: { node }, messageKey: 'event', timestamp: formatTime },
+		out,
+	)
+}
+
 /** Writes to a file or a terminal asynchronously, which `process.stdout` does not. */
 function openFileOutput(onDrop: () => void): LineOutput {
 	const out = pino.destination({
