Build: installed packages are checked, not compared by age

The system didn't start: with node_modules of another kind of machine, or of an install that was cut off, the build of the deploy file ends with an error and leaves no target/ at all, as it removed the former one first. No process is ever started, so nothing logs it.

Cause: the build installed only if node_modules was older than the lockfile, which says nothing about what is in it.

The lockfile lists the same native packages for x86-64 and arm64; only arm64 was run here.

--- /dev/null
+++ b/scripts/installFault.d.mts
@@ -0,0 +1,12 @@
+/** A kind of machine, in npm's terms. */
+export interface Machine {
+	readonly os: string
+	readonly cpu: string
+	readonly libc: string
+}
+
+export function describeMachine(): Machine
+export function findInstallFault(
+	root: string,
+	machine: Machine,
+): string | undefined
