Answers without end are broken off, whatever part of them has none

Callers lost an entry with all its requests: four plain answers without end take more than 1.5 GB in an entry that has 350 MB, whose process is then ended for its memory; four streams of small events without end fill the heap in seconds ('Reached heap limit'), as each event was written to a caller whatever the caller had taken. The unused rest of a refusal was read for ever: 32 connections stayed open, their slots free again. An idle connection on which bytes arrive was read for ever as well.

Cause: nothing bounded what is read but the deadline of the request.

Now the bodies of requests and answers share a budget of a quarter of the process's free memory; over it, the largest transfer that is still arriving is ended: an answer counts as 'too large' (502, or another server), a request is refused with 503 memoryShort, as it was never sent. The source of a stream is paused while its reader has more than 256 KiB to take, also without the pressure contract. An event has 1 MiB at most, the rest of a refusal 64 KiB and 1 s, interim responses are counted, and idle connections close at the first byte. Calls to the store and to engines have a maximum size; a report of an engine that is nested too deeply for JSON.stringify ended its agent and no longer does. Lines of peers share a budget, a peer that doesn't read its answers is disconnected, and one that calls without end is read no faster than it is answered. In the product's own mode frames, events and control answers are bounded, and an agent stops reading at the end mark of a stream. A caller's connection with 100 waiting requests is closed.

Ruled out by these: heads, trailers and chunk extensions, which the parser bounds.

--- a/packages/agent/src/io/backend.ts
+++ b/packages/agent/src/io/backend.ts
@@ -16,6 +16,8 @@
 /** Data of the last event of an engine's stream. */
 const STREAM_END = '[DONE]'
 const MAX_ENGINE_RESUMES = 3
+/** Maximum size of an event, bytes. */
+const MAX_EVENT_BYTES = 1_048_576
 const CONNECT_TIMEOUT_MS = 1_000
 const ENGINE_RESUME_DELAY_MS = 100
 
@@ -137,9 +139,14 @@
 	let ended = false
 	let isResumed = false
 	let hasGap = false
+	let bytesSinceEvent = 0
 	let writable: Promise<void> | undefined
 	const parser = createParser({
+		onComment: () => {
+			bytesSinceEvent = 0
+		},
 		onEvent: ({ id, data }) => {
+			bytesSinceEvent = 0
 			// What continues a stream needs a number to show that it is the next event.
 			if (id === undefined && isResumed) hasGap = true
 			const number = id === undefined ? nextNumber : Number(id)
@@ -156,8 +163,10 @@
 		try {
 			if (res)
 				for await (const data of res.body) {
+					bytesSinceEvent += data.length
 					parser.feed(decoder.decode(data, { stream: true }))
-					if (hasGap) break
+					const isTooLarge = bytesSinceEvent > MAX_EVENT_BYTES
+					if (hasGap || ended || isTooLarge) break
 					if (writable) await writable
 				}
 		} catch (err) {
@@ -166,6 +175,7 @@
 		if (ended) return { how: 'whole' }
 		parser.reset()
 		hasGap = false
+		bytesSinceEvent = 0
 		isResumed = true
 		await new Promise(r => setTimeout(r, ENGINE_RESUME_DELAY_MS))
 		res = await resumeOnEngine(run, nextNumber)
--- a/packages/agent/src/io/engine.ts
+++ b/packages/agent/src/io/engine.ts
@@ -1,10 +1,13 @@
 /** The control interface of a model engine: its reports and the orders to it. */
 
 import type { EngineReply, RankEngineOrder } from '@juniperhook/runtime'
+import { readLimitedJson } from '@juniperhook/runtime'
 import { Agent, request } from 'undici'
 import * as v from 'valibot'
 
 const CALL_TIMEOUT_MS = 2_000
+/** Maximum size of an answer, bytes; the counts of 8,192 experts take a tenth of it. */
+const MAX_ANSWER_BYTES = 4_194_304
 const dispatcher = new Agent({
 	connect: { timeout: 1_000 },
 	headersTimeout: CALL_TIMEOUT_MS,
@@ -81,7 +84,8 @@
 /** Fetches an engine's report. */
 export async function readEngine(address: string): Promise<EngineReport> {
 	const res = await request(`http://${address}/load`, { dispatcher })
-	return v.parse(EngineReportSchema, await res.body.json())
+	const report = await readLimitedJson(res.body, MAX_ANSWER_BYTES)
+	return v.parse(EngineReportSchema, report)
 }
 
 /** Sends an order to an engine and returns its reply. */
@@ -94,5 +98,5 @@
 		body: JSON.stringify(order),
 		dispatcher: order.order === 'stage' ? stagingDispatcher : dispatcher,
 	})
-	return (await res.body.json()) as EngineReply
+	return (await readLimitedJson(res.body, MAX_ANSWER_BYTES)) as EngineReply
 }
--- a/packages/entry/src/io/attempt.ts
+++ b/packages/entry/src/io/attempt.ts
@@ -132,11 +132,14 @@
 		attempt.sink.linkLost()
 	}
 	reader.on('data', (frame: AnswerFrame) => handleFrame(attempt, frame))
-	reader.on('error', reportLinkLost)
+	reader.on('error', () => {
+		reportLinkLost()
+		res.body.destroy()
+	})
 	reader.on('end', reportLinkLost)
 	res.body.on('error', reportLinkLost)
 	if (res.statusCode !== 200) {
-		res.body.resume()
+		void res.body.dump().catch(() => {})
 		reportLinkLost()
 		return
 	}
--- a/packages/gateway/src/answerFault.ts
+++ b/packages/gateway/src/answerFault.ts
@@ -19,6 +19,8 @@
 	| 'not final'
 	/** Its body is encoded in a way that the caller did not ask for. */
 	| 'encoded'
+	/** The process has no memory for the rest of it. */
+	| 'too large'
 
 const OK = 200
 const IDENTITY = 'identity'
--- a/packages/gateway/src/callerRequest.ts
+++ b/packages/gateway/src/callerRequest.ts
@@ -153,7 +153,6 @@
 	const length = Number(req.headers['content-length'] ?? 0)
 	if (length > limit)
 		return Promise.resolve({ kind: 'refused', error: 'tooLarge' })
-	const count = countRequestBody(ctx, res)
 	return new Promise(resolve => {
 		const parts: Buffer[] = []
 		let size = 0
@@ -168,14 +167,16 @@
 			settle({ kind: 'refused', error })
 		}
 		ctx.requestsBeingRead.add(refuse)
+		const count = countRequestBody(ctx, res, () => refuse('memoryShort'))
 		req.on('data', (part: Buffer) => {
 			size += part.length
 			if (isRefused) return
 			if (size > limit) refuse('tooLarge')
 			else if (!count.add(part.length)) refuse('memoryShort')
-			else parts.push(part)
+			else if (!isRefused) parts.push(part)
 		})
 		req.on('end', () => {
+			count.complete()
 			const bytes = parts.length === 1 ? parts[0]! : Buffer.concat(parts)
 			settle({ kind: 'complete', bytes })
 		})
--- a/packages/gateway/src/configTransfer.ts
+++ b/packages/gateway/src/configTransfer.ts
@@ -110,6 +110,7 @@
 		const data = Buffer.from(piece.data, 'base64')
 		parts.push(data)
 		bytes += data.length
+		if (bytes > MAX_TEXT_BYTES) throw new Error('configuration too large')
 		if (data.length === 0 || bytes >= piece.size) break
 	}
 	const compressed = Buffer.concat(parts)
--- a/packages/gateway/src/context.ts
+++ b/packages/gateway/src/context.ts
@@ -2,6 +2,7 @@
 
 import type {
 	BlockageTracker,
+	ByteBudget,
 	ErrorKind,
 	GroupClosures,
 	Random,
@@ -165,6 +166,8 @@
 	readonly suspension: SuspensionWatch
 	/** Bytes that callers have not taken, and bodies of requests. */
 	readonly heldResponses: HeldResponses
+	/** Bodies of requests, and of answers that are read to their end before they are sent. */
+	readonly received: ByteBudget
 	/** Number of requests whose responses have not been delivered. */
 	openRequests: number
 	/** Requests whose body is being read; each function refuses one. */
--- a/packages/gateway/src/eventSplitter.ts
+++ b/packages/gateway/src/eventSplitter.ts
@@ -7,6 +7,8 @@
 const RETURN = 13
 const ID_FIELD = /^id: ?(.*)$/m
 const COMMENT_LINES = /^(:.*\r?\n)+\r?\n$/
+/** Maximum size of an event, bytes. */
+const MAX_EVENT_BYTES = 1_048_576
 
 /** One event, with its bytes as received. */
 export interface StreamEvent {
@@ -19,12 +21,19 @@
 
 /** Buffers the bytes of an incomplete event. */
 export interface EventSplitter {
-	pending: Buffer
+	readonly parts: Buffer[]
+	/** Bytes of all parts. */
+	pendingBytes: number
 }
 
 /** Creates a splitter with an empty buffer. */
 export function createEventSplitter(): EventSplitter {
-	return { pending: Buffer.alloc(0) }
+	return { parts: [], pendingBytes: 0 }
+}
+
+/** Whether the incomplete event is larger than any event may be. */
+export function isEventTooLarge({ pendingBytes }: EventSplitter): boolean {
+	return pendingBytes > MAX_EVENT_BYTES
 }
 
 /** Appends bytes and returns the events that are now complete. */
@@ -32,18 +41,24 @@
 	splitter: EventSplitter,
 	data: Buffer,
 ): StreamEvent[] {
-	const bytes =
-		splitter.pending.length > 0 ? Buffer.concat([splitter.pending, data]) : data
+	const { parts } = splitter
+	parts.push(data)
+	splitter.pendingBytes += data.length
+	// An event ends with a line break, so nothing is complete without one.
+	if (!data.includes(NEWLINE)) return []
+	const bytes = parts.length === 1 ? data : Buffer.concat(parts)
 	const events: StreamEvent[] = []
 	let start = 0
 	for (;;) {
 		const end = findEventEnd(bytes, start)
 		if (end < 0) break
-		const event = bytes.subarray(start, end)
-		events.push(parseEvent(event))
+		events.push(parseEvent(bytes.subarray(start, end)))
 		start = end
 	}
-	splitter.pending = bytes.subarray(start)
+	const rest = bytes.subarray(start)
+	parts.length = 0
+	if (rest.length > 0) parts.push(rest)
+	splitter.pendingBytes = rest.length
 	return events
 }
 
--- a/packages/gateway/src/forward.ts
+++ b/packages/gateway/src/forward.ts
@@ -13,6 +13,7 @@
 import { awaitCrashCheck } from './crashDetector.ts'
 import { countArrival } from './entryDemand.ts'
 import { failRequest } from './failRequest.ts'
+import type { CountedBody } from './heldBodies.ts'
 import { readCountedBody } from './heldBodies.ts'
 import type {
 	AnswerEnd,
@@ -237,16 +238,18 @@
 	const { message, status } = answer
 	if (isEventStream(message)) return await relayStream(ctx, job, res, result)
 	const body = await readCountedBody(ctx, answer)
-	const isComplete = body.kind === 'complete'
-	const isGood = isComplete && status < SERVER_ERROR
-	result.release(classifyEnd(job, isGood, isComplete))
+	const isGood = body.kind === 'complete' && status < SERVER_ERROR
+	result.release(classifyEnd(job, isGood, body.kind))
 	if (job.signal.aborted) return { kind: 'done' }
 	if (!isGood) {
-		const reason = body.kind === 'broken' ? body.reason : `status ${status}`
-		logAttempt(ctx, job, serverId, 'failed', reason)
+		if (body.kind === 'tooLarge')
+			ctx.metrics.invalidAnswers.inc({ fault: 'too large' })
+		logAttempt(ctx, job, serverId, 'failed', describeFailure(body, status))
 		if (mayRetry(ctx, job)) return { kind: 'retry', reason: 'failed' }
 	}
-	if (!isComplete) return { kind: 'failed', error: 'truncated' }
+	if (body.kind === 'tooLarge')
+		return { kind: 'failed', error: 'invalidAnswer' }
+	if (body.kind === 'broken') return { kind: 'failed', error: 'truncated' }
 	const { request } = job
 	job.times.startMs = readElapsed() - request.arrivedAt
 	ctx.metrics.firstByte.observe(job.times.startMs / 1_000)
@@ -256,12 +259,25 @@
 	return { kind: 'done' }
 }
 
+function describeFailure(body: CountedBody, status: number): string {
+	switch (body.kind) {
+		case 'complete':
+			return `status ${status}`
+		case 'broken':
+			return body.reason
+		case 'tooLarge':
+			return `too large, broken off after ${body.bytes} bytes`
+		default:
+			return body satisfies never
+	}
+}
+
 function classifyEnd(
 	job: Job,
 	isGood: boolean,
-	isComplete: boolean,
+	body: CountedBody['kind'],
 ): AnswerEnd {
 	if (job.signal.aborted) return 'abandoned'
 	if (isGood) return 'good'
-	return isComplete ? 'failed' : 'broken'
+	return body === 'broken' ? 'broken' : 'failed'
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -3,9 +3,11 @@
 import { randomBytes } from 'node:crypto'
 import type { Server } from 'node:http'
 import {
+	createByteBudget,
 	createRandom,
 	createServerList,
 	createSharedState,
+	heldLimitBytes,
 } from '@juniperhook/core'
 import type { BindOptions, EventLog, Need, Waits } from '@juniperhook/runtime'
 import {
@@ -109,6 +111,7 @@
 		permitHomes: createPermitHomes(settings.control),
 		coldGate: createColdGate(),
 		heldResponses: createHeldResponses(settings.memoryMb),
+		received: createByteBudget(heldLimitBytes(settings.memoryMb)),
 		openRequests: 0,
 		requestsBeingRead: new Set(),
 		quarantineGate: createQuarantineGate(sharedState.quarantine),
--- a/packages/gateway/src/heldBodies.ts
+++ b/packages/gateway/src/heldBodies.ts
@@ -1,12 +1,19 @@
-/** Counts the bodies of requests and answers as held while the settings announce pressure. */
+/**
+ * Counts the bodies of requests and answers as held. Their sum is bounded; while the
+ * settings announce pressure, they also count beside what slow readers have not taken.
+ */
 
 import type { ServerResponse } from 'node:http'
-import type { Holder } from '@juniperhook/core'
+import type { ByteHold, Holder } from '@juniperhook/core'
 import {
 	addHolder,
+	closeHold,
+	completeHold,
+	growHold,
 	growHolder,
 	isMemoryFull,
 	isMemoryShort,
+	openHold,
 	removeHolder,
 } from '@juniperhook/core'
 import type { GatewayContext } from './context.ts'
@@ -18,34 +25,57 @@
 export interface BodyCount {
 	/** Counts a received part; returns false if there is no memory for it. */
 	add(bytes: number): boolean
+	/** Records that the whole body has been received. */
+	complete(): void
 }
 
-const UNCOUNTED: BodyCount = { add: () => true }
+/** An answer's body, or why there is none. */
+export type CountedBody =
+	| BodyResult
+	/** It was broken off because the bodies together took too much memory. */
+	| { readonly kind: 'tooLarge'; readonly bytes: number }
 
 /** Whether a new request is refused because too much is held for others. */
 export function isRefusedForMemory(ctx: GatewayContext): boolean {
 	return ctx.settings.underPressure && isMemoryShort(ctx.heldResponses.bytes)
 }
 
-/** Counts the body of a request until its response has ended. */
+/**
+ * Counts the body of a request until its response has ended; `onFull` is called if it
+ * must not be received any further.
+ */
 export function countRequestBody(
 	ctx: GatewayContext,
 	res: ServerResponse,
+	onFull: () => void,
 ): BodyCount {
-	if (!ctx.settings.underPressure) return UNCOUNTED
-	const { bytes: held } = ctx.heldResponses
+	const { received, heldResponses } = ctx
+	const { bytes: held } = heldResponses
+	let hold: ByteHold | undefined
 	let holder: Holder | undefined
+	const open = () => {
+		const opened = openHold(received, onFull)
+		const added = ctx.settings.underPressure ? addReceiving(ctx) : undefined
+		res.once('close', () => {
+			closeHold(received, opened)
+			if (added) removeHolder(held, added)
+		})
+		holder = added
+		return opened
+	}
 	return {
 		add(bytes) {
-			if (!holder) {
-				holder = addReceiving(ctx)
-				const added = holder
-				res.once('close', () => removeHolder(held, added))
-			}
-			growHolder(held, holder, bytes, ctx.heldResponses.observedMs)
+			// Most requests have no body.
+			hold ??= open()
+			growHold(received, hold, bytes)
+			if (!holder) return true
+			growHolder(held, holder, bytes, heldResponses.observedMs)
 			endFurthestBehind(ctx)
 			return !isMemoryFull(held)
 		},
+		complete() {
+			if (hold) completeHold(hold)
+		},
 	}
 }
 
@@ -53,16 +83,23 @@
 export async function readCountedBody(
 	ctx: GatewayContext,
 	answer: ServerAnswer,
-): Promise<BodyResult> {
-	if (!ctx.settings.underPressure) return await readAnswerBody(answer)
-	const { heldResponses } = ctx
-	const holder = addReceiving(ctx)
+): Promise<CountedBody> {
+	const { received, heldResponses } = ctx
+	let isTooLarge = false
+	const hold = openHold(received, () => {
+		isTooLarge = true
+		answer.closeConnection()
+	})
+	const holder = ctx.settings.underPressure ? addReceiving(ctx) : undefined
 	const body = await readAnswerBody(answer, bytes => {
+		growHold(received, hold, bytes)
+		if (!holder) return
 		growHolder(heldResponses.bytes, holder, bytes, heldResponses.observedMs)
 		endFurthestBehind(ctx)
 	})
-	removeHolder(heldResponses.bytes, holder)
-	return body
+	if (holder) removeHolder(heldResponses.bytes, holder)
+	closeHold(received, hold)
+	return isTooLarge ? { kind: 'tooLarge', bytes: hold.bytes } : body
 }
 
 function addReceiving({ heldResponses }: GatewayContext): Holder {
--- a/packages/gateway/src/heldResponses.ts
+++ b/packages/gateway/src/heldResponses.ts
@@ -171,7 +171,9 @@
 	held.observedMs += Math.min(now - held.checkedAt, MAX_STEP_MS)
 	held.checkedAt = now
 	held.bytes.limitBytes = heldLimitBytes(ctx.settings.memoryMb)
+	ctx.received.limitBytes = held.bytes.limitBytes
 	endFurthestBehind(ctx)
 	for (const queue of [...held.queues.values()]) judgeQueue(ctx, queue)
 	ctx.metrics.heldBytes.set(held.bytes.totalBytes)
+	ctx.metrics.receivedBytes.set(ctx.received.totalBytes)
 }
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -63,6 +63,8 @@
 	readonly forecastError: Gauge<'service' | 'lead_ms'>
 	/** Bytes held for slow readers and senders. */
 	readonly heldBytes: Gauge
+	/** Bytes of bodies received, of requests and of answers. */
+	readonly receivedBytes: Gauge
 	/** Streams whose server was paused because of their reader. */
 	readonly pausedResponses: Counter
 	/** Responses ended because of their reader, by reason. */
@@ -258,6 +260,11 @@
 			help: 'Bytes held for slow readers and senders',
 			registers,
 		}),
+		receivedBytes: new Gauge({
+			name: 'juniperhook_received_bytes',
+			help: 'Bytes of bodies that are being received, or held until answered',
+			registers,
+		}),
 		pausedResponses: new Counter({
 			name: 'juniperhook_responses_paused_total',
 			help: 'Streams whose server was paused because of their reader',
--- a/packages/gateway/src/reply.ts
+++ b/packages/gateway/src/reply.ts
@@ -86,7 +86,11 @@
 		return
 	}
 	if (deliverBody(ctx, res, request, parts)) return
-	res.end(parts.length === 1 ? parts[0] : Buffer.concat(parts))
+	// Joining the parts would hold them twice.
+	res.cork()
+	for (const part of parts) res.write(part)
+	res.end()
+	res.uncork()
 }
 
 /** Writes the response head of a stream, without events. */
--- a/packages/gateway/src/sendOutcome.ts
+++ b/packages/gateway/src/sendOutcome.ts
@@ -23,6 +23,7 @@
 import { trackAbandoned } from './sentRequests.ts'
 import { recordAccepted } from './serverBackoffs.ts'
 import type { CallResult, ServerAnswer } from './serverCall.ts'
+import { discardBody } from './serverCall.ts'
 import { serveQueues } from './serverQueue.ts'
 import { dropDisplaced } from './serverRecords.ts'
 import { applyStatement } from './serverStatement.ts'
@@ -103,11 +104,12 @@
 function recordRefusal(
 	ctx: GatewayContext,
 	send: Send,
-	{ status, message }: ServerAnswer,
+	answer: ServerAnswer,
 ): AttemptResult {
+	const { status, message } = answer
 	const { job, server } = send
 	if (status === MISDIRECTED) dropDisplaced(ctx, server.id)
-	message.resume()
+	discardBody(answer)
 	recordNotRun(send)
 	send.releaseSlot()
 	if (isGroupRefusal(ctx, server, status)) {
--- a/packages/gateway/src/serverCall.ts
+++ b/packages/gateway/src/serverCall.ts
@@ -3,8 +3,12 @@
 import type { Agent, ClientRequest, IncomingMessage } from 'node:http'
 import { request } from 'node:http'
 import type { Socket } from 'node:net'
+import { limitInterimResponses } from '@juniperhook/runtime'
 
 const CONNECT_TIMEOUT_MS = 200
+/** Size and time within which the rest of an unused response is read. */
+const MAX_DISCARD_BYTES = 65_536
+const MAX_DISCARD_MS = 1_000
 
 /** A request to a server. */
 export interface ServerRequest {
@@ -95,6 +99,7 @@
 			// A switch to another protocol ends without an error or a response.
 			if (!settled) fail('connection closed')
 		})
+		limitInterimResponses(req)
 		let response: IncomingMessage | undefined
 		req.on('error', err => {
 			// Bytes after a whole response are not part of it; Node closes their connection.
@@ -159,6 +164,20 @@
 	return err.code ?? err.message
 }
 
+/**
+ * Reads the rest of a response that is not used, so that its connection can be reused. It
+ * is closed instead if that takes long.
+ */
+export function discardBody({ message, closeConnection }: ServerAnswer): void {
+	let bytes = 0
+	const timer = setTimeout(closeConnection, MAX_DISCARD_MS)
+	message.on('data', (part: Buffer) => {
+		bytes += part.length
+		if (bytes > MAX_DISCARD_BYTES) closeConnection()
+	})
+	message.once('close', () => clearTimeout(timer))
+}
+
 /** A response body, or how it failed. */
 export type BodyResult =
 	| { readonly kind: 'complete'; readonly parts: readonly Buffer[] }
--- a/packages/gateway/src/serverPool.ts
+++ b/packages/gateway/src/serverPool.ts
@@ -2,6 +2,7 @@
 
 import { Agent } from 'node:http'
 import type { TrafficService } from '@juniperhook/core'
+import { createKeepAliveAgent } from '@juniperhook/runtime'
 
 /** Maximum number of idle connections to one server. */
 const MAX_IDLE_CONNECTIONS = 12
@@ -27,8 +28,7 @@
 /** Creates a pool without connections. */
 export function createServerPool(): ServerPool {
 	return {
-		keepAlive: new Agent({
-			keepAlive: true,
+		keepAlive: createKeepAliveAgent({
 			maxFreeSockets: MAX_IDLE_CONNECTIONS,
 			timeout: IDLE_TIMEOUT_MS,
 			scheduling: 'lifo',
--- a/packages/gateway/src/streamRelay.ts
+++ b/packages/gateway/src/streamRelay.ts
@@ -9,8 +9,13 @@
 import { logAttempt, logServed } from './attemptLog.ts'
 import type { GatewayContext } from './context.ts'
 import type { StreamEvent } from './eventSplitter.ts'
-import { createEventSplitter, splitEvents } from './eventSplitter.ts'
+import {
+	createEventSplitter,
+	isEventTooLarge,
+	splitEvents,
+} from './eventSplitter.ts'
 import { paceSource, queueOf, setSource } from './heldResponses.ts'
+import type { StreamSource } from './heldResponsesState.ts'
 import type { AnswerEnd, AttemptResult, Job, NextStep } from './job.ts'
 import { writeStreamHead } from './reply.ts'
 import { endQueue, queueEvent } from './responseQueue.ts'
@@ -19,6 +24,9 @@
 import { recordDuration } from './shutdownGate.ts'
 import { recordAnswer, recordWorkEvent } from './workState.ts'
 
+/** Bytes that a reader has not taken at which the source of its stream is paused. */
+const MAX_UNREAD_BYTES = 262_144
+
 /** Relays the part of a stream that one server sends. */
 export function relayStream(
 	ctx: GatewayContext,
@@ -60,25 +68,31 @@
 		if (event.id !== undefined) job.lastEventId = event.id
 		else if (!event.isComment) job.hasUnnumberedEvents = true
 	}
-	if (queue)
-		setSource(queue, {
-			pause: () => message.pause(),
-			resume: pausedMs => {
-				lastAt = Math.min(readNow(), lastAt + pausedMs)
-				message.resume()
-			},
-		})
+	const source: StreamSource = {
+		pause: () => message.pause(),
+		resume: pausedMs => {
+			lastAt = Math.min(readNow(), lastAt + pausedMs)
+			message.resume()
+		},
+	}
+	if (queue) setSource(queue, source)
 	return new Promise(resolve => {
 		message.on('data', (data: Buffer) => {
 			for (const event of splitEvents(splitter, data)) if (inOrder) relay(event)
+			if (isEventTooLarge(splitter) && inOrder) {
+				inOrder = false
+				ctx.metrics.invalidAnswers.inc({ fault: 'too large' })
+				answer.closeConnection()
+			}
 			if (queue) paceSource(ctx, queue)
+			else pauseForReader(res, source)
 		})
 		message.on('close', () => {
 			if (queue) setSource(queue, undefined)
 			const isFramingComplete =
 				answer.isComplete() && !isUnstarted(job, message)
 			const isComplete =
-				isFramingComplete && inOrder && splitter.pending.length === 0
+				isFramingComplete && inOrder && splitter.pendingBytes === 0
 			result.release(classifyEnd(job, isComplete, isFramingComplete))
 			if (job.signal.aborted) {
 				resolve({ kind: 'done' })
@@ -105,6 +119,14 @@
 	})
 }
 
+/** Pauses a source whose reader has not taken much, until it has. */
+function pauseForReader(res: ServerResponse, source: StreamSource): void {
+	if (res.writableLength <= MAX_UNREAD_BYTES || res.destroyed) return
+	const pausedAt = readNow()
+	source.pause()
+	res.once('drain', () => source.resume(readNow() - pausedAt))
+}
+
 /**
  * Whether a connection ended before the first event of a stream without framing. It looks
  * complete then, but the server has sent nothing.
--- a/packages/runtime/src/io/frames.ts
+++ b/packages/runtime/src/io/frames.ts
@@ -31,6 +31,9 @@
 	/** Heartbeat while there is no data to send. */
 	| { readonly t: 'beat' }
 
+/** Maximum size of a frame: a part of a body as read at once, or a head, bytes. */
+const MAX_FRAME_BYTES = 4_194_304
+
 const packr = new Packr({ useRecords: false })
 
 /** Encodes a frame into a buffer that the packer does not reuse. */
@@ -40,5 +43,8 @@
 
 /** Creates a transform stream from bytes to {@link AnswerFrame} objects. */
 export function createFrameReader(): UnpackrStream {
-	return new UnpackrStream({ useRecords: false })
+	return new UnpackrStream({
+		useRecords: false,
+		maxIncompleteBufferSize: MAX_FRAME_BYTES,
+	})
 }
--- a/packages/runtime/src/io/httpConnections.ts
+++ b/packages/runtime/src/io/httpConnections.ts
@@ -20,6 +20,9 @@
 /** Time for a request's head to arrive once its first bytes have, ms: one retransmission. */
 const ARRIVAL_MS = 1_000
 
+/** Maximum number of requests that wait on a connection. */
+const MAX_WAITING = 100
+
 /** Time after a response in which callers that go on send their next request, ms. */
 const IDLE_CLOSE_MS = 500
 
@@ -77,7 +80,8 @@
 
 /**
  * Waits until the responses to earlier requests of the connection have been delivered.
- * Resolves to false if it has been closed, or was to close after one of them.
+ * Resolves to false if it has been closed, or was to close after one of them. A connection
+ * on which requests arrive without end is closed.
  */
 export function awaitTurn(
 	connections: HttpConnections,
@@ -88,6 +92,10 @@
 	const connection = connections.get(socket)
 	if (!connection) return Promise.resolve(false)
 	const { turns } = connection
+	if (turns.length >= MAX_WAITING) {
+		socket.destroy()
+		return Promise.resolve(false)
+	}
 	connection.partialSince = undefined
 	res.once('close', () => {
 		connection.idleSince = readElapsed()
--- a/packages/runtime/src/io/platform.ts
+++ b/packages/runtime/src/io/platform.ts
@@ -1,13 +1,17 @@
 /** Read-only client of the platform's configuration service and VM list. */
 
 import type { Topic } from '@juniperhook/core'
+import { MAX_DOCUMENT_BYTES } from '@juniperhook/core'
 import { request } from 'undici'
 import * as v from 'valibot'
 import { messageOf } from '../utils/fail.ts'
+import { readLimitedJson } from './limitedBody.ts'
 
 /** How long a watch may wait for a change, ms. */
 const WATCH_WAIT_MS = 30_000
 const READ_TIMEOUT_MS = 3_000
+/** Maximum size of an answer, bytes; JSON escapes may double the document's size. */
+const MAX_BODY_BYTES = 4 * MAX_DOCUMENT_BYTES
 
 /** A published value: the configuration's text or the VM list as JSON. */
 export const PublishedSchema = v.object({
@@ -64,7 +68,7 @@
 		throw new Error(`${url} returned status ${res.statusCode}`)
 	}
 	try {
-		return await res.body.json()
+		return await readLimitedJson(res.body, MAX_BODY_BYTES)
 	} catch (err) {
 		throw new Error(`${url} returned invalid JSON: ${messageOf(err)}`)
 	}
--- a/packages/runtime/src/io/rpc.ts
+++ b/packages/runtime/src/io/rpc.ts
@@ -5,7 +5,15 @@
 
 import type { Socket } from 'node:net'
 import { connect, createServer, type Server } from 'node:net'
-import { MAX_DOCUMENT_BYTES, splitAddress } from '@juniperhook/core'
+import {
+	closeHold,
+	createByteBudget,
+	emptyHold,
+	growHold,
+	MAX_DOCUMENT_BYTES,
+	openHold,
+	splitAddress,
+} from '@juniperhook/core'
 import type { JSONRPCRequest } from 'json-rpc-2.0'
 import {
 	createJSONRPCErrorResponse,
@@ -27,6 +35,12 @@
  * documents, the latest and the last valid one, and JSON escapes may double their size.
  */
 export const MAX_LINE_BYTES = 2 * 2 * MAX_DOCUMENT_BYTES + ENVELOPE_BYTES
+/** Maximum size of all incomplete lines from other processes, bytes. */
+const MAX_INCOMPLETE_BYTES = 3 * MAX_LINE_BYTES
+/** Bytes that a process has not read at which the connection to it is closed. */
+const MAX_UNREAD_BYTES = 2 * MAX_LINE_BYTES
+/** Calls in progress on a connection at which no more are read from it. */
+const MAX_RUNNING_CALLS = 256
 /** Default timeout of a call, ms. */
 export const CALL_TIMEOUT_MS = 1_000
 /** Error code of a call that was not executed because the process stops. */
@@ -52,6 +66,9 @@
 	badFrames: 0,
 }
 
+/** Incomplete lines from other processes. */
+const incomplete = createByteBudget(MAX_INCOMPLETE_BYTES)
+
 /** Links of this process, and whether it still executes calls on them. */
 const served = {
 	links: new Set<RpcLink>(),
@@ -72,6 +89,8 @@
 	readonly opened: 'here' | 'there'
 	/** Name from the peer's hello; empty before it. */
 	remoteName: string
+	/** Calls and answers of the peer that are being processed. */
+	running: number
 }
 
 /** Calls a method and waits for its result. */
@@ -165,7 +184,7 @@
 	const peer = new JSONRPCServerAndClient<RpcLink, void>(server, client, {
 		errorListener: () => {},
 	})
-	const link: RpcLink = { socket, peer, opened, remoteName: '' }
+	const link: RpcLink = { socket, peer, opened, remoteName: '', running: 0 }
 	for (const [name, method] of Object.entries(methods))
 		peer.addMethod(name, (params, from) => method(params as never, from))
 	served.links.add(link)
@@ -183,6 +202,10 @@
 function send(socket: Socket, payload: unknown): void {
 	if (socket.destroyed) throw new Error('connection closed')
 	const line = `${JSON.stringify(payload)}\n`
+	if (socket.writableLength + line.length > MAX_UNREAD_BYTES) {
+		socket.destroy()
+		throw new Error('the peer does not read')
+	}
 	rpcCounts.messagesOut++
 	rpcCounts.bytesOut += line.length
 	socket.write(line)
@@ -207,6 +230,8 @@
 		return
 	}
 	served.running++
+	link.running++
+	if (link.running >= MAX_RUNNING_CALLS) link.socket.pause()
 	try {
 		await link.peer.receiveAndSend(payload, link, undefined)
 	} catch (err) {
@@ -214,6 +239,9 @@
 		sendInvalidRequest(link.socket, messageOf(err))
 	} finally {
 		served.running--
+		link.running--
+		if (link.running < MAX_RUNNING_CALLS && link.socket.isPaused())
+			link.socket.resume()
 		if (served.running === 0) served.onIdle()
 	}
 }
@@ -239,8 +267,17 @@
 
 function readLines(socket: Socket, onLine: (line: string) => void): void {
 	let parts: Buffer[] = []
-	let bufferedBytes = 0
-	socket.on('data', (data: Buffer) => {
+	const refuse = () => {
+		rpcCounts.badFrames++
+		sendInvalidRequest(socket, `a line of more than ${MAX_LINE_BYTES} bytes`)
+		parts = []
+		socket.off('data', receiveData)
+		socket.resume()
+		socket.destroySoon()
+	}
+	const hold = openHold(incomplete, refuse)
+	socket.once('close', () => closeHold(incomplete, hold))
+	const receiveData = (data: Buffer) => {
 		rpcCounts.bytesIn += data.length
 		let start = 0
 		for (;;) {
@@ -249,18 +286,17 @@
 			parts.push(data.subarray(start, end))
 			const line = Buffer.concat(parts).toString('utf8')
 			parts = []
-			bufferedBytes = 0
+			emptyHold(incomplete, hold)
 			start = end + 1
 			if (line !== '') onLine(line)
 		}
 		const rest = data.subarray(start)
-		bufferedBytes += rest.length
-		if (rest.length > 0) parts.push(rest)
-		if (bufferedBytes <= MAX_LINE_BYTES) return
-		rpcCounts.badFrames++
-		sendInvalidRequest(socket, `a line of more than ${MAX_LINE_BYTES} bytes`)
-		socket.destroySoon()
-		parts = []
-		bufferedBytes = 0
-	})
+		if (rest.length === 0) return
+		parts.push(rest)
+		growHold(incomplete, hold, rest.length)
+		if (hold.bytes <= MAX_LINE_BYTES || !incomplete.holds.has(hold)) return
+		closeHold(incomplete, hold)
+		refuse()
+	}
+	socket.on('data', receiveData)
 }
