Own mode: a stream that is given up leaves no connection behind

Callers of the engine lost one of its places per stream that never resumed: after the last try the agent asked once more for the rest of the stream and never read that answer, whose connection stayed open.

The agent asks for the rest before it reads it, as often as before.

--- a/packages/agent/src/io/backend.ts
+++ b/packages/agent/src/io/backend.ts
@@ -160,6 +160,10 @@
 	let res: Dispatcher.ResponseData | undefined = first
 	for (let resumes = 0; resumes <= MAX_ENGINE_RESUMES; resumes++) {
 		const decoder = new TextDecoder()
+		if (isResumed) {
+			await new Promise(r => setTimeout(r, ENGINE_RESUME_DELAY_MS))
+			res = await resumeOnEngine(run, nextNumber)
+		}
 		try {
 			if (res)
 				for await (const data of res.body) {
@@ -177,8 +181,6 @@
 		hasGap = false
 		bytesSinceEvent = 0
 		isResumed = true
-		await new Promise(r => setTimeout(r, ENGINE_RESUME_DELAY_MS))
-		res = await resumeOnEngine(run, nextNumber)
 	}
 	return { how: 'broken', detail: 'the stream ended without its end mark' }
 }
--- a/packages/agent/test/backend.test.ts
+++ b/packages/agent/test/backend.test.ts
@@ -141,6 +141,54 @@
 	assert.is(body, 'data: a\n\n')
 })
 
+const SEALED_HEAD = 'HTTP/1.1 200 OK\r\nx-a: b\r\ncontent-length: 2\r\n'
+const CUT_HEADS = [
+	{ name: 'in its status line', head: 'HTTP/1.1 2' },
+	{ name: 'in a field', head: SEALED_HEAD.slice(0, -4) },
+	{ name: 'before its blank line', head: SEALED_HEAD },
+	{ name: 'in its blank line', head: `${SEALED_HEAD}\r` },
+]
+
+for (const { name, head } of CUT_HEADS)
+	for (const execute of [runService, runEngine])
+		test(`cut heads: a head that ends ${name} is no answer (${execute.name})`, async () => {
+			const address = await startBackend(socket => socket.end(head))
+			const { result, body } = await run(address, execute, 'cut')
+			assert.is(result.how, 'broken')
+			assert.is(body, '')
+		})
+
+/** Writes a text until the connection closes. */
+function writeOn(socket: Socket, text: string): void {
+	const pump = () => {
+		while (!socket.destroyed && socket.write(text));
+	}
+	socket.on('drain', pump)
+	pump()
+}
+
+const OPEN_HEAD = 'HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\r\n'
+const ENDLESS = [
+	{ name: 'an event', first: '', how: 'broken' },
+	{ name: 'what follows its end', first: 'data: [DONE]\n\n', how: 'whole' },
+]
+
+for (const { name, first, how } of ENDLESS)
+	test(`endless: a run ends although the server sends without end: ${name}`, async () => {
+		const sockets = new Set<Socket>()
+		const address = await startBackend(socket => {
+			sockets.add(socket)
+			socket.on('close', () => sockets.delete(socket))
+			socket.write(OPEN_HEAD + first)
+			writeOn(socket, 'x'.repeat(65_536))
+		})
+		const { result } = await run(address, runEngine, 'endless')
+		assert.is(result.how, how)
+		for (let at = 0; at < 200 && sockets.size > 0; at++)
+			await new Promise(resolve => setTimeout(resolve, 10))
+		assert.is(sockets.size, 0)
+	})
+
 test.after(() => {
 	for (const server of servers) server.close()
 	setImmediate(() => process.exit())
