Control connections: calls without end are read no faster than they are answered

A group lost its agent: four connections that ask for reports without end and read nothing fill an agent's heap of 64 MB within two seconds (SIGABRT). All calls of a part that was read were begun at once, each with a connection to the engine, and each connection could hold 8.5 MB that its peer had not read.

At 64 calls in progress a connection is not read, and the rest of what was read waits with it. What peers haven't read is bounded over all connections; the one with most is closed first.

--- a/packages/runtime/src/io/rpc.ts
+++ b/packages/runtime/src/io/rpc.ts
@@ -37,10 +37,12 @@
 export const MAX_LINE_BYTES = 2 * 2 * MAX_DOCUMENT_BYTES + ENVELOPE_BYTES
 /** Maximum size of all incomplete lines from other processes, bytes. */
 const MAX_INCOMPLETE_BYTES = 3 * MAX_LINE_BYTES
-/** Bytes that a process has not read at which the connection to it is closed. */
-const MAX_UNREAD_BYTES = 2 * MAX_LINE_BYTES
+/** Bytes that all other processes have not read at which a connection is closed. */
+const MAX_UNREAD_BYTES = 3 * MAX_LINE_BYTES
+/** Bytes that a process has not read at which it counts as slow. */
+const SLOW_BYTES = 262_144
 /** Calls in progress on a connection at which no more are read from it. */
-const MAX_RUNNING_CALLS = 256
+const MAX_RUNNING_CALLS = 64
 /** Default timeout of a call, ms. */
 export const CALL_TIMEOUT_MS = 1_000
 /** Error code of a call that was not executed because the process stops. */
@@ -202,15 +204,25 @@
 function send(socket: Socket, payload: unknown): void {
 	if (socket.destroyed) throw new Error('connection closed')
 	const line = `${JSON.stringify(payload)}\n`
-	if (socket.writableLength + line.length > MAX_UNREAD_BYTES) {
-		socket.destroy()
-		throw new Error('the peer does not read')
-	}
+	if (socket.writableLength > SLOW_BYTES) limitUnread()
+	if (socket.destroyed) throw new Error('the peer does not read')
 	rpcCounts.messagesOut++
 	rpcCounts.bytesOut += line.length
 	socket.write(line)
 }
 
+/** Closes the connections with the most unread bytes while there are too many. */
+function limitUnread(): void {
+	const sockets = [...served.links].map(({ socket }) => socket)
+	sockets.sort((a, b) => b.writableLength - a.writableLength)
+	let bytes = sockets.reduce((sum, one) => sum + one.writableLength, 0)
+	for (const socket of sockets) {
+		if (bytes <= MAX_UNREAD_BYTES) return
+		bytes -= socket.writableLength
+		socket.destroy()
+	}
+}
+
 async function receive(link: RpcLink, line: string): Promise<void> {
 	rpcCounts.messagesIn++
 	let payload: unknown
@@ -289,6 +301,11 @@
 			emptyHold(incomplete, hold)
 			start = end + 1
 			if (line !== '') onLine(line)
+			if (!socket.isPaused() || start === data.length) continue
+			// The rest is read once fewer calls are in progress.
+			rpcCounts.bytesIn -= data.length - start
+			socket.unshift(data.subarray(start))
+			return
 		}
 		const rest = data.subarray(start)
 		if (rest.length === 0) return
