--- a/packages/core/src/core/heldBytes.ts
+++ b/packages/core/src/core/heldBytes.ts
@@ -8,6 +8,8 @@
 const IDLE_PROCESS_MB = 60
 /** Share of the remaining memory for held bytes; the rest is heap and garbage. */
 const HELD_SHARE = 0.25
+/** Share of it for bodies that are being received, whose memory is freed late. */
+const RECEIVED_SHARE = 0.125
 /** Minimum limit of the sum, so that a small process serves at all, bytes. */
 const MIN_LIMIT_BYTES = 4 * 1_048_576
 const BYTES_PER_MB = 1_048_576
@@ -47,8 +49,17 @@
 
 /** Returns the limit of the sum for a process with this memory, bytes. */
 export function heldLimitBytes(memoryMb: number): number {
+	return shareOfFree(memoryMb, HELD_SHARE)
+}
+
+/** Returns the limit for bodies that a process with this memory receives, bytes. */
+export function receivedLimitBytes(memoryMb: number): number {
+	return shareOfFree(memoryMb, RECEIVED_SHARE)
+}
+
+function shareOfFree(memoryMb: number, share: number): number {
 	const freeMb = Math.max(0, memoryMb - IDLE_PROCESS_MB)
-	return Math.max(MIN_LIMIT_BYTES, freeMb * HELD_SHARE * BYTES_PER_MB)
+	return Math.max(MIN_LIMIT_BYTES, freeMb * share * BYTES_PER_MB)
 }
 
 /** Creates an account without holders. */
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -7,7 +7,7 @@
 	createRandom,
 	createServerList,
 	createSharedState,
-	heldLimitBytes,
+	receivedLimitBytes,
 } from '@juniperhook/core'
 import type { BindOptions, EventLog, Need, Waits } from '@juniperhook/runtime'
 import {
@@ -111,7 +111,7 @@
 		permitHomes: createPermitHomes(settings.control),
 		coldGate: createColdGate(),
 		heldResponses: createHeldResponses(settings.memoryMb),
-		received: createByteBudget(heldLimitBytes(settings.memoryMb)),
+		received: createByteBudget(receivedLimitBytes(settings.memoryMb)),
 		openRequests: 0,
 		requestsBeingRead: new Set(),
 		quarantineGate: createQuarantineGate(sharedState.quarantine),
--- a/packages/gateway/src/heldResponses.ts
+++ b/packages/gateway/src/heldResponses.ts
@@ -12,6 +12,7 @@
 	judgeHolder,
 	mustPause,
 	pauseHolder,
+	receivedLimitBytes,
 	removeHolder,
 } from '@juniperhook/core'
 import { readNow } from '@juniperhook/runtime'
@@ -171,7 +172,7 @@
 	held.observedMs += Math.min(now - held.checkedAt, MAX_STEP_MS)
 	held.checkedAt = now
 	held.bytes.limitBytes = heldLimitBytes(ctx.settings.memoryMb)
-	ctx.received.limitBytes = held.bytes.limitBytes
+	ctx.received.limitBytes = receivedLimitBytes(ctx.settings.memoryMb)
 	endFurthestBehind(ctx)
 	for (const queue of [...held.queues.values()]) judgeQueue(ctx, queue)
 	ctx.metrics.heldBytes.set(held.bytes.totalBytes)
