--- a/packages/runtime/src/utils/log.ts
+++ b/packages/runtime/src/utils/log.ts
@@ -35,11 +35,14 @@
 /** Output of the records, and how many it has dropped since it last said so. */
 const output = { lines: openLineOutput(process.stderr, countDrop), dropped: 0 }
 
+/** The namespaces given by the operator; `debug` changes the variable itself. */
+const override = process.env.DEBUG
+
 /** Enables a level's namespaces; the variable DEBUG overrides the level. */
 export function setLogLevel(level: LogLevel): void {
 	debug.formatArgs = () => {}
 	debug.log = writeLine
-	debug.enable(process.env.DEBUG ?? LOG_LEVELS[level])
+	debug.enable(override ?? LOG_LEVELS[level])
 }
 
 /** Passes waiting records on before the process exits; takes a limited time. */
