--- a/bench/gateway.ts
+++ b/bench/gateway.ts
@@ -72,6 +72,7 @@
 		rollbacks: false,
 		evacuations: false,
 		stops: false,
+		takeovers: false,
 		checksTiming: false,
 		bundle,
 		folder: join(tmpdir(), 'juniperhook-bench-gateway'),
--- a/packages/entry/test/start.process.test.ts
+++ b/packages/entry/test/start.process.test.ts
@@ -143,7 +143,7 @@
 		const ip = nextIp()
 		const path = writeSettings(world, ip, settingsText(ip))
 		const daemon = start(kind, path)
-		await waitUntil(() => handlesSighup(daemon), 'the handler')
+		await waitUntil(() => handlesSighup(daemon.child.pid!), 'the handler')
 		const { child } = daemon
 		const timer = setInterval(() => child.kill('SIGHUP'), SIGNAL_INTERVAL_MS)
 		await daemon.wrote(`${kind} listens`)
--- a/packages/fakes/src/daemons.ts
+++ b/packages/fakes/src/daemons.ts
@@ -152,15 +152,15 @@
 
 /** Returns the most memory that a process has taken so far, MB. Linux only. */
 export function readPeakMb({ child }: Daemon): number {
-	return Number(readStatus(child, /^VmHWM:\s*(\d+) kB$/m)) / KB_PER_MB
+	return Number(readStatus(child.pid!, /^VmHWM:\s*(\d+) kB$/m)) / KB_PER_MB
 }
 
 /** Whether a process handles SIGHUP itself. Linux only. */
-export function handlesSighup({ child }: Daemon): boolean {
-	const mask = readStatus(child, /^SigCgt:\s*([0-9a-f]+)$/m)
+export function handlesSighup(pid: number): boolean {
+	const mask = readStatus(pid, /^SigCgt:\s*([0-9a-f]+)$/m)
 	return (BigInt(`0x${mask}`) & SIGHUP_BIT) !== 0n
 }
 
-function readStatus({ pid }: ChildProcess, field: RegExp): string {
+function readStatus(pid: number, field: RegExp): string {
 	return field.exec(readFileSync(`/proc/${pid}/status`, 'utf8'))?.[1] ?? '0'
 }
--- a/soak/src/main.ts
+++ b/soak/src/main.ts
@@ -27,6 +27,7 @@
 		steady: { type: 'boolean', default: false },
 		settled: { type: 'boolean', default: false },
 		unstopped: { type: 'boolean', default: false },
+		unreplaced: { type: 'boolean', default: false },
 		verbose: { type: 'boolean', default: false },
 	},
 })
@@ -49,6 +50,7 @@
 		rollbacks: !values.steady,
 		evacuations: !values.settled,
 		stops: !values.unstopped,
+		takeovers: !values.unreplaced,
 		checksTiming: true,
 		folder: join(tmpdir(), 'juniperhook-soak', `seed-${seed}`),
 	}
--- a/soak/src/processes.ts
+++ b/soak/src/processes.ts
@@ -52,6 +52,8 @@
 	killedAt: number
 	/** Whether it is restarted when it exits. */
 	keepRunning: boolean
+	/** Incarnations that stop while a successor runs. */
+	readonly predecessors: Set<ChildProcess>
 }
 
 /** Creates a process's folder and settings file without starting it. */
@@ -76,6 +78,7 @@
 		stopRequestedAt: undefined,
 		killedAt: 0,
 		keepRunning: true,
+		predecessors: new Set(),
 	}
 	writeSettings(options, managed, 0)
 	return managed
@@ -139,13 +142,13 @@
 	managed.endRequested = false
 	managed.stopRequestedAt = undefined
 	child.on('exit', (code, signal) => {
+		if (managed.predecessors.delete(child)) {
+			if (code !== 0 && signal !== 'SIGKILL')
+				recordEnd(record, managed, code, signal)
+			return
+		}
 		managed.child = undefined
-		if (!managed.endRequested)
-			recordViolation(
-				record,
-				'ENDED',
-				`${managed.name} exited by itself: ${code ?? signal}`,
-			)
+		if (!managed.endRequested) recordEnd(record, managed, code, signal)
 		if (managed.keepRunning)
 			setTimeout(() => {
 				if (managed.keepRunning) startProcess(record, managed, bundle)
@@ -153,6 +156,35 @@
 	})
 }
 
+function recordEnd(
+	record: SoakRecord,
+	{ name }: ManagedProcess,
+	code: number | null,
+	signal: NodeJS.Signals | null,
+): void {
+	recordViolation(
+		record,
+		'ENDED',
+		`${name} exited by itself: ${code ?? signal}`,
+	)
+}
+
+/** Starts a successor beside a process, which is sent SIGTERM first. */
+export function replaceProcess(
+	record: SoakRecord,
+	managed: ManagedProcess,
+): void {
+	const { child } = managed
+	if (!child || managed.stopRequestedAt !== undefined) return
+	count(record, `successors of ${managed.role}`)
+	managed.predecessors.add(child)
+	child.kill('SIGTERM')
+	setTimeout(() => {
+		if (managed.predecessors.has(child)) child.kill('SIGKILL')
+	}, GRACE_MS)
+	startProcess(record, managed)
+}
+
 /**
  * Signals a process that its settings have changed. SIGHUP would end a process that has
  * not installed its handler yet, so one that has just been started is not signalled.
@@ -195,8 +227,11 @@
 export function terminateProcess(managed: ManagedProcess): Promise<void> {
 	managed.keepRunning = false
 	managed.endRequested = true
-	const { child } = managed
-	if (!child) return Promise.resolve()
-	child.kill('SIGKILL')
-	return new Promise(resolve => child.once('exit', () => resolve()))
+	const { child, predecessors } = managed
+	const running = [...predecessors, ...(child ? [child] : [])]
+	const ends = running.map(one => {
+		one.kill('SIGKILL')
+		return new Promise<void>(resolve => one.once('exit', () => resolve()))
+	})
+	return Promise.all(ends).then(() => {})
 }
--- a/soak/src/soak.ts
+++ b/soak/src/soak.ts
@@ -22,6 +22,7 @@
 import { injectRollbacks } from './rollbacks.ts'
 import { watchStalls } from './stalls.ts'
 import { injectForgeries, injectStops, runLongCallers } from './stops.ts'
+import { injectTakeovers } from './takeovers.ts'
 import type { SoakOptions, SoakRecord } from './types.ts'
 import { sleep } from './types.ts'
 import { watchUnavailability } from './unavailability.ts'
@@ -73,6 +74,7 @@
 		void injectForgeries(world)
 		void runLongCallers(world)
 	}
+	if (options.takeovers) void injectTakeovers(world)
 	await injectFaults(world)
 	world.faultsEnded = true
 	await sleep(RECOVERY_MS)
--- a/soak/src/types.ts
+++ b/soak/src/types.ts
@@ -113,6 +113,8 @@
 	readonly evacuations: boolean
 	/** Whether entries are stopped again and again, and servers forge answers. */
 	readonly stops: boolean
+	/** Whether successors start beside their predecessors, and settings files are away. */
+	readonly takeovers: boolean
 	/** Whether promises with a time bound are checked. */
 	readonly checksTiming: boolean
 	/** Path of the processes' bundle; by default that of this repository. */
--- a/soak/test/soak.process.test.ts
+++ b/soak/test/soak.process.test.ts
@@ -34,6 +34,7 @@
 	readonly rollbacks?: boolean
 	readonly evacuations?: boolean
 	readonly stops?: boolean
+	readonly takeovers?: boolean
 	readonly clients?: number
 	readonly faultPhaseMs?: number
 	readonly faults?: number
@@ -64,6 +65,12 @@
 		stops: true,
 		faultPhaseMs: 12_000,
 	},
+	{
+		seed: 15,
+		cause: 'none: with successors beside predecessors, and settings away',
+		takeovers: true,
+		faultPhaseMs: 12_000,
+	},
 	{
 		seed: 3016,
 		cause: 'two store rollbacks within two seconds',
@@ -95,6 +102,7 @@
 			rollbacks: options.rollbacks ?? false,
 			evacuations: options.evacuations ?? false,
 			stops: options.stops ?? false,
+			takeovers: options.takeovers ?? false,
 			checksTiming: false,
 			folder: join(tmpdir(), 'juniperhook-soak', `test-${seed}`),
 		})
