--- a/packages/entry/test/start.process.test.ts
+++ b/packages/entry/test/start.process.test.ts
@@ -17,7 +17,7 @@
 	pause,
 	sendGet,
 	settingsPath,
-	startDaemon,
+	spawnDaemon,
 	waitUntil,
 	writeSettings,
 } from '@juniperhook/fakes'
@@ -58,7 +58,7 @@
 }
 
 function start(kind: Kind, path: string): Daemon {
-	return startDaemon(world, [...COMMANDS[kind], path])
+	return spawnDaemon(world, [...COMMANDS[kind], path])
 }
 
 async function readOperators(ip: string, path: string) {
--- a/packages/fakes/src/daemons.ts
+++ b/packages/fakes/src/daemons.ts
@@ -68,7 +68,7 @@
 }
 
 /** Starts a process from a program and its arguments. */
-export function startDaemon(
+export function spawnDaemon(
 	world: DaemonWorld,
 	[program, ...args]: readonly string[],
 	env: Record<string, string> = {},
--- a/packages/runtime/src/io/daemon.ts
+++ b/packages/runtime/src/io/daemon.ts
@@ -1,12 +1,12 @@
 /** What entries and agents share as processes: their waits, signals and faults. */
 
 import type { Settings } from '../types/settings.ts'
-import { awaitSettings } from '../types/settings.ts'
+import { readSettingsFile } from '../types/settings.ts'
 import { surviveFaults } from '../utils/faultGuard.ts'
 import { createLog, setLogLevel } from '../utils/log.ts'
 import type { BindOptions } from './bind.ts'
 import type { Need, Waits } from './waits.ts'
-import { createWaits } from './waits.ts'
+import { awaitValidFile, createWaits } from './waits.ts'
 
 const log = createLog('process:warn')
 
@@ -33,7 +33,9 @@
 				change satisfies never
 		}
 	})
-	const settings = await awaitSettings(settingsPath, waits)
+	const settings = await awaitValidFile(waits, () =>
+		readSettingsFile(settingsPath),
+	)
 	setLogLevel(settings.log.level)
 	await start(settings, waits)
 }
--- a/packages/runtime/src/io/metrics.ts
+++ b/packages/runtime/src/io/metrics.ts
@@ -3,7 +3,7 @@
 import { ERROR_KINDS } from '@juniperhook/core'
 import { Counter, Gauge, Histogram, Registry } from 'prom-client'
 import { registerFaults } from '../utils/faultGuard.ts'
-import { rpcCounts } from './rpc.ts'
+import { rpcCounts } from './rpcLines.ts'
 import type { Waits } from './waits.ts'
 import { registerWaits } from './waits.ts'
 
--- a/packages/runtime/src/io/rpc.ts
+++ b/packages/runtime/src/io/rpc.ts
@@ -5,15 +5,7 @@
 
 import type { Socket } from 'node:net'
 import { connect, createServer, type Server } from 'node:net'
-import {
-	closeHold,
-	createByteBudget,
-	emptyHold,
-	growHold,
-	MAX_DOCUMENT_BYTES,
-	openHold,
-	splitAddress,
-} from '@juniperhook/core'
+import { splitAddress } from '@juniperhook/core'
 import type { JSONRPCRequest } from 'json-rpc-2.0'
 import {
 	createJSONRPCErrorResponse,
@@ -27,16 +19,8 @@
 import { messageOf } from '../utils/fail.ts'
 import type { BindOptions } from './bind.ts'
 import { bindServer, SILENT_BIND } from './bind.ts'
+import { MAX_LINE_BYTES, readLines, rpcCounts } from './rpcLines.ts'
 
-/** Allowance in a line for the message around the texts that it carries, bytes. */
-const ENVELOPE_BYTES = 65_536
-/**
- * Maximum length of a line from another process, bytes. A process that starts is sent two
- * documents, the latest and the last valid one, and JSON escapes may double their size.
- */
-export const MAX_LINE_BYTES = 2 * 2 * MAX_DOCUMENT_BYTES + ENVELOPE_BYTES
-/** Maximum size of all incomplete lines from other processes, bytes. */
-const MAX_INCOMPLETE_BYTES = 3 * MAX_LINE_BYTES
 /** Bytes that all other processes have not read at which a connection is closed. */
 const MAX_UNREAD_BYTES = 3 * MAX_LINE_BYTES
 /** Bytes that a process has not read at which it counts as slow. */
@@ -47,29 +31,6 @@
 export const CALL_TIMEOUT_MS = 1_000
 /** Error code of a call that was not executed because the process stops. */
 const STOPPING_CODE = -32_001
-const NEWLINE = 10
-
-/** Traffic on control connections, for metrics. */
-export interface RpcCounts {
-	messagesIn: number
-	messagesOut: number
-	bytesIn: number
-	bytesOut: number
-	/** Received lines that were too long or not a JSON-RPC message. */
-	badFrames: number
-}
-
-/** Traffic of this process. */
-export const rpcCounts: RpcCounts = {
-	messagesIn: 0,
-	messagesOut: 0,
-	bytesIn: 0,
-	bytesOut: 0,
-	badFrames: 0,
-}
-
-/** Incomplete lines from other processes. */
-const incomplete = createByteBudget(MAX_INCOMPLETE_BYTES)
 
 /** Links of this process, and whether it still executes calls on them. */
 const served = {
@@ -197,7 +158,9 @@
 		served.links.delete(link)
 		peer.rejectAllPendingRequests('connection closed')
 	})
-	readLines(socket, line => receive(link, line))
+	const refuse = () =>
+		sendInvalidRequest(socket, `a line of more than ${MAX_LINE_BYTES} bytes`)
+	readLines(socket, line => void receive(link, line), refuse)
 	return link
 }
 
@@ -276,44 +239,3 @@
 function reply(socket: Socket, payload: unknown): void {
 	if (!socket.destroyed) send(socket, payload)
 }
-
-function readLines(socket: Socket, onLine: (line: string) => void): void {
-	let parts: Buffer[] = []
-	const refuse = () => {
-		rpcCounts.badFrames++
-		sendInvalidRequest(socket, `a line of more than ${MAX_LINE_BYTES} bytes`)
-		parts = []
-		socket.off('data', receiveData)
-		socket.resume()
-		socket.destroySoon()
-	}
-	const hold = openHold(incomplete, refuse)
-	socket.once('close', () => closeHold(incomplete, hold))
-	const receiveData = (data: Buffer) => {
-		rpcCounts.bytesIn += data.length
-		let start = 0
-		for (;;) {
-			const end = data.indexOf(NEWLINE, start)
-			if (end < 0) break
-			parts.push(data.subarray(start, end))
-			const line = Buffer.concat(parts).toString('utf8')
-			parts = []
-			emptyHold(incomplete, hold)
-			start = end + 1
-			if (line !== '') onLine(line)
-			if (!socket.isPaused() || start === data.length) continue
-			// The rest is read once fewer calls are in progress.
-			rpcCounts.bytesIn -= data.length - start
-			socket.unshift(data.subarray(start))
-			return
-		}
-		const rest = data.subarray(start)
-		if (rest.length === 0) return
-		parts.push(rest)
-		growHold(incomplete, hold, rest.length)
-		if (hold.bytes <= MAX_LINE_BYTES || !incomplete.holds.has(hold)) return
-		closeHold(incomplete, hold)
-		refuse()
-	}
-	socket.on('data', receiveData)
-}
--- a/packages/runtime/src/io/waits.ts
+++ b/packages/runtime/src/io/waits.ts
@@ -86,6 +86,27 @@
 	}
 }
 
+/** Interval of attempts to read a settings file that is missing or invalid, ms. */
+const SETTINGS_RETRY_MS = 200
+
+/** Reads a settings file until it is there and valid. */
+export async function awaitValidFile<T>(
+	waits: Waits,
+	read: () => Attempt<T>,
+): Promise<T> {
+	const attempt = async () => read()
+	const isStopping = () => false
+	const file = await awaitNeed(
+		waits,
+		'settings',
+		SETTINGS_RETRY_MS,
+		isStopping,
+		attempt,
+	)
+	// An attempt that is never given up ends with a value.
+	return file!
+}
+
 function beginWait(waits: Waits, need: Need, reason: string): void {
 	const known = waits.reasons.get(need)
 	if (known === undefined)
--- a/packages/runtime/src/types/settings.ts
+++ b/packages/runtime/src/types/settings.ts
@@ -4,8 +4,7 @@
 import type { Fault } from '@juniperhook/core'
 import { isAddress, readDocument } from '@juniperhook/core'
 import * as v from 'valibot'
-import type { Attempt, Waits } from '../io/waits.ts'
-import { awaitNeed } from '../io/waits.ts'
+import type { Attempt } from '../io/waits.ts'
 import { messageOf } from '../utils/fail.ts'
 
 const address = v.pipe(
@@ -65,27 +64,8 @@
 	return readDocument(text, SettingsSchema)
 }
 
-/** Interval of attempts to read a settings file that is missing or invalid, ms. */
-const RETRY_MS = 200
-
-/** Reads a settings file; waits until it is there and valid. */
-export async function awaitSettings(
-	path: string,
-	waits: Waits,
-): Promise<Settings> {
-	const isStopping = () => false
-	const settings = await awaitNeed(
-		waits,
-		'settings',
-		RETRY_MS,
-		isStopping,
-		async () => readSettingsFile(path),
-	)
-	// An attempt that is never given up ends with a value.
-	return settings!
-}
-
-function readSettingsFile(path: string): Attempt<Settings> {
+/** Reads and validates a settings file. */
+export function readSettingsFile(path: string): Attempt<Settings> {
 	try {
 		const result = readSettings(readFileSync(path, 'utf8'))
 		if (result.valid) return { ok: true, value: result.config }
