Departed servers are retained up to a limit

Nobody saw it yet: an entry kept the id of each incarnation that had announced its end for as long as it lived, and any that a peer names; four peers that name new ones without end brought it to 199 MB in 8 s, and on.

--- a/packages/core/src/core/serverList.ts
+++ b/packages/core/src/core/serverList.ts
@@ -17,6 +17,8 @@
 const RETURN_DELAY_MS = 5_000
 /** Maximum removed incarnations retained; the oldest are evicted. */
 const MAX_REMOVED = 1_024
+/** Maximum departed incarnations retained, four for each server of a large fleet. */
+const MAX_DEPARTED = 16_384
 
 /** Record published under a server's name. */
 export interface ServerRecord {
@@ -49,6 +51,14 @@
 	readUpTo: TermRevision
 }
 
+/** Records an incarnation as departed; the oldest are evicted. */
+export function recordDeparted(departed: Set<string>, id: string): void {
+	departed.add(id)
+	if (departed.size <= MAX_DEPARTED) return
+	const [oldest] = departed
+	departed.delete(oldest!)
+}
+
 /** Creates an empty list. */
 export function createServerList(): ServerList {
 	return {
@@ -84,7 +94,7 @@
 	const { server } = record
 	// An incarnation that has left does not come back.
 	if (server && !server.leaving && list.departed.has(server.id)) return false
-	if (server?.leaving) list.departed.add(server.id)
+	if (server?.leaving) recordDeparted(list.departed, server.id)
 	if (known?.server) retireFormer(list, known, record)
 	if (server) list.removed.delete(server.id)
 	list.records.set(record.name, record)
@@ -103,7 +113,7 @@
 	if (server?.id === former || fault !== undefined) return
 	// A restored source may list an incarnation older than the known one.
 	const isRestored = known.revision.term !== revision.term
-	if (server && !isRestored) list.departed.add(former)
+	if (server && !isRestored) recordDeparted(list.departed, former)
 	if (server) return
 	list.removed.add(former)
 	const [oldest] = list.removed
--- a/packages/core/src/core/serverUpdates.ts
+++ b/packages/core/src/core/serverUpdates.ts
@@ -22,6 +22,7 @@
 	extendColdPeriod,
 	listCrashEvidence,
 	mergeCrashEvidence,
+	recordDeparted,
 } from '../internal.ts'
 
 /** Maximum backoffs retained; the oldest are evicted. */
@@ -165,8 +166,9 @@
 }
 
 function mergeDeparture({ departed }: SharedState, server: string): boolean {
-	const before = departed.size
-	return departed.add(server).size > before
+	if (departed.has(server)) return false
+	recordDeparted(departed, server)
+	return true
 }
 
 function mergeBackoff(
