--- a/soak/src/processes.ts
+++ b/soak/src/processes.ts
@@ -143,8 +143,9 @@
 	managed.stopRequestedAt = undefined
 	child.on('exit', (code, signal) => {
 		if (managed.predecessors.delete(child)) {
-			if (code !== 0 && signal !== 'SIGKILL')
-				recordEnd(record, managed, code, signal)
+			// Until a process handles SIGTERM, the signal itself ends it.
+			const isRequested = signal === 'SIGKILL' || signal === 'SIGTERM'
+			if (code !== 0 && !isRequested) recordEnd(record, managed, code, signal)
 			return
 		}
 		managed.child = undefined
