An idle connection that is closed is not chosen for a request meanwhile

Callers could get a 502 for a request that was never sent: the agent of the HTTP library chooses the latest idle connection without asking whether it is destroyed, until the close has been processed. Found by reading, no run shows it; the connection leaves the agent's list at once now.

--- a/packages/runtime/src/io/keepAlive.ts
+++ b/packages/runtime/src/io/keepAlive.ts
@@ -23,5 +23,7 @@
 }
 
 function closeConnection(this: Socket): void {
+	// The agent must not choose it for a request before it is closed.
+	this.emit('agentRemove')
 	this.destroy()
 }
