--- a/packages/core/test/serverList.test.ts
+++ b/packages/core/test/serverList.test.ts
@@ -7,11 +7,13 @@
 	applyRecord,
 	confirmRemovals,
 	createServerList,
+	createSharedState,
 	deferRemoval,
 	findMissing,
 	incarnationId,
 	listServing,
 	markDisplaced,
+	mergeServerUpdates,
 } from '../src/index.ts'
 
 /** A revision of the first term. */
@@ -203,4 +205,14 @@
 	assert.equal(idsOf(list), ['old'])
 })
 
+test('server list: departures without end are retained up to a limit, the latest ones', () => {
+	const state = createSharedState()
+	const count = 40_000
+	for (let at = 0; at < count; at++)
+		mergeServerUpdates(state, [{ kind: 'left', server: `s${at}` }], at)
+	assert.ok(state.departed.size < count / 2, String(state.departed.size))
+	assert.ok(state.departed.has(`s${count - 1}`))
+	assert.ok(state.departed.has(`s${count - 10_000}`))
+})
+
 test.run()
--- a/packages/core/test/serverUpdates.test.ts
+++ b/packages/core/test/serverUpdates.test.ts
@@ -313,14 +313,4 @@
 	assert.equal([...(change?.ran.keys() ?? [])].sort(), ['x', 'y'])
 })
 
-test('server updates: departures without end are retained up to a limit, the latest ones', () => {
-	const state = createSharedState()
-	const count = 40_000
-	for (let at = 0; at < count; at++)
-		mergeServerUpdates(state, [{ kind: 'left', server: `s${at}` }], at)
-	assert.ok(state.departed.size < count / 2, String(state.departed.size))
-	assert.ok(state.departed.has(`s${count - 1}`))
-	assert.ok(state.departed.has(`s${count - 10_000}`))
-})
-
 test.run()
--- a/packages/fakes/src/index.ts
+++ b/packages/fakes/src/index.ts
@@ -3,6 +3,7 @@
 export * from './daemons.ts'
 export * from './expertGroup.ts'
 export * from './fleet.ts'
+export * from './floods.ts'
 export * from './group.ts'
 export * from './groupModel.ts'
 export * from './orders.ts'
