Logs: a full disk does not keep a process from exiting

What is seen: an entry or an agent whose log is a file on a full disk never exits after SIGTERM. It answers nothing, its timers stand still and only SIGKILL ends it: 10 minutes later a write each 100 ms was all that it did.

Ruled out: calls in progress (there were none), blocked threads (strace: the main thread slept between failing writes).

Change: files and terminals get a stream of their own behind the output that pipes and sockets have: 256 KiB wait, the flush takes 100 ms at most, and a write that fails drops its lines.

--- a/packages/runtime/src/utils/eventLog.ts
+++ b/packages/runtime/src/utils/eventLog.ts
@@ -6,7 +6,7 @@
 
 import pino from 'pino'
 import type { LineOutput } from './lineOutput.ts'
-import { hasReader, MAX_WAITING_BYTES, openLineOutput } from './lineOutput.ts'
+import { openStandardOutput } from './lineOutput.ts'
 
 /** Maximum rate of lines per second; a busy entry writes about 100. */
 const MAX_LINES_PER_SECOND = 600
@@ -35,9 +35,7 @@
 		log.dropped++
 		unreportedDrops++
 	}
-	const out = hasReader(process.stdout)
-		? openLineOutput(process.stdout, onDrop)
-		: openFileOutput(onDrop)
+	const out = openStandardOutput(process.stdout, onDrop)
 	let logger = createLogger(node, out)
 	let window = 0
 	let lines = 0
@@ -77,29 +75,6 @@
 	)
 }
 
-/** Writes to a file or a terminal asynchronously, which `process.stdout` does not. */
-function openFileOutput(onDrop: () => void): LineOutput {
-	const out = pino.destination({
-		fd: process.stdout.fd,
-		sync: false,
-		maxLength: MAX_WAITING_BYTES,
-	})
-	out.on('drop', onDrop)
-	// Without a listener, a write error would terminate the process.
-	out.on('error', onDrop)
-	return {
-		write: line => void out.write(line),
-		async flush() {
-			try {
-				out.flushSync()
-			} catch {
-				// The disk is full, for example; the waiting lines are lost.
-				onDrop()
-			}
-		},
-	}
-}
-
 function formatTime(): string {
 	return `,"time":${Date.now()},"up":${Math.round(performance.now())}`
 }
--- a/packages/runtime/src/utils/log.ts
+++ b/packages/runtime/src/utils/log.ts
@@ -4,7 +4,7 @@
  */
 
 import debug from 'debug'
-import { openLineOutput } from './lineOutput.ts'
+import { openStandardOutput } from './lineOutput.ts'
 
 /** A log record; its fields are short and contain no secrets. */
 export interface LogRecord {
@@ -33,7 +33,10 @@
 export type LogLevel = keyof typeof LOG_LEVELS
 
 /** Output of the records, and how many it has dropped since it last said so. */
-const output = { lines: openLineOutput(process.stderr, countDrop), dropped: 0 }
+const output = {
+	lines: openStandardOutput(process.stderr, countDrop),
+	dropped: 0,
+}
 
 /** The namespaces given by the operator; `debug` changes the variable itself. */
 const override = process.env.DEBUG
