Own mode: a VM that is listed twice does not hold a process that starts

What is seen: the platform's VM list has a VM twice, as while it is replaced. An entry or an agent that starts then never leaves its choice of members to compare with: its event loop stands still, it serves nothing and takes no signal. To a supervisor it did not start.

Cause: compareWithRandomMembers drew names until it had as many different ones as there are members, which a name that stands twice makes impossible.

Ruled out: the other loops without a bound in gateway, groups, core, runtime and platform, by reading: each advances with every round or waits for a timer or a connection.

Change: members are distinct by name, and the choice draws without repetition, with the function that dispatch used (now sampleItems).

--- a/packages/core/src/core/dispatch.ts
+++ b/packages/core/src/core/dispatch.ts
@@ -10,7 +10,7 @@
 	isEjected,
 	penaltyBaseline,
 	penaltyLoad,
-	randomIndex,
+	sampleItems,
 } from '../internal.ts'
 
 /** Inputs for a selection. */
@@ -184,25 +184,8 @@
 	const preferred = rows.filter(isPreferred)
 	const others = rows.filter(row => !isPreferred(row))
 	const sampleSize = Math.max(MIN_SAMPLED, MIN_COMPARED - preferred.length)
-	const compared = [...preferred, ...sampleRows(others, sampleSize, random)]
-	return sampleRows(compared, compared.length, random)
-}
-
-/** Returns a random sample of `rows`, in random order. */
-function sampleRows(
-	rows: readonly number[],
-	count: number,
-	random: Random,
-): number[] {
-	const remaining = [...rows]
-	const sampled: number[] = []
-	while (remaining.length > 0 && sampled.length < count) {
-		const at = randomIndex(random, remaining.length)
-		sampled.push(remaining[at]!)
-		remaining[at] = remaining.at(-1)!
-		remaining.pop()
-	}
-	return sampled
+	const compared = [...preferred, ...sampleItems(others, sampleSize, random)]
+	return sampleItems(compared, compared.length, random)
 }
 
 /** Returns the open servers assigned to this entry whose groups are not closed. */
--- a/packages/core/src/core/gossip.ts
+++ b/packages/core/src/core/gossip.ts
@@ -24,6 +24,7 @@
 	READERS,
 	randomIndex,
 	retryFetch,
+	sampleItems,
 	sendTo,
 	storeValue,
 	TOPICS,
@@ -144,12 +145,10 @@
 	count: number,
 	random: Random,
 ): GossipEffect[] {
-	const names = new Set<string>()
 	const others = node.members.filter(member => member.name !== node.self)
-	const target = Math.min(count, others.length)
-	while (names.size < target)
-		names.add(others[randomIndex(random, others.length)]!.name)
-	return [...names].map(name => sendTo(name, compareMessage(node, true)))
+	return sampleItems(others, count, random).map(({ name }) =>
+		sendTo(name, compareMessage(node, true)),
+	)
 }
 
 /**
--- a/packages/core/src/core/gossipTopology.ts
+++ b/packages/core/src/core/gossipTopology.ts
@@ -17,12 +17,16 @@
 /** A reader that has not answered a check for this long counts as failed, ms. */
 export const READER_TIMEOUT_MS = 3_500
 
-/** Sets the members. They must be sorted by name, which is the order of the ring. */
+/**
+ * Sets the members. They must be sorted by name, which is the order of the ring; a VM that
+ * has been replaced may be listed twice for a while.
+ */
 export function setMembers(
 	node: GossipNode,
-	members: readonly Member[],
+	listed: readonly Member[],
 	now: number,
 ): void {
+	const members = listed.filter(({ name }, at) => name !== listed[at - 1]?.name)
 	node.members = members
 	node.neighbours = pickNeighbours(node, members)
 	const regional = members
--- a/packages/core/src/utils/random.ts
+++ b/packages/core/src/utils/random.ts
@@ -16,3 +16,20 @@
 export function randomIndex(random: Random, limit: number): number {
 	return Math.floor(random() * limit)
 }
+
+/** Returns up to `count` of the items, each at most once, in random order. */
+export function sampleItems<T>(
+	items: readonly T[],
+	count: number,
+	random: Random,
+): T[] {
+	const remaining = [...items]
+	const sampled: T[] = []
+	while (remaining.length > 0 && sampled.length < count) {
+		const at = randomIndex(random, remaining.length)
+		sampled.push(remaining[at]!)
+		remaining[at] = remaining.at(-1)!
+		remaining.pop()
+	}
+	return sampled
+}
--- a/packages/core/test/gossip.test.ts
+++ b/packages/core/test/gossip.test.ts
@@ -4,6 +4,7 @@
 import * as assert from 'uvu/assert'
 import {
 	applyPatch,
+	compareWithRandomMembers,
 	createGossipNode,
 	createRandom,
 	handleGossipMessage,
@@ -54,6 +55,35 @@
 	assert.is(node.topics.config.fetching, undefined)
 })
 
+/** Numbers that the choice of a few members may draw, far above what it needs. */
+const MAX_DRAWS = 1_000
+
+const LISTS: { name: string; listed: readonly string[]; compared: number }[] = [
+	{ name: 'each VM is listed once', listed: ['a', 'b', 'self'], compared: 2 },
+	{
+		name: 'a replaced VM is listed twice',
+		listed: ['a', 'a', 'self'],
+		compared: 1,
+	},
+	{ name: 'only this VM is listed', listed: ['self', 'self'], compared: 0 },
+]
+
+// Guards against a process that never leaves the choice of members at its start.
+for (const { name, listed, compared } of LISTS)
+	test(`gossip: a start ends if ${name}`, () => {
+		const node = createGossipNode('self', 'north', 0)
+		const members = listed.map(one => ({ name: one, region: 'north' }))
+		setMembers(node, members, 0)
+		const random = createRandom(1)
+		let draws = 0
+		const bounded = () => {
+			assert.ok(++draws <= MAX_DRAWS, `${draws} draws`)
+			return random()
+		}
+		const effects = compareWithRandomMembers(node, 3, bounded)
+		assert.is(effects.length, compared)
+	})
+
 const BASE = { size: 60, regions: 3, seed: 7, loss: 0, document: DOCUMENT }
 /** Time within which a revision must be active at all nodes without failures. */
 const ACTIVE_MS = 5_000
