Processes say what precedes their end: memory that grows, a held event loop

Cause of the change: the hypotheses of the incident (out of memory, a held event loop, a start that never happens) leave the same log: none. An agent has no metrics at all.

Change: both roles and both modes sample themselves twice a second and log a new peak of resident memory in steps of 32 MB, with heap, its limit and buffers, and an event loop that was held for a second or more, with the processor time taken meanwhile, which tells a busy process from a suspended one. Two metrics for entries.

--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -7,6 +7,7 @@
 	registerConnections,
 	registerControlTraffic,
 	registerFaults,
+	registerHealth,
 	registerWaits,
 } from '@juniperhook/runtime'
 import { Counter, Gauge, Histogram, Registry } from 'prom-client'
@@ -103,6 +104,7 @@
 	const source = createSourceMetrics(registry)
 	registerWaits(registry, waits)
 	registerFaults(registry)
+	registerHealth(registry)
 	registerConnections(registry)
 	registerControlTraffic(registry)
 	const refusals = new Counter({
--- a/packages/runtime/src/io/daemon.ts
+++ b/packages/runtime/src/io/daemon.ts
@@ -4,6 +4,8 @@
 import { readSettingsFile } from '../types/settings.ts'
 import { surviveFaults } from '../utils/faultGuard.ts'
 import { createLog, setLogLevel } from '../utils/log.ts'
+import type { HealthEvent } from '../utils/processHealth.ts'
+import { watchHealth } from '../utils/processHealth.ts'
 import type { BindOptions } from './bind.ts'
 import type { Need, Waits } from './waits.ts'
 import { awaitValidFile, createWaits } from './waits.ts'
@@ -21,6 +23,7 @@
 		log({ msg: 'settings are read at the start only' }),
 	)
 	surviveFaults(detail => log({ msg: 'internal fault', detail }))
+	watchHealth(reportHealth)
 	const waits = createWaits(change => {
 		switch (change.kind) {
 			case 'begun':
@@ -40,6 +43,25 @@
 	await start(settings, waits)
 }
 
+function reportHealth(event: HealthEvent): void {
+	switch (event.kind) {
+		case 'memoryGrew': {
+			const { residentMb, heapMb, heapLimitMb, buffersMb } = event
+			const heap = `heap ${heapMb} of ${heapLimitMb} MB`
+			const detail = `${heap}, buffers ${buffersMb} MB`
+			log({ msg: 'memory grew', count: residentMb, detail })
+			break
+		}
+		case 'loopHeld': {
+			const detail = `busy for ${event.busyMs} ms`
+			log({ msg: 'event loop held', count: event.forMs, detail })
+			break
+		}
+		default:
+			event satisfies never
+	}
+}
+
 /** Describes how a listener of such a process is bound. */
 export function describeBind(
 	need: Need,
--- a/packages/runtime/src/io/metrics.ts
+++ b/packages/runtime/src/io/metrics.ts
@@ -3,6 +3,7 @@
 import { ERROR_KINDS } from '@juniperhook/core'
 import { Counter, Gauge, Histogram, Registry } from 'prom-client'
 import { registerFaults } from '../utils/faultGuard.ts'
+import { registerHealth } from '../utils/processHealth.ts'
 import { connectionCounts } from './httpConnections.ts'
 import { rpcCounts } from './rpcLines.ts'
 import type { Waits } from './waits.ts'
@@ -41,6 +42,7 @@
 	const registers = [registry]
 	registerWaits(registry, waits)
 	registerFaults(registry)
+	registerHealth(registry)
 	registerConnections(registry)
 	const name = (part: string) => `juniperhook_${part}`
 	const counter = (part: string, help: string) =>
