An entry does not spend its processor on watches that are cut

What is seen: a store, or something before it, that answers waiting watches at once without a change. One entry then makes 1,815 calls a second, nearly all that the store allows for the whole fleet (2,000), and takes 60% of a core: more than its VM has. Callers and readiness checks wait behind it.

Cause: after a watch without a change the next one began at once, since such a watch was taken to have lasted as long as was asked.

Ruled out: failing watches (they back off already) and those with changes (they are batched).

Change: a watch that ends within 25 ms without a change counts as cut, and is followed by the backoff of failures. The short first watch after a failure is left out: it is asked for so.

--- a/packages/gateway/src/catalog.ts
+++ b/packages/gateway/src/catalog.ts
@@ -51,7 +51,12 @@
  * a link that may have been too slow for the change itself.
  */
 const CATCH_UP_WAIT_MS = 1
-/** Exponential backoff between calls to a failing source, ms. */
+/**
+ * A watch that ends sooner than this without a change has been cut, ms. Repeated at once,
+ * it would take all calls that the source allows, and most of the processor.
+ */
+const MIN_WATCH_MS = 25
+/** Exponential backoff between calls to a source that fails or cuts its watches, ms. */
 const MIN_BACKOFF_MS = 100
 const MAX_BACKOFF_MS = 400
 /** The source counts as unavailable after this time without an answer, ms. */
@@ -98,6 +103,7 @@
 	let batchDelayMs = BATCH_DELAY_MS
 	for (;;) {
 		const isFullRead = revision === undefined
+		const isCatchUp: boolean = hasFailed
 		const startedAt = readElapsed()
 		const result: SourceResult<CatalogSnapshot> = isFullRead
 			? await source.read()
@@ -105,7 +111,7 @@
 					ctx,
 					source.watch(
 						revision!,
-						hasFailed ? CATCH_UP_WAIT_MS : watchTimeoutMs(ctx),
+						isCatchUp ? CATCH_UP_WAIT_MS : watchTimeoutMs(ctx),
 					),
 					SUSPENDED,
 				)
@@ -130,12 +136,19 @@
 			backoffMs = Math.min(backoffMs * 2, MAX_BACKOFF_MS)
 			continue
 		}
-		backoffMs = MIN_BACKOFF_MS
 		handleSourceAnswer(ctx, follower, now)
 		applySnapshot(ctx, result.value, isFullRead, follower, now)
 		const isChanged =
 			!isFullRead && !isSameRevision(result.value.revision, revision!)
+		const isCut =
+			!isFullRead && !isCatchUp && !isChanged && now - startedAt < MIN_WATCH_MS
 		revision = result.value.revision
+		if (isCut) {
+			await sleep(backoffMs * (0.5 + ctx.random()))
+			backoffMs = Math.min(backoffMs * 2, MAX_BACKOFF_MS)
+			continue
+		}
+		backoffMs = MIN_BACKOFF_MS
 		if (!isChanged) continue
 		batchDelayMs =
 			now - startedAt < BURST_MS ? batchDelayMs * 2 : BATCH_DELAY_MS
