Agents: no link to another process is left open

What callers saw: nothing yet; each such link takes a descriptor and memory at both ends until one of the two processes ends.

Cause: a coordinator that stopped, or learnt that a rank had moved, while it connected to a rank had no link to close, and kept the one that came. Reports to an entry, and orders that an agent relays, that were sent while a link was opened opened one each, and only the last was remembered.

Ruled out: hellos to earlier candidates, which are sent one after the other.

Change: a client that was closed meanwhile closes its link; calls that wait for a link to the same process share it.

Evidence: links.test.ts fails in all its cases before (a link stays open; 3 links for 3 reports) and passes now, 3 of 3.

--- a/packages/groups/src/groupReporter.ts
+++ b/packages/groups/src/groupReporter.ts
@@ -5,9 +5,10 @@
  */
 
 import { randomBytes } from 'node:crypto'
-import type { RpcLink } from '@juniperhook/runtime'
-import { call, connectRpc, messageOf, readNow } from '@juniperhook/runtime'
+import { call, messageOf, readNow } from '@juniperhook/runtime'
 import type { CoordinatedStatus } from './coordinatorState.ts'
+import type { LinkCache } from './linkCache.ts'
+import { createLinkCache, dropLink, reachLink } from './linkCache.ts'
 
 /** Slowdown factor above which a rank is reported as slow. */
 const MIN_REPORTED_SLOWDOWN = 1.2
@@ -31,10 +32,9 @@
 const NORMAL_REPORT = JSON.stringify({ slow: {} })
 
 /** Links to entries and the state of reports to them. */
-export interface GroupReporter {
+export interface GroupReporter extends LinkCache {
 	/** Control addresses of entries, in order of preference. */
 	entries: readonly string[]
-	readonly links: Map<string, RpcLink>
 	/** Distinguishes the reports of this process from those of other coordinators. */
 	readonly by: string
 	/** Number of reports so far. */
@@ -54,8 +54,8 @@
 	onUnreachable: GroupReporter['onUnreachable'],
 ): GroupReporter {
 	return {
+		...createLinkCache(),
 		entries,
-		links: new Map(),
 		by: randomBytes(6).toString('base64url'),
 		reportCount: 0,
 		lastReport: NORMAL_REPORT,
@@ -113,11 +113,8 @@
 	entry: string,
 	message: object,
 ): Promise<void> {
-	const known = reporter.links.get(entry)
-	let link = known?.socket.destroyed === false ? known : undefined
 	try {
-		link ??= await connectRpc(entry, {}, CONNECT_TIMEOUT_MS)
-		reporter.links.set(entry, link)
+		const link = await reachLink(reporter, entry, {}, CONNECT_TIMEOUT_MS)
 		const others = await call<string[]>(
 			link,
 			'paces',
@@ -132,7 +129,7 @@
 	} catch (err) {
 		// A link may fail without a reset; only the missing answer shows it.
 		// The next report opens a new link.
-		link?.socket.destroy()
+		dropLink(reporter, entry)
 		reporter.unconfirmed = true
 		// The entry moves to the end, so the next report goes to another one instead.
 		const rest = reporter.entries.filter(other => other !== entry)
--- a/packages/groups/src/orderRelay.ts
+++ b/packages/groups/src/orderRelay.ts
@@ -4,8 +4,10 @@
  * seconds, which is as long as demand remains steady.
  */
 
-import type { Methods, RpcLink } from '@juniperhook/runtime'
-import { call, connectRpc } from '@juniperhook/runtime'
+import type { Methods } from '@juniperhook/runtime'
+import { call } from '@juniperhook/runtime'
+import type { LinkCache } from './linkCache.ts'
+import { createLinkCache, dropLink, reachLink } from './linkCache.ts'
 import type { OrderMessage } from './orderMessage.ts'
 import { countHops, splitBranches } from './orderTree.ts'
 import type { RankAnswer } from './rankMessages.ts'
@@ -26,15 +28,14 @@
 }
 
 /** Links over which an agent relays orders. */
-export interface OrderRelay {
-	readonly links: Map<string, RpcLink>
+export interface OrderRelay extends LinkCache {
 	/** Methods offered to the agents that receive the orders. */
 	readonly methods: Methods
 }
 
 /** Creates a relay without links. */
 export function createOrderRelay(methods: Methods = {}): OrderRelay {
-	return { links: new Map(), methods }
+	return { ...createLinkCache(), methods }
 }
 
 /** Returns the timeout of a branch whose first agent relays to `behind` others, ms. */
@@ -63,19 +64,14 @@
 	[address, ...behind]: readonly string[],
 ): Promise<(RankAnswer | null)[]> {
 	const timeoutMs = branchTimeoutMs(req, behind.length)
-	const known = relay.links.get(address!)
-	const isOpen = known !== undefined && !known.socket.destroyed
 	try {
-		const link = isOpen
-			? known
-			: await connectRpc(address!, relay.methods, CONNECT_TIMEOUT_MS)
-		relay.links.set(address!, link)
+		const { methods } = relay
+		const link = await reachLink(relay, address!, methods, CONNECT_TIMEOUT_MS)
 		const params: RelayRequest = { ...req, to: behind }
 		return await call<(RankAnswer | null)[]>(link, 'relay', params, timeoutMs)
 	} catch {
 		// The coordinator sends the order to these agents again along another tree.
-		relay.links.get(address!)?.socket.destroy()
-		relay.links.delete(address!)
+		dropLink(relay, address!)
 		return [null, ...behind.map(() => null)]
 	}
 }
--- a/packages/groups/src/rankClient.ts
+++ b/packages/groups/src/rankClient.ts
@@ -111,6 +111,11 @@
 	while (!client.closed) {
 		try {
 			const link = await connectRpc(client.agent, methods, CONNECT_TIMEOUT_MS)
+			if (client.closed) {
+				// Closed while it connected, when there was no link to close.
+				link.socket.destroy()
+				return
+			}
 			client.link = link
 			delayMs = MIN_RECONNECT_DELAY_MS
 			await new Promise(resolve => link.socket.once('close', resolve))
