Agents: odd figures of the engines take no memory

What callers saw: an agent whose service publishes absurd figures outgrows its machine, or plans nothing any more.

Cause: the layout and the costs are read once, unchecked, and memory grows with them: the demand with sets times experts, a search with ranks times places. Negative places throw in each plan.

Ruled out: the search itself.

Change: the product says which layouts and costs a map can be planned for; more places than experts count as one for each.

A map that ranks report is checked in the same way: one with missing or unknown experts made each plan throw. A record of a rank beyond the group's size kept the group from plans for the life of the agent; now the ranks of its size count.

--- /dev/null
+++ b/packages/core/src/core/expertLayout.ts
@@ -0,0 +1,66 @@
+/**
+ * Bounds on a published expert layout. Memory and time of a coordinator grow with its
+ * numbers, and whoever publishes them may be wrong by any amount.
+ */
+
+import type { ExpertLayout } from '../types/traffic.ts'
+
+/** Far above the sets of any published model. */
+const MAX_SETS = 512
+/** Far above the experts of a set of any published model. */
+const MAX_EXPERTS = 8_192
+/** Experts of all sets: eight times those of 64 sets of 128. */
+const MAX_TOTAL_EXPERTS = 65_536
+
+/** Far above the size of an expert, MB. */
+const MAX_EXPERT_MB = 1_000_000
+
+/**
+ * Returns a layout by which a map can be planned: with at most a place for each expert on
+ * a rank. Undefined if a number is out of range.
+ */
+export function toUsableLayout(layout: ExpertLayout): ExpertLayout | undefined {
+	const { sets, experts, places, maxNew, expertMb, expertShare } = layout
+	const isUsable =
+		isCount(sets, MAX_SETS) &&
+		isCount(experts, MAX_EXPERTS) &&
+		sets * experts <= MAX_TOTAL_EXPERTS &&
+		isCount(places, Number.MAX_SAFE_INTEGER) &&
+		maxNew >= 0 &&
+		expertMb >= 0 &&
+		expertMb <= MAX_EXPERT_MB &&
+		expertShare >= 0 &&
+		expertShare <= 1
+	if (!isUsable) return undefined
+	return {
+		...layout,
+		places: Math.min(places, experts),
+		maxNew: Math.min(Math.floor(maxNew), experts),
+	}
+}
+
+/**
+ * Whether a map that ranks report can be planned from: it holds every expert of each set,
+ * none twice on a rank and no more than its places.
+ */
+export function isUsableMap(
+	map: readonly (readonly (readonly number[])[])[],
+	{ sets, experts, places }: ExpertLayout,
+): boolean {
+	if (map.length !== sets) return false
+	const isExpert = (expert: number) =>
+		Number.isInteger(expert) && expert >= 0 && expert < experts
+	return map.every(placement => {
+		const held = new Set<number>()
+		for (const own of placement) {
+			if (own.length > places || new Set(own).size < own.length) return false
+			if (!own.every(isExpert)) return false
+			for (const expert of own) held.add(expert)
+		}
+		return held.size === experts
+	})
+}
+
+function isCount(value: number, max: number): boolean {
+	return Number.isInteger(value) && value >= 1 && value <= max
+}
--- a/packages/core/src/core/passModel.ts
+++ b/packages/core/src/core/passModel.ts
@@ -15,6 +15,16 @@
 	readonly stepsPerPass: number
 }
 
+/** Far above the duration of any pass, ms, and the token steps of one. */
+const MAX_COST = 1_000_000
+
+/** Whether published costs are in the range for which passes can be predicted. */
+export function isUsableCost(cost: PassCost): boolean {
+	const { stepMs, perRequestMs, stepsPerPass } = cost
+	const isInRange = (value: number) => value >= 0 && value <= MAX_COST
+	return isInRange(stepMs) && isInRange(perRequestMs) && isInRange(stepsPerPass)
+}
+
 /** Conditions that affect the time of a pass. */
 export interface PassConditions {
 	/** Time of a pass relative to one with balanced ranks. */
@@ -94,6 +104,8 @@
 ): void {
 	const { stepMs, perRequestMs, stepsPerPass } = cost
 	const stretchedMs = stepMs + inFlight * perRequestMs * factor
+	// Costs of which none is published are no basis to fit.
+	if (!(stretchedMs > 0 && stepsPerPass > 0)) return
 	const x = (stepMs * (factor - 1)) / stretchedMs
 	const y = passMs / (stepsPerPass * stretchedMs * copyingFactor(copying))
 	fitter.count = fitter.count * SAMPLE_DECAY + 1
--- a/packages/groups/src/coordinator.ts
+++ b/packages/groups/src/coordinator.ts
@@ -42,7 +42,11 @@
 
 /** Whether the group runs and all its ranks are known. */
 function isComplete(co: Coordinator, report: RankReport): boolean {
-	return report.open && co.clients.size === report.size
+	if (!report.open || report.size < 1) return false
+	// Ends at the first rank that is not known, however large the size is.
+	for (let rank = 0; rank < report.size; rank++)
+		if (!co.clients.has(rank)) return false
+	return true
 }
 
 function needsMap(co: Coordinator, map: GroupMap): boolean {
--- a/packages/groups/src/coordinatorState.ts
+++ b/packages/groups/src/coordinatorState.ts
@@ -75,6 +75,8 @@
 	map: GroupMap | undefined
 	mapEpoch: number
 	mapVersion: number
+	/** Version of the last map that was read and is not usable. */
+	refusedMap: number | undefined
 	/** Highest known counter of a fence. */
 	fenceCounter: number
 	/** Whether the next round rolls back a change that a rank refused. */
@@ -136,6 +138,7 @@
 		map: undefined,
 		mapEpoch: -1,
 		mapVersion: -1,
+		refusedMap: undefined,
 		fenceCounter: 0,
 		undo: false,
 		passMs: 50,
--- a/packages/groups/src/mapPlanning.ts
+++ b/packages/groups/src/mapPlanning.ts
@@ -9,6 +9,7 @@
 import {
 	computeSetSkew,
 	distributeRoundRobin,
+	isUsableMap,
 	passFactor,
 	planMap,
 } from '@juniperhook/core'
@@ -52,12 +53,23 @@
 	)
 	if (!allAgree) return undefined
 	const sets = Array.from({ length: layout.sets }, (_, set) =>
-		ranks.map(rank => rank!.experts[set]!),
+		ranks.map(rank => rank!.experts[set] ?? []),
 	)
+	if (!isUsableMap(sets, layout)) {
+		logRefusedMap(co, report)
+		return undefined
+	}
 	setMap(co, sets, report)
 	return co.map
 }
 
+/** Logs once for each version that its map, as the ranks report it, is not usable. */
+function logRefusedMap(co: Coordinator, { epoch, map }: RankReport): void {
+	if (co.refusedMap === map) return
+	co.refusedMap = map
+	co.log.write('map refused', { epoch, of: map })
+}
+
 /** Sets the map in use. */
 export function setMap(
 	co: Coordinator,
