Gateway: one part of the periodic work that fails keeps no other from running

What callers saw: nothing yet; found by asking which error leaves an entry alive but dead. Its work each 50 ms was a list of calls, so one that throws each time kept all later ones from ever running: bodies that are overdue are not refused (their callers wait without an answer), queues are served only as answers arrive, limits and backoffs stay for ever, and the entry calls itself ready. The same with links, updates, removals and state between entries. Since no error ends a process any more, nothing ended this. Within a step, one request or one queue that throws held up all those behind it.

Cause: independent work shared one callback, and only the callback was guarded.

Ruled out: the agent's poll, the coordinator and following the store restart by themselves after an error.

Readiness fails once waiting requests could not be served for a second, and comes back by itself.

--- a/packages/gateway/src/callerRequest.ts
+++ b/packages/gateway/src/callerRequest.ts
@@ -9,7 +9,7 @@
 } from '@juniperhook/core'
 import { findRoute, urgencyOf } from '@juniperhook/core'
 import type { BodyEnd, RequestBody } from '@juniperhook/runtime'
-import { readElapsed } from '@juniperhook/runtime'
+import { actOnAll, readElapsed } from '@juniperhook/runtime'
 import type { GatewayContext } from './context.ts'
 import { isRefusedForMemory } from './heldBodies.ts'
 import type { CallerRequest } from './job.ts'
@@ -158,6 +158,7 @@
 /** Refuses the requests whose bodies have not arrived in the time that they have. */
 export function refuseOverdue({ requestsBeingRead }: GatewayContext): void {
 	const now = readElapsed()
-	for (const { timeoutAt, refuse } of requestsBeingRead)
+	actOnAll(requestsBeingRead, ({ timeoutAt, refuse }) => {
 		if (now >= timeoutAt) refuse('requestTimeout')
+	})
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -9,14 +9,24 @@
 	createSharedState,
 	receivedLimitBytes,
 } from '@juniperhook/core'
-import type { BindOptions, EventLog, Need, Waits } from '@juniperhook/runtime'
+import type {
+	BindOptions,
+	EventLog,
+	Need,
+	Step,
+	Steps,
+	Waits,
+} from '@juniperhook/runtime'
 import {
 	bindServer,
 	createLoggedWaits,
 	createServerInTurn,
+	createSteps,
 	describeFault,
+	failingMs,
 	faults,
 	readElapsed,
+	runSteps,
 } from '@juniperhook/runtime'
 import { applyTimeouts, createCallerListener } from './callerListener.ts'
 import { refuseOverdue } from './callerRequest.ts'
@@ -125,12 +135,13 @@
 	const callers = createCallerListener(ctx)
 	stopOnSignal(ctx, callers)
 	void keepFollowing(ctx, source)
-	setInterval(() => tick(ctx, callers), TICK_MS)
+	const steps = createGatewaySteps(ctx, callers)
+	setInterval(() => runSteps(steps), TICK_MS)
 	const bind = (need: Need) => describeBind(ctx, waits, need)
 	// Requests are served without metrics.
 	if (settings.metrics)
 		void bindServer(createMetricsServer(ctx), settings.metrics, bind('metrics'))
-	const readiness = createReadinessServer(ctx)
+	const readiness = createReadinessServer(ctx, steps)
 	const bound = await Promise.all([
 		bindServer(callers, settings.callers, bind('callers')),
 		bindServer(readiness, settings.readiness, bind('readiness')),
@@ -172,33 +183,47 @@
 	}
 }
 
-function tick(ctx: GatewayContext, callers: Server): void {
-	checkSuspension(ctx)
-	measureLoad(ctx, TICK_MS)
-	expireColdServers(ctx)
-	tickCatalog(ctx)
-	expireCrashChecks(ctx)
-	expireAbandoned(ctx.sentRequests)
-	expireRateLimits(ctx)
-	dropUnlimitedPermits(ctx)
-	expireBackoffs(ctx)
-	checkHeldResponses(ctx)
-	refuseOverdue(ctx)
-	serveQueues(ctx)
-	reportWork(ctx)
+/** Name of the step without which requests that wait are not served. */
+const QUEUE_STEP = 'queues'
+/** Time for which that step fails until the entry is no longer ready, ms. */
+const MAX_QUEUE_FAILURE_MS = 1_000
+
+/** The periodic work of an entry, in its order. */
+function createGatewaySteps(ctx: GatewayContext, callers: Server): Steps {
+	const list: Step[] = [
+		{ name: 'suspension', run: () => checkSuspension(ctx) },
+		{ name: 'load', run: () => measureLoad(ctx, TICK_MS) },
+		{ name: 'cold servers', run: () => expireColdServers(ctx) },
+		{ name: 'catalog', run: () => tickCatalog(ctx) },
+		{ name: 'crash checks', run: () => expireCrashChecks(ctx) },
+		{ name: 'abandoned', run: () => expireAbandoned(ctx.sentRequests) },
+		{ name: 'rate limits', run: () => expireRateLimits(ctx) },
+		{ name: 'permits', run: () => dropUnlimitedPermits(ctx) },
+		{ name: 'backoffs', run: () => expireBackoffs(ctx) },
+		{ name: 'held responses', run: () => checkHeldResponses(ctx) },
+		{ name: 'overdue requests', run: () => refuseOverdue(ctx) },
+		{ name: QUEUE_STEP, run: () => serveQueues(ctx) },
+		{ name: 'work', run: () => reportWork(ctx) },
+		{ name: 'connections', run: () => applyConnectionSettings(ctx, callers) },
+	]
+	return createSteps(list, fault => ctx.log.write('step failed', { ...fault }))
+}
+
+function applyConnectionSettings(ctx: GatewayContext, callers: Server): void {
 	const config = ctx.routes?.config
 	if (!config) return
 	resizeIdle(ctx.pool, config.services, ctx.entryCount)
 	applyTimeouts(ctx, callers)
 }
 
-function createReadinessServer(ctx: GatewayContext): Server {
+function createReadinessServer(ctx: GatewayContext, steps: Steps): Server {
 	return createServerInTurn(ctx.operatorConnections, {}, (_req, res) => {
 		const ready =
 			ctx.isListening &&
 			ctx.routes !== undefined &&
 			!ctx.shutdown &&
 			ctx.connectionGate.overload === undefined &&
+			failingMs(steps, QUEUE_STEP) < MAX_QUEUE_FAILURE_MS &&
 			isSynchronized(ctx)
 		res.writeHead(ready ? 200 : 503, { 'Content-Length': 0 })
 		res.end()
--- a/packages/gateway/src/peers.ts
+++ b/packages/gateway/src/peers.ts
@@ -1,8 +1,21 @@
 /** RPC server of an entry for other entries and coordinators, and its links to entries. */
 
 import { recordEntryDiscovered } from '@juniperhook/core'
-import type { BindOptions, Methods, RpcLink } from '@juniperhook/runtime'
-import { call, messageOf, readElapsed, serveRpc } from '@juniperhook/runtime'
+import type {
+	BindOptions,
+	Methods,
+	RpcLink,
+	Step,
+	Steps,
+} from '@juniperhook/runtime'
+import {
+	call,
+	createSteps,
+	messageOf,
+	readElapsed,
+	runSteps,
+	serveRpc,
+} from '@juniperhook/runtime'
 import * as v from 'valibot'
 import { answerPiece, createConfigServer } from './configTransfer.ts'
 import type { GatewayContext } from './context.ts'
@@ -23,6 +36,7 @@
 	UpdatesSchema,
 } from './peerMessages.ts'
 import { answerRecords, createPeerPulls, receiveRemovals } from './peerPull.ts'
+import type { PeerStates } from './peerStates.ts'
 import {
 	broadcastState,
 	createPeerStates,
@@ -96,18 +110,32 @@
 	)
 	if (!listening) return false
 	ctx.startedAt = readElapsed()
-	setInterval(() => {
-		updateLinks(ctx, peers)
-		updatePermitHomes(ctx, address => peers.maintained.has(address))
-		broadcastUpdates(ctx, peers)
-		sendRemovals(ctx, states)
-		broadcastState(ctx, peers, states)
-		expireSilentPeers(ctx, states)
-		expireGroupReports(ctx, readElapsed())
-	}, TICK_MS)
+	const steps = createPeerSteps(ctx, peers, states)
+	setInterval(() => runSteps(steps), TICK_MS)
 	return true
 }
 
+function createPeerSteps(
+	ctx: GatewayContext,
+	peers: PeerLinks,
+	states: PeerStates,
+): Steps {
+	const hasLink = (address: string) => peers.maintained.has(address)
+	const list: Step[] = [
+		{ name: 'links', run: () => updateLinks(ctx, peers) },
+		{ name: 'permit homes', run: () => updatePermitHomes(ctx, hasLink) },
+		{ name: 'updates', run: () => broadcastUpdates(ctx, peers) },
+		{ name: 'removals', run: () => sendRemovals(ctx, states) },
+		{ name: 'state', run: () => broadcastState(ctx, peers, states) },
+		{ name: 'silent peers', run: () => expireSilentPeers(ctx, states) },
+		{
+			name: 'group reports',
+			run: () => expireGroupReports(ctx, readElapsed()),
+		},
+	]
+	return createSteps(list, fault => ctx.log.write('step failed', { ...fault }))
+}
+
 /** Requests permits from a permit home; without a link, requests the link instead. */
 function queryPermitHome(
 	peers: PeerLinks,
--- a/packages/gateway/src/serverQueue.ts
+++ b/packages/gateway/src/serverQueue.ts
@@ -14,7 +14,7 @@
 	removeQueued,
 	startQueued,
 } from '@juniperhook/core'
-import { readNow } from '@juniperhook/runtime'
+import { actOnAll, readNow } from '@juniperhook/runtime'
 import { forecastAvailability, forecastWaitMs } from './availabilityForecast.ts'
 import type { GatewayContext } from './context.ts'
 import { queueOf } from './fleet.ts'
@@ -103,7 +103,7 @@
 
 /** Assigns servers with free slots to waiting requests. */
 export function serveQueues(ctx: GatewayContext): void {
-	for (const queue of ctx.fleet.queues.values()) serveQueue(ctx, queue)
+	actOnAll(ctx.fleet.queues.values(), queue => serveQueue(ctx, queue))
 }
 
 function serveQueue(ctx: GatewayContext, queue: FairQueue<Waiter>): void {
