Faults: an error in reporting an error does not end the process

What callers saw: nothing yet; found by asking what the guard itself may throw. A value without a text (no prototype, a stack that can't be read), or a log that throws, ended the process with code 7.

Cause: Node ends a process whose handler of uncaughtException throws.

Why it works: the handler throws nothing, and describing a fault never throws, which the other places that report one rely on too. The fault is counted before it is reported.

--- a/packages/runtime/src/utils/faultGuard.ts
+++ b/packages/runtime/src/utils/faultGuard.ts
@@ -14,15 +14,23 @@
 export function surviveFaults(report: (detail: string) => void): void {
 	const survive = (err: unknown) => {
 		faults.count++
-		report(describeFault(err))
+		try {
+			report(describeFault(err))
+		} catch {
+			// What this handler throws would end the process; the fault is counted.
+		}
 	}
 	process.on('uncaughtException', survive)
 	process.on('unhandledRejection', survive)
 }
 
-/** Returns the stack of an error, or a text for another thrown value. */
+/** Returns the stack of an error, or a text for another thrown value; never throws. */
 export function describeFault(err: unknown): string {
-	return err instanceof Error ? (err.stack ?? err.message) : String(err)
+	try {
+		return err instanceof Error ? (err.stack ?? err.message) : String(err)
+	} catch {
+		return 'a thrown value without a text'
+	}
 }
 
 /** Registers the counter of internal faults. */
