--- a/packages/gateway/src/catalog.ts
+++ b/packages/gateway/src/catalog.ts
@@ -11,6 +11,7 @@
 	findMissing,
 	formatRevision,
 	isSameRevision,
+	isWatchCut,
 	recordRead,
 } from '@juniperhook/core'
 import { readElapsed, readNow, sleep } from '@juniperhook/runtime'
@@ -51,11 +52,6 @@
  * a link that may have been too slow for the change itself.
  */
 const CATCH_UP_WAIT_MS = 1
-/**
- * A watch that ends sooner than this without a change has been cut, ms. Repeated at once,
- * it would take all calls that the source allows, and most of the processor.
- */
-const MIN_WATCH_MS = 25
 /** Exponential backoff between calls to a source that fails or cuts its watches, ms. */
 const MIN_BACKOFF_MS = 100
 const MAX_BACKOFF_MS = 400
@@ -141,7 +137,7 @@
 		const isChanged =
 			!isFullRead && !isSameRevision(result.value.revision, revision!)
 		const isCut =
-			!isFullRead && !isCatchUp && !isChanged && now - startedAt < MIN_WATCH_MS
+			!isFullRead && !isCatchUp && isWatchCut(now - startedAt, isChanged)
 		revision = result.value.revision
 		if (isCut) {
 			await sleep(backoffMs * (0.5 + ctx.random()))
