Agents: numbers in an order of another agent are bounded before they are used

What callers saw: nothing yet. One such order ends an agent, or holds its event loop for ever, and the next one does it again.

Cause: sets, ranks and experts of a map, and the fan-out of a relayed order, were used as lengths and divisors as they came. A packed map without ranks takes no numbers for a set, so its sets never ran out; a fan-out below 1 never ends.

Ruled out: the varints themselves, which are checked; negative counts of a delta.

Change: a packed map claims no more than its numbers, a delta's base has a size that a layout can have, and a fan-out is at least 1.

--- a/packages/core/src/core/expertLayout.ts
+++ b/packages/core/src/core/expertLayout.ts
@@ -12,6 +12,8 @@
 /** Experts of all sets: eight times those of 64 sets of 128. */
 const MAX_TOTAL_EXPERTS = 65_536
 
+/** Far above the ranks of any group. */
+const MAX_RANKS = 4_096
 /** Far above the size of an expert, MB. */
 const MAX_EXPERT_MB = 1_000_000
 
@@ -22,9 +24,7 @@
 export function toUsableLayout(layout: ExpertLayout): ExpertLayout | undefined {
 	const { sets, experts, places, maxNew, expertMb, expertShare } = layout
 	const isUsable =
-		isCount(sets, MAX_SETS) &&
-		isCount(experts, MAX_EXPERTS) &&
-		sets * experts <= MAX_TOTAL_EXPERTS &&
+		isUsableSize(sets, 1, experts) &&
 		isCount(places, Number.MAX_SAFE_INTEGER) &&
 		maxNew >= 0 &&
 		expertMb >= 0 &&
@@ -39,6 +39,20 @@
 	}
 }
 
+/** Whether a map of this size can be held in memory. */
+export function isUsableSize(
+	sets: number,
+	ranks: number,
+	experts: number,
+): boolean {
+	return (
+		isCount(sets, MAX_SETS) &&
+		isCount(ranks, MAX_RANKS) &&
+		isCount(experts, MAX_EXPERTS) &&
+		sets * experts <= MAX_TOTAL_EXPERTS
+	)
+}
+
 /**
  * Whether a map that ranks report can be planned from: it holds every expert of each set,
  * none twice on a rank and no more than its places.
--- a/packages/groups/src/mapDelta.ts
+++ b/packages/groups/src/mapDelta.ts
@@ -6,7 +6,7 @@
 
 import { crc32 } from 'node:zlib'
 import type { GroupMap } from '@juniperhook/core'
-import { distributeRoundRobin } from '@juniperhook/core'
+import { distributeRoundRobin, isUsableSize } from '@juniperhook/core'
 import { decodeVarints, encodeVarints } from './varints.ts'
 
 /** Capacity of the cache: the map in use, and those of rounds in progress or failed. */
@@ -167,6 +167,7 @@
 	{ base, sets, ranks, experts }: MapDelta,
 ): GroupMap | undefined {
 	if (base !== 0) return touchMap(cache, epoch, base)
+	if (!isUsableSize(sets, ranks, experts)) return undefined
 	const placement = distributeRoundRobin(ranks, { experts })
 	return Array.from({ length: sets }, () => placement)
 }
--- a/packages/groups/src/orderMessage.ts
+++ b/packages/groups/src/orderMessage.ts
@@ -80,7 +80,7 @@
 	return encodeVarints(numbers)
 }
 
-/** Decodes a packed map. Throws a RangeError if it is truncated. */
+/** Decodes a packed map. Throws a RangeError if it is truncated or has no ranks. */
 export function unpackMap(packed: string): GroupMap {
 	const numbers = decodeVarints(packed)
 	let at = 0
@@ -91,6 +91,9 @@
 	}
 	const sets = next()
 	const ranks = next()
+	// Each rank of a set takes a number; sets without ranks would take none.
+	if (ranks < 1 || sets * ranks > numbers.length)
+		throw new RangeError('packed map truncated')
 	const readRank = () => Array.from({ length: next() }, next)
 	const readSet = () => Array.from({ length: ranks }, readRank)
 	return Array.from({ length: sets }, readSet)
--- a/packages/groups/src/orderTree.ts
+++ b/packages/groups/src/orderTree.ts
@@ -29,7 +29,7 @@
 	all: readonly T[],
 	fanOut: number,
 ): (readonly T[])[] {
-	const size = Math.ceil(all.length / fanOut)
+	const size = Math.max(1, Math.ceil(all.length / Math.max(1, fanOut)))
 	const branches: (readonly T[])[] = []
 	for (let from = 0; from < all.length; from += size)
 		branches.push(all.slice(from, from + size))
@@ -38,8 +38,9 @@
 
 /** Returns the number of hops until an order has reached all of `count` ranks. */
 export function countHops(count: number, fanOut: number): number {
+	const perHop = Math.max(1, fanOut)
 	let hops = 0
-	for (let left = count; left > 0; left = Math.ceil(left / fanOut) - 1) hops++
+	for (let left = count; left > 0; left = Math.ceil(left / perHop) - 1) hops++
 	return hops
 }
 
