Store and engines: what an answer takes once parsed is bounded, as its bytes are

What callers saw: a process ends by itself with SIGABRT, "JavaScript heap out of memory", without a line in its log.

Cause: the size of an answer is limited (16 MB of the store, 8 MB of an engine), but its values were parsed whatever they take: up to 30 times their text, in a heap of 64 MB (agent) or 160 MB (entry). An agent ends even on a sound watch page: 16 MB of changes of server records.

Ruled out: the bytes themselves (16 MB of records of 700 kB peak at 230 MB in an entry, 160 MB in an agent).

Change: a JSON text from outside whose values would take more than a quarter of the heap is not parsed.

--- a/packages/runtime/src/io/limitedBody.ts
+++ b/packages/runtime/src/io/limitedBody.ts
@@ -2,11 +2,44 @@
 
 import type { ClientRequest, IncomingMessage } from 'node:http'
 import type { Readable } from 'node:stream'
-import { addPart, createPartCollector, joinParts } from '@juniperhook/core'
+import { getHeapStatistics } from 'node:v8'
+import {
+	addPart,
+	createPartCollector,
+	estimateParsedBytes,
+	joinParts,
+} from '@juniperhook/core'
 
 /** Maximum number of interim responses before a response. */
 const MAX_INTERIM_RESPONSES = 16
 
+/** Share of the heap that one parsed JSON text may take; several may exist at once. */
+const MAX_HEAP_SHARE = 0.25
+/** Size below which a JSON text takes little memory whatever it contains, bytes. */
+const SMALL_JSON_BYTES = 32_768
+
+/** Reason why a JSON text is not parsed. */
+export class JsonTooLargeError extends Error {}
+
+/**
+ * Parses a JSON text. Throws without parsing it if its values would take more than
+ * `maxBytes` of this process's heap: the smallest ones take tens of times their text.
+ */
+export function parseLimitedJson(
+	text: string | Buffer,
+	maxBytes = MAX_HEAP_SHARE * getHeapStatistics().heap_size_limit,
+): unknown {
+	if (text.length > SMALL_JSON_BYTES) {
+		const json = typeof text === 'string' ? Buffer.from(text) : text
+		const bytes = estimateParsedBytes(json)
+		if (bytes > maxBytes)
+			throw new JsonTooLargeError(
+				`${json.length} bytes of JSON would take ${bytes}, of ${Math.round(maxBytes)} allowed`,
+			)
+	}
+	return JSON.parse(text.toString())
+}
+
 /** Destroys a call that is answered by interim responses without end. */
 export function limitInterimResponses(req: ClientRequest): void {
 	let count = 0
@@ -25,7 +58,7 @@
 	req: ClientRequest,
 	res: IncomingMessage,
 	maxBytes: number,
-	onEnd: (body: string) => void,
+	onEnd: (body: Buffer) => void,
 	onPart: (bytes: number) => void = () => {},
 ): void {
 	const collector = createPartCollector()
@@ -35,7 +68,7 @@
 			req.destroy(new Error(`response of more than ${maxBytes} bytes`))
 		else addPart(collector, part)
 	})
-	res.on('end', () => onEnd(joinParts(collector).toString('utf8')))
+	res.on('end', () => onEnd(joinParts(collector)))
 }
 
 /** Reads a body as JSON; rejects and closes the connection if it is too large. */
