Soak: processes run with the heap and memory of the deploy file, and memory is a promise

What was missing: the soak started the product without the heap flags and the memory limit that it has in use, and did not look at memory.

Change: both roles get them; the peak of resident memory (VmHWM) of each process is read twice a second, printed, and above the limit breaks the promise MEMORY.

Evidence: 4 cases in soak/test/checks.test.ts.

--- a/soak/src/processes.ts
+++ b/soak/src/processes.ts
@@ -8,6 +8,7 @@
 import { mkdirSync, openSync, writeFileSync } from 'node:fs'
 import { join } from 'node:path'
 import { fileURLToPath } from 'node:url'
+import { readPeakMb } from '@juniperhook/fakes'
 import {
 	agentIp,
 	agentStoreIp,
@@ -30,6 +31,13 @@
 /** Time from SIGTERM to SIGKILL, ms. */
 export const GRACE_MS = 5_000
 const SEED_NODES = 2
+/** Memory of a machine and heap of its process, as in the deploy file, MB. */
+const LIMITS_MB = {
+	entry: { memory: 350, heap: 160 },
+	agent: { memory: 218, heap: 64 },
+} as const
+/** Interval between readings of the memory of a process, ms. */
+const MEMORY_INTERVAL_MS = 500
 
 /** One process of the product over all its incarnations. */
 export interface ManagedProcess {
@@ -103,6 +111,7 @@
 		`internal_port_range=${PORTS.agents},${PORTS.agents + 9}`,
 		`seed_nodes=${seeds.map(seed => `${seed}:${PORTS.control}`).join(',')}`,
 		`platform.address=${storeIp}:${PORTS.store}`,
+		`limits.memory_mb=${LIMITS_MB[role].memory}`,
 		`bounds.cold_overage=${COLD.factor}`,
 		`bounds.cold_slack=${COLD.extra}`,
 		`bounds.grace_s=${GRACE_MS / 1_000}`,
@@ -132,10 +141,12 @@
 	bundle = BUNDLE,
 ): void {
 	const log = openSync(managed.logPath, 'a')
-	const child = spawn(process.execPath, [bundle, managed.role], {
+	const heap = `--max-old-space-size=${LIMITS_MB[managed.role].heap}`
+	const child = spawn(process.execPath, [heap, bundle, managed.role], {
 		env: { JUNIPERHOOK_NODE_FILE: managed.settingsPath },
 		stdio: ['ignore', log, log],
 	})
+	watchMemory(record, managed, child)
 	managed.child = child
 	managed.incarnation++
 	managed.startedAt = performance.now()
@@ -157,6 +168,42 @@
 	})
 }
 
+/** Reads a process's memory until it exits; one that takes too much breaks a promise. */
+function watchMemory(
+	record: SoakRecord,
+	{ name, role }: ManagedProcess,
+	child: ChildProcess,
+): void {
+	const timer = setInterval(() => {
+		// A process that has exited has no entry in /proc, or one without figures.
+		if (child.exitCode !== null || child.signalCode !== null) return
+		checkMemory(record, name, role, readPeakMb({ child }))
+	}, MEMORY_INTERVAL_MS)
+	child.once('exit', () => clearInterval(timer))
+}
+
+/** Checks the most memory that a process has taken, MB. */
+export function checkMemory(
+	record: SoakRecord,
+	name: string,
+	role: ManagedProcess['role'],
+	peakMb: number,
+): void {
+	const label = `peak memory of ${role}, MB`
+	const before = record.counts.get(label) ?? 0
+	record.counts.set(label, Math.max(before, Math.round(peakMb)))
+	const { memory } = LIMITS_MB[role]
+	const isKnown = record.violations.some(one =>
+		one.startsWith(`MEMORY: ${name} `),
+	)
+	if (peakMb <= memory || isKnown) return
+	recordViolation(
+		record,
+		'MEMORY',
+		`${name} took ${Math.round(peakMb)} of ${memory} MB`,
+	)
+}
+
 function recordEnd(
 	record: SoakRecord,
 	{ name }: ManagedProcess,
--- a/soak/test/checks.test.ts
+++ b/soak/test/checks.test.ts
@@ -10,6 +10,7 @@
 import { SERVICE_OF } from '../src/config.ts'
 import { createDisturbances } from '../src/disturbances.ts'
 import { checkLeaving } from '../src/leaving.ts'
+import { checkMemory } from '../src/processes.ts'
 import type { RequestRecord, SoakRecord } from '../src/types.ts'
 import { createRecord } from '../src/types.ts'
 import { isRefusalJustified } from '../src/unavailability.ts'
@@ -297,4 +298,18 @@
 		assert.is(world.record.violations.length, broken)
 	})
 
+const MEMORY_CASES = [
+	{ role: 'entry', peaksMb: [349, 350], broken: 0 },
+	{ role: 'entry', peaksMb: [351, 360], broken: 1 },
+	{ role: 'agent', peaksMb: [100, 218], broken: 0 },
+	{ role: 'agent', peaksMb: [219], broken: 1 },
+] as const
+// Guards against a soak that passes although a process outgrows its machine.
+for (const { role, peaksMb, broken } of MEMORY_CASES)
+	test(`check of memory: an ${role} with ${peaksMb.join(', then ')} MB`, () => {
+		const record = createRecord()
+		for (const peakMb of peaksMb) checkMemory(record, `${role}-1`, role, peakMb)
+		assert.is(record.violations.length, broken)
+	})
+
 test.run()
