Build: one failure of the registry, the cache or another build is not the end

The deploy file's build installed 183 packages, 209 MB, for a bundle that needs 57, 57 MB.

The build installs what the platform and its bundler declare, in a folder of its own, and moves that into place as a whole; so nobody meets a part of it. There are three attempts, each limited in time, the last with a cache of its own; settings of the caller other than those that reach the registry are left out. A list of installed packages that is cut off counts as none.

Weighed: a committed bundle needs no registry, but is 450 KB of minified code in each change, to be reviewed and compared. Without a registry and a cache the build still fails; it names the reason.

The bundle imports only Node's own modules, so no native addon.

--- /dev/null
+++ b/scripts/bundle.d.mts
@@ -0,0 +1,3 @@
+import type { BuildOptions } from 'esbuild'
+
+export const SHARED: BuildOptions
--- a/scripts/install.mjs
+++ b/scripts/install.mjs
@@ -1,20 +1,13 @@
-/** Installs the dependencies unless they are complete and fit this machine. */
+/**
+ * Installs the dependencies, or those of one workspace, unless they are complete and fit
+ * this machine: `install.mjs [WORKSPACE]`.
+ */
 
-import { execFileSync } from 'node:child_process'
-import { describeMachine, findInstallFault } from './installFault.mjs'
+import { install } from './installation.mjs'
 
-/** With development dependencies also where NODE_ENV says otherwise: they build. */
-const INSTALL = [
-	'ci',
-	'--include=dev',
-	'--include=optional',
-	'--loglevel=error',
-	'--no-audit',
-	'--no-fund',
-]
-
-const fault = findInstallFault('.', describeMachine())
-if (fault !== undefined) {
-	process.stdout.write(`installing dependencies: ${fault}\n`)
-	execFileSync('npm', INSTALL, { stdio: 'inherit' })
+try {
+	await install('.', process.argv[2])
+} catch (error) {
+	process.stderr.write(`${error.message}\n`)
+	process.exitCode = 1
 }
--- a/scripts/installFault.d.mts
+++ b/scripts/installFault.d.mts
@@ -9,4 +9,10 @@
 export function findInstallFault(
 	root: string,
 	machine: Machine,
+	workspace?: string,
 ): string | undefined
+
+export function listNeeded(
+	packages: Record<string, object>,
+	workspace: string,
+): Set<string>
--- a/scripts/prepare.mjs
+++ b/scripts/prepare.mjs
@@ -1,6 +1,6 @@
 /** Installs the dependencies if necessary, then builds. */
 
-await import('./install.mjs')
-await import('./build.mjs')
+import { install } from './installation.mjs'
 
-export {}
+await install('.')
+await import('./build.mjs')
--- a/scripts/test/install.test.ts
+++ b/scripts/test/install.test.ts
@@ -10,11 +10,18 @@
 	rmSync,
 	writeFileSync,
 } from 'node:fs'
+import { isBuiltin } from 'node:module'
 import { tmpdir } from 'node:os'
 import { dirname, join } from 'node:path'
+import { build } from 'esbuild'
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
-import { describeMachine, findInstallFault } from '../installFault.mjs'
+import { SHARED as BUNDLE } from '../bundle.mjs'
+import {
+	describeMachine,
+	findInstallFault,
+	listNeeded,
+} from '../installFault.mjs'
 
 const ARM = { os: 'linux', cpu: 'arm64', libc: 'glibc' }
 const X86 = { os: 'linux', cpu: 'x64', libc: 'glibc' }
@@ -150,4 +157,40 @@
 	assert.equal(listNative('x64'), listNative('arm64'))
 })
 
+// Guards against a build that needs a package which only a whole installation has.
+test('install: the platform declares all that its bundle and its build need', async () => {
+	const lock = JSON.parse(readFileSync('package-lock.json', 'utf8'))
+	const needed = listNeeded(lock.packages, 'platform')
+	const { metafile } = await build({
+		...BUNDLE,
+		entryPoints: ['platform/src/main.ts'],
+		outdir: 'target',
+		write: false,
+		metafile: true,
+	})
+	const bundled = Object.values(metafile.outputs)
+		.flatMap(({ inputs }) => Object.keys(inputs))
+		.map(path => /^.*node_modules\/(@[^/]+\/)?[^/]+/.exec(path)?.[0])
+		.filter(path => path !== undefined)
+	assert.ok(bundled.length > 0)
+	for (const path of [...bundled, 'node_modules/esbuild'])
+		assert.ok(needed.has(path), path)
+})
+
+// Guards against a process that loads a native addon of another kind of machine.
+test('install: the platform bundles load no native addon', async () => {
+	const { metafile } = await build({
+		...BUNDLE,
+		entryPoints: ['platform/src/main.ts'],
+		outdir: 'target',
+		write: false,
+		metafile: true,
+	})
+	const external = Object.values(metafile.outputs)
+		.flatMap(({ imports }) => imports)
+		.filter(imported => imported.external)
+		.map(({ path }) => path.replace('node:', ''))
+	for (const path of external) assert.ok(isBuiltin(path), path)
+})
+
 test.run()
