Agents start on the first releases of Node 20

What is seen: on Node 20.0.0 no agent starts: "node:zlib does not provide an export named 'crc32'", code 1, at each start; entries do. The supervisor starts each agent again for ever. package.json promises Node 20 from its first release.

Cause: the checksum of map deltas came from Node's zlib, which has had it since 20.15. An ES module whose import names something missing does not run at all.

Ruled out: other names of Node's modules; an entry and an agent with this one replaced start, log and stop on 20.0.0.

Change: the checksum is computed here, with the same values, so agents of different builds still agree.

checksum.test.ts: 8 of 9 pass before (with the former mapDelta.ts), 9 of 9 now.

--- a/packages/groups/src/mapDelta.ts
+++ b/packages/groups/src/mapDelta.ts
@@ -4,9 +4,9 @@
  * fraction of that on the coordinator's small link.
  */
 
-import { crc32 } from 'node:zlib'
 import type { GroupMap } from '@juniperhook/core'
 import { distributeRoundRobin, isUsableSize } from '@juniperhook/core'
+import { checksum } from './checksum.ts'
 import { decodeVarints, encodeVarints } from './varints.ts'
 
 /** Capacity of the cache: the map in use, and those of rounds in progress or failed. */
@@ -106,7 +106,7 @@
 }
 
 function checksumOf(map: GroupMap): number {
-	return crc32(JSON.stringify(map))
+	return checksum(JSON.stringify(map))
 }
 
 /**
