Gateway: a part of the stop that fails does not keep an entry from ending

What is seen: an entry that gets SIGTERM while one of its open requests throws when it is refused never ends: 27 s later it lives, after a second SIGTERM too.

Cause: the stop is one promise; a throw rejected it, the guard against faults kept the process, and further signals only say that the stop has begun.

Ruled out: the periodic work, whose parts are guarded by themselves already.

Change: each part of the stop goes on after an error, which is logged and counted, and the process exits before SIGKILL whatever the stop still waits for.

--- a/packages/gateway/src/shutdown.ts
+++ b/packages/gateway/src/shutdown.ts
@@ -6,8 +6,11 @@
 import type { Server } from 'node:http'
 import type { Socket } from 'node:net'
 import {
+	actOnAll,
 	closeIdle,
 	countUndelivered,
+	describeFault,
+	faults,
 	listOverdue,
 	listPartial,
 	readElapsed,
@@ -50,14 +53,21 @@
 	const endAt = startedAt + endMs
 	ctx.shutdown = { drainedAt, endAt }
 	ctx.log.write('stop begun', { open: ctx.openRequests, drainMs, endMs })
+	// Before SIGKILL, whatever else the stop waits for.
+	setTimeout(() => process.exit(0), stopMs - FLUSH_MS)
 	const refuseWaiting = setInterval(() => refuseLate(ctx), CHECK_INTERVAL_MS)
 	await sleep(drainMs)
 	stopAccepting(callers)
-	let hasIdle: boolean
+	let hasIdle = false
 	do {
-		hasIdle = closeIdle(ctx.connections)
-		for (const socket of listOverdue(ctx.connections))
-			refuseUnfinished(ctx, socket)
+		runSafely(ctx, () => {
+			hasIdle = closeIdle(ctx.connections)
+		})
+		runSafely(ctx, () =>
+			actOnAll(listOverdue(ctx.connections), socket =>
+				refuseUnfinished(ctx, socket),
+			),
+		)
 		await sleep(CHECK_INTERVAL_MS)
 	} while ((hasIdle || hasOpenRequests(ctx)) && readElapsed() < endAt)
 	clearInterval(refuseWaiting)
@@ -71,6 +81,16 @@
 	process.exit(0)
 }
 
+/** Runs a part of the stop; one that throws must not keep the process from exiting. */
+function runSafely(ctx: GatewayContext, part: () => void): void {
+	try {
+		part()
+	} catch (err) {
+		faults.count++
+		ctx.log.write('internal fault', { detail: describeFault(err) })
+	}
+}
+
 /** Answers the calls of operators and other processes that are in progress. */
 async function endOperatorCalls(ctx: GatewayContext): Promise<void> {
 	await stopRpc()
@@ -80,8 +100,9 @@
 
 /** Refuses requests that wait to be sent and can no longer end in time. */
 function refuseLate(ctx: GatewayContext): void {
-	for (const [request, cancel] of [...ctx.cancelByRequest])
+	actOnAll([...ctx.cancelByRequest], ([request, cancel]) => {
 		if (!canEndBeforeExit(ctx, request)) cancel('leaving')
+	})
 }
 
 /** Whether responses have not been delivered, or requests not been read completely. */
@@ -102,9 +123,16 @@
 /** Ends all open requests with a response, while there is time to send it. */
 export async function endOpenRequests(ctx: GatewayContext): Promise<void> {
 	ctx.log.write('open requests ended', { open: ctx.openRequests })
-	for (const cancel of [...ctx.cancelByRequest.values()]) cancel('timeout')
-	for (const { refuse } of ctx.requestsBeingRead) refuse('entryLeaving')
-	for (const socket of listPartial(ctx.connections))
-		refuseUnfinished(ctx, socket)
+	runSafely(ctx, () =>
+		actOnAll([...ctx.cancelByRequest.values()], cancel => cancel('timeout')),
+	)
+	runSafely(ctx, () =>
+		actOnAll(ctx.requestsBeingRead, ({ refuse }) => refuse('entryLeaving')),
+	)
+	runSafely(ctx, () =>
+		actOnAll(listPartial(ctx.connections), socket =>
+			refuseUnfinished(ctx, socket),
+		),
+	)
 	await sleep(FLUSH_MS)
 }
