Store: changes of more bytes than a process receives are read as a list

What is seen: an entry that was cut off while configurations of full size came in quick succession asks for the same changes again and again, 16 MB each time, and gets none of them until the store forgets them (20 s), beyond the time in which a configuration has to be in force.

Cause: such an answer counted as a failed call, which is repeated; only changes whose parsed values are too large were followed by a read of the list.

Ruled out: 11 values of 1 MiB, which arrive whole.

--- a/packages/runtime/src/io/limitedBody.ts
+++ b/packages/runtime/src/io/limitedBody.ts
@@ -18,8 +18,8 @@
 /** Size below which a JSON text takes little memory whatever it contains, bytes. */
 const SMALL_JSON_BYTES = 32_768
 
-/** Reason why a JSON text is not parsed. */
-export class JsonTooLargeError extends Error {}
+/** Reason why a body is not received, or not parsed. */
+export class BodyTooLargeError extends Error {}
 
 /**
  * Parses a JSON text. Throws without parsing it if its values would take more than
@@ -33,7 +33,7 @@
 		const json = typeof text === 'string' ? Buffer.from(text) : text
 		const bytes = estimateParsedBytes(json)
 		if (bytes > maxBytes)
-			throw new JsonTooLargeError(
+			throw new BodyTooLargeError(
 				`${json.length} bytes of JSON would take ${bytes}, of ${Math.round(maxBytes)} allowed`,
 			)
 	}
@@ -65,7 +65,9 @@
 	res.on('data', (part: Buffer) => {
 		onPart(part.length)
 		if (collector.bytes + part.length > maxBytes)
-			req.destroy(new Error(`response of more than ${maxBytes} bytes`))
+			req.destroy(
+				new BodyTooLargeError(`response of more than ${maxBytes} bytes`),
+			)
 		else addPart(collector, part)
 	})
 	res.on('end', () => onEnd(joinParts(collector)))
--- a/packages/runtime/test/limitedBody.test.ts
+++ b/packages/runtime/test/limitedBody.test.ts
@@ -2,7 +2,7 @@
 
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
-import { JsonTooLargeError, parseLimitedJson } from '../src/index.ts'
+import { BodyTooLargeError, parseLimitedJson } from '../src/index.ts'
 
 const COUNT = 20_000
 const MAX_BYTES = 1_000_000
@@ -21,7 +21,7 @@
 			const parse = () => parseLimitedJson(text, MAX_BYTES)
 			if (allowed) assert.equal(parse(), JSON.parse(json))
 			else
-				assert.throws(parse, (err: Error) => err instanceof JsonTooLargeError)
+				assert.throws(parse, (err: Error) => err instanceof BodyTooLargeError)
 		})
 
 test('limited JSON: an invalid text is refused as invalid', () => {
