Agents: the experts that an order claims are bounded before they are allocated

An order of a few bytes that claims 30 million experts of a rank takes 241 MB before it is refused, more than an agent's VM has. Sets and ranks were bounded, the experts of a rank not; the test used a count that V8 stores sparsely.

--- a/packages/groups/src/orderMessage.ts
+++ b/packages/groups/src/orderMessage.ts
@@ -94,7 +94,12 @@
 	// Each rank of a set takes a number; sets without ranks would take none.
 	if (ranks < 1 || sets * ranks > numbers.length)
 		throw new RangeError('packed map truncated')
-	const readRank = () => Array.from({ length: next() }, next)
+	const readRank = () => {
+		const experts = next()
+		if (experts > numbers.length - at)
+			throw new RangeError('packed map truncated')
+		return Array.from({ length: experts }, next)
+	}
 	const readSet = () => Array.from({ length: ranks }, readRank)
 	return Array.from({ length: sets }, readSet)
 }
--- a/packages/groups/test/oddOrders.test.ts
+++ b/packages/groups/test/oddOrders.test.ts
@@ -12,17 +12,24 @@
 import { encodeVarints } from '../src/varints.ts'
 
 const MANY = 2 ** 31
+/** Memory that refusing such an order may take, bytes. */
+const MAX_TAKEN_BYTES = 33_554_432
 
 const PACKED: { name: string; numbers: number[] }[] = [
 	{ name: 'many sets without ranks', numbers: [MANY, 0] },
 	{ name: 'many sets', numbers: [MANY, 2, 0, 0] },
 	{ name: 'many ranks', numbers: [1, MANY] },
 	{ name: 'many experts', numbers: [1, 1, MANY] },
+	{ name: 'some millions of experts', numbers: [1, 1, 3e7] },
 ]
 for (const { name, numbers } of PACKED)
 	test(`odd orders: a packed map that claims ${name} is refused`, () => {
 		const isRangeError = (err: Error) => err instanceof RangeError
-		assert.throws(() => unpackMap(encodeVarints(numbers)), isRangeError)
+		const packed = encodeVarints(numbers)
+		const before = process.memoryUsage().heapTotal
+		assert.throws(() => unpackMap(packed), isRangeError)
+		const takenBytes = process.memoryUsage().heapTotal - before
+		assert.ok(takenBytes < MAX_TAKEN_BYTES, `${takenBytes} bytes`)
 	})
 
 const DELTA: MapDelta = {
