--- a/packages/groups/src/groupReporter.ts
+++ b/packages/groups/src/groupReporter.ts
@@ -5,6 +5,7 @@
  */
 
 import { randomBytes } from 'node:crypto'
+import type { RpcLink } from '@juniperhook/runtime'
 import { call, messageOf, readNow } from '@juniperhook/runtime'
 import type { CoordinatedStatus } from './coordinatorState.ts'
 import type { LinkCache } from './linkCache.ts'
@@ -113,8 +114,9 @@
 	entry: string,
 	message: object,
 ): Promise<void> {
+	let link: RpcLink | undefined
 	try {
-		const link = await reachLink(reporter, entry, {}, CONNECT_TIMEOUT_MS)
+		link = await reachLink(reporter, entry, {}, CONNECT_TIMEOUT_MS)
 		const others = await call<string[]>(
 			link,
 			'paces',
@@ -129,7 +131,7 @@
 	} catch (err) {
 		// A link may fail without a reset; only the missing answer shows it.
 		// The next report opens a new link.
-		dropLink(reporter, entry)
+		if (link) dropLink(reporter, entry, link)
 		reporter.unconfirmed = true
 		// The entry moves to the end, so the next report goes to another one instead.
 		const rest = reporter.entries.filter(other => other !== entry)
--- a/packages/groups/src/linkCache.ts
+++ b/packages/groups/src/linkCache.ts
@@ -48,8 +48,12 @@
 	}
 }
 
-/** Closes the link to an address. */
-export function dropLink({ links }: LinkCache, address: string): void {
-	links.get(address)?.socket.destroy()
-	links.delete(address)
+/** Closes a link to an address; a newer one to the same address stays. */
+export function dropLink(
+	{ links }: LinkCache,
+	address: string,
+	link: RpcLink,
+): void {
+	link.socket.destroy()
+	if (links.get(address) === link) links.delete(address)
 }
--- a/packages/groups/src/orderRelay.ts
+++ b/packages/groups/src/orderRelay.ts
@@ -4,7 +4,7 @@
  * seconds, which is as long as demand remains steady.
  */
 
-import type { Methods } from '@juniperhook/runtime'
+import type { Methods, RpcLink } from '@juniperhook/runtime'
 import { call } from '@juniperhook/runtime'
 import type { LinkCache } from './linkCache.ts'
 import { createLinkCache, dropLink, reachLink } from './linkCache.ts'
@@ -64,14 +64,15 @@
 	[address, ...behind]: readonly string[],
 ): Promise<(RankAnswer | null)[]> {
 	const timeoutMs = branchTimeoutMs(req, behind.length)
+	let link: RpcLink | undefined
 	try {
 		const { methods } = relay
-		const link = await reachLink(relay, address!, methods, CONNECT_TIMEOUT_MS)
+		link = await reachLink(relay, address!, methods, CONNECT_TIMEOUT_MS)
 		const params: RelayRequest = { ...req, to: behind }
 		return await call<(RankAnswer | null)[]>(link, 'relay', params, timeoutMs)
 	} catch {
 		// The coordinator sends the order to these agents again along another tree.
-		dropLink(relay, address!)
+		if (link) dropLink(relay, address!, link)
 		return [null, ...behind.map(() => null)]
 	}
 }
