Build: another build's files stay until it has ended

What is seen: of two builds of different sources in one folder at once, one removes the files that the other has put into place before its program names them; that program then never starts.

Cause: only files still being written counted as another build's.

Change: nothing younger than the time that a build may take is removed.

--- a/scripts/publish.mjs
+++ b/scripts/publish.mjs
@@ -40,7 +40,7 @@
 	// Built again without a change: there may still be processes of the former program.
 	if (readText(join(folder, program)) === former) return
 	for (const name of readdirSync(folder))
-		if (!kept.has(name) && !isBeingWritten(folder, name))
+		if (!kept.has(name) && !isRecent(folder, name))
 			rmSync(join(folder, name), { recursive: true, force: true })
 }
 
@@ -61,9 +61,8 @@
 	}
 }
 
-/** Whether a file is one that another build is writing now. */
-function isBeingWritten(folder, name) {
-	if (!name.endsWith(UNFINISHED)) return false
+/** Whether a file may belong to a build that has not put its program into place yet. */
+function isRecent(folder, name) {
 	const stat = statSync(join(folder, name), { throwIfNoEntry: false })
 	return stat !== undefined && Date.now() - stat.mtimeMs < BUILD_LIMIT_MS
 }
