--- a/packages/core/src/core/expertLayout.ts
+++ b/packages/core/src/core/expertLayout.ts
@@ -5,16 +5,11 @@
 
 import type { ExpertLayout } from '../types/traffic.ts'
 
-/** Far above the sets of any published model. */
+// Each is several times that of the largest models and groups in use.
 const MAX_SETS = 512
-/** Far above the experts of a set of any published model. */
 const MAX_EXPERTS = 8_192
-/** Experts of all sets: eight times those of 64 sets of 128. */
 const MAX_TOTAL_EXPERTS = 65_536
-
-/** Far above the ranks of any group. */
 const MAX_RANKS = 4_096
-/** Far above the size of an expert, MB. */
 const MAX_EXPERT_MB = 1_000_000
 
 /**
--- a/packages/groups/test/links.test.ts
+++ b/packages/groups/test/links.test.ts
@@ -1,6 +1,7 @@
 /**
  * Guards against links that a coordinator leaves open when it stops, when a rank moves, or
- * when it opens two to the same process: a group whose coordinator changes often would use up descriptors and memory.
+ * when it opens two to the same process: a group whose coordinator changes often would
+ * use up descriptors and memory.
  */
 
 import type { AddressInfo, Socket } from 'node:net'
